--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,117 @@
+// Package member keeps the table of the instances that this instance knows of.
+//
+// The table is filled from the settings, from the platform's lagging list and from what other instances say.
+// It serves to find addresses only: no decision that needs exclusivity is taken from it.
+package member
+
+import (
+	"sort"
+	"sync"
+)
+
+// Instance is one running entry daemon.
+type Instance struct {
+	// ID is unique among the running instances, for example "giza-1".
+	ID string
+	// DataCentre is the name of the instance's data centre.
+	DataCentre string
+	// Slot is the instance's place in its data centre's cell, from 0.
+	Slot int
+	// Incarnation rises with each start of the slot's occupant. Zero means unknown.
+	Incarnation uint64
+	// PeerAddr is the host:port of the gRPC server for other instances.
+	PeerAddr string
+	// HTTPAddr is the host:port of the server for callers.
+	HTTPAddr string
+	// Leaving is set when the instance has begun a graceful shutdown.
+	Leaving bool
+}
+
+// Table is safe for concurrent use.
+type Table struct {
+	self Instance
+
+	mu   sync.RWMutex
+	byID map[string]Instance
+}
+
+// NewTable returns a table that holds only self.
+func NewTable(self Instance) *Table {
+	return &Table{self: self, byID: map[string]Instance{self.ID: self}}
+}
+
+// Self returns the instance that the table belongs to.
+func (t *Table) Self() Instance { return t.self }
+
+// Merge takes in what was heard of an instance. An older incarnation never replaces a newer one, and a leaving
+// instance does not come back under the same incarnation.
+func (t *Table) Merge(in Instance) {
+	if in.ID == t.self.ID {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old, ok := t.byID[in.ID]
+	if ok && old.Incarnation > in.Incarnation {
+		return
+	}
+	if ok && old.Incarnation == in.Incarnation {
+		in.Leaving = in.Leaving || old.Leaving
+	}
+	t.byID[in.ID] = in
+}
+
+// Remove forgets an instance that the platform's list no longer names.
+func (t *Table) Remove(id string) {
+	if id == t.self.ID {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.byID, id)
+}
+
+// Get returns the instance with the given id.
+func (t *Table) Get(id string) (Instance, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	in, ok := t.byID[id]
+	return in, ok
+}
+
+// All returns every known instance, self included, ordered by id.
+func (t *Table) All() []Instance {
+	return t.filter(func(Instance) bool { return true })
+}
+
+// InDataCentre returns the known instances of one data centre, ordered by slot.
+func (t *Table) InDataCentre(dc string) []Instance {
+	in := t.filter(func(i Instance) bool { return i.DataCentre == dc })
+	sort.SliceStable(in, func(a, b int) bool { return in[a].Slot < in[b].Slot })
+	return in
+}
+
+// AtSlot returns the occupant of a slot with the highest known incarnation.
+func (t *Table) AtSlot(dc string, slot int) (Instance, bool) {
+	var best Instance
+	found := false
+	for _, in := range t.InDataCentre(dc) {
+		if in.Slot == slot && (!found || in.Incarnation > best.Incarnation) {
+			best, found = in, true
+		}
+	}
+	return best, found
+}
+
+func (t *Table) filter(keep func(Instance) bool) []Instance {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := make([]Instance, 0, len(t.byID))
+	for _, in := range t.byID {
+		if keep(in) {
+			out = append(out, in)
+		}
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
--- /dev/null
+++ b/internal/verdict/verdict.go
@@ -0,0 +1,136 @@
+// Package verdict says, for every request that ends without an answer, whether it may have run.
+//
+// Every decision to retry takes a Verdict; see RetrySafe.
+package verdict
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Verdict tells whether a request may have had an effect outside berylpond.
+type Verdict int
+
+const (
+	// MayHaveRun means that part of the request was written to a backend server and its effect is unknown.
+	// It is the zero value, so that an error without a verdict is never taken for NotRun.
+	MayHaveRun Verdict = iota
+	// NotRun means that nothing of the request was written to a backend server's connection.
+	NotRun
+	// Ran means that the request had its effect.
+	Ran
+)
+
+// String returns the form used in problem documents, logs and metrics.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Ran:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Parse is the inverse of String. An unknown text is MayHaveRun.
+func Parse(s string) Verdict {
+	switch s {
+	case "not-run":
+		return NotRun
+	case "ran":
+		return Ran
+	default:
+		return MayHaveRun
+	}
+}
+
+// RetrySafe reports whether a request with this verdict may be sent again.
+func (v Verdict) RetrySafe(repeatable bool) bool {
+	return v == NotRun || (v == MayHaveRun && repeatable)
+}
+
+// Reason is a machine-readable cause of a refusal. It is a metric label: the set is small and fixed.
+type Reason string
+
+// Reasons of refusals, in the order in which a request meets them.
+const (
+	ReasonMalformed         Reason = "malformed"
+	ReasonTooLarge          Reason = "too_large"
+	ReasonBadKey            Reason = "bad_key"
+	ReasonKeyWithdrawn      Reason = "key_withdrawn"
+	ReasonForbidden         Reason = "forbidden"
+	ReasonUnknownRoute      Reason = "unknown_route"
+	ReasonUnknownModel      Reason = "unknown_model"
+	ReasonUnknownProgram    Reason = "unknown_program"
+	ReasonNoConfiguration   Reason = "no_configuration"
+	ReasonRateLimited       Reason = "rate_limited"
+	ReasonBudgetSpent       Reason = "budget_spent"
+	ReasonDeadline          Reason = "deadline_exceeded"
+	ReasonWrongHead         Reason = "wrong_head"
+	ReasonTurnInProgress    Reason = "turn_in_progress"
+	ReasonProgramEnded      Reason = "program_ended"
+	ReasonDuplicate         Reason = "duplicate_request"
+	ReasonClaimUnavailable  Reason = "claim_unavailable"
+	ReasonOwnerUnavailable  Reason = "owner_unavailable"
+	ReasonHomeUnreachable   Reason = "home_unreachable"
+	ReasonNotDurable        Reason = "not_durable"
+	ReasonQueueFull         Reason = "queue_full"
+	ReasonQueueTimeout      Reason = "queue_timeout"
+	ReasonNoBackend         Reason = "no_backend"
+	ReasonBackendFailed     Reason = "backend_failed"
+	ReasonBackendSilent     Reason = "backend_silent"
+	ReasonTruncated         Reason = "truncated"
+	ReasonCrossed           Reason = "crossed_answer"
+	ReasonCancelled         Reason = "cancelled"
+	ReasonShuttingDown      Reason = "shutting_down"
+	ReasonVersionConflict   Reason = "version_conflict"
+	ReasonPlatformAway      Reason = "platform_unavailable"
+	ReasonInternal          Reason = "internal"
+	ReasonRetryBudgetSpent  Reason = "retry_budget_spent"
+	ReasonStaleFencingOrder Reason = "stale_fencing_number"
+)
+
+// Error is a final refusal or failure of one request.
+type Error struct {
+	// Verdict says whether the request may have run.
+	Verdict Verdict
+	// Reason is the machine-readable cause.
+	Reason Reason
+	// Status is the HTTP status given to the caller.
+	Status int
+	// RetryAfter is the time after which trying again helps; zero when it does not.
+	RetryAfter time.Duration
+	// Detail is a sentence for the caller. It never holds a key or message text.
+	Detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("%s (%s): %s", e.Reason, e.Verdict, e.Detail)
+}
+
+// Refuse returns a NotRun error: the request was given up before anything was written to a backend server.
+func Refuse(status int, reason Reason, retryAfter time.Duration, format string, args ...any) *Error {
+	return &Error{Verdict: NotRun, Reason: reason, Status: status, RetryAfter: retryAfter, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Fail returns an error whose request may have run.
+func Fail(status int, reason Reason, format string, args ...any) *Error {
+	return &Error{Verdict: MayHaveRun, Reason: reason, Status: status, Detail: fmt.Sprintf(format, args...)}
+}
+
+// From returns the Error in err's chain. An error without one is MayHaveRun with ReasonInternal.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return Fail(http.StatusBadGateway, ReasonInternal, "%v", err)
+}
