Add the program store and the client of backend servers

Ruled out: read-back of every commit from the log (a wait per turn); instead an event is kept by a majority of the cell under the lease's term before it counts, and the log keeps it for later instances. Before: nothing. Conclusion: net/http must not replay service calls, so their bodies are wrapped without GetBody.

--- /dev/null
+++ b/internal/engine/chat.go
@@ -0,0 +1,132 @@
+// Package engine is the client of backend servers: model engines and plain services.
+//
+// Outgoing requests are built anew from known fields, so no header of the caller, its key included, travels on. Every
+// error is a *verdict.Error; NotRun is given only when no connection to the backend server was had.
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// ChatRequest holds the fields of a chat completion that are passed on to an engine. Source: the OpenAI chat
+// completions interface.
+type ChatRequest struct {
+	Model               string            `json:"model"`
+	Messages            []json.RawMessage `json:"messages"`
+	MaxTokens           int64             `json:"max_tokens,omitempty"`
+	MaxCompletionTokens int64             `json:"max_completion_tokens,omitempty"`
+	Stream              bool              `json:"stream,omitempty"`
+	StreamOptions       *StreamOptions    `json:"stream_options,omitempty"`
+	Temperature         *float64          `json:"temperature,omitempty"`
+	TopP                *float64          `json:"top_p,omitempty"`
+	Seed                *int64            `json:"seed,omitempty"`
+	Stop                json.RawMessage   `json:"stop,omitempty"`
+	Tools               json.RawMessage   `json:"tools,omitempty"`
+	ToolChoice          json.RawMessage   `json:"tool_choice,omitempty"`
+	ResponseFormat      json.RawMessage   `json:"response_format,omitempty"`
+	// PromptCacheKey names the program whose prefix the engine may keep.
+	PromptCacheKey string `json:"prompt_cache_key,omitempty"`
+	// RequestID is repeated in every chunk of the answer, so that crossed answers are found out.
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// StreamOptions asks for the usage chunk.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// Usage is the engine's count of tokens.
+type Usage struct {
+	PromptTokens        int64         `json:"prompt_tokens"`
+	CompletionTokens    int64         `json:"completion_tokens"`
+	TotalTokens         int64         `json:"total_tokens"`
+	PromptTokensDetails PromptDetails `json:"prompt_tokens_details"`
+}
+
+// PromptDetails tells how much of the prompt was in the engine's cache.
+type PromptDetails struct {
+	CachedTokens int64 `json:"cached_tokens"`
+}
+
+// Chunk is one event of a streamed answer.
+type Chunk struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object,omitempty"`
+	Created int64    `json:"created,omitempty"`
+	Model   string   `json:"model,omitempty"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Choice is one alternative of an answer; berylpond asks for one.
+type Choice struct {
+	Index        int      `json:"index"`
+	Delta        *Message `json:"delta,omitempty"`
+	Message      *Message `json:"message,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Message is a chat message or a part of one.
+type Message struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// ParseChat decodes a caller's request body.
+func ParseChat(body []byte) (*ChatRequest, *verdict.Error) {
+	var r ChatRequest
+	if err := json.NewDecoder(bytes.NewReader(body)).Decode(&r); err != nil {
+		return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "body is not a chat completion request: %v", err)
+	}
+	if r.Model == "" {
+		return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "body: model is missing")
+	}
+	if len(r.Messages) == 0 {
+		return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "body: messages is empty")
+	}
+	for i, m := range r.Messages {
+		var msg struct {
+			Role string `json:"role"`
+		}
+		if err := json.Unmarshal(m, &msg); err != nil || msg.Role == "" {
+			return nil, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "body: messages[%d] has no role", i)
+		}
+	}
+	return &r, nil
+}
+
+// Limit returns the completion limit that the caller asked for, or def.
+func (r *ChatRequest) Limit(def int64) int64 {
+	if r.MaxCompletionTokens > 0 {
+		return r.MaxCompletionTokens
+	}
+	if r.MaxTokens > 0 {
+		return r.MaxTokens
+	}
+	return def
+}
+
+// messageOverheadTokens bounds what an engine's chat template adds to a message.
+const messageOverheadTokens = 8
+
+// PromptBound returns an upper bound of the tokens of the messages: no tokenizer in use gives more than a token a byte.
+func PromptBound(messages []json.RawMessage) int64 {
+	var n int64
+	for _, m := range messages {
+		n += int64(len(m)) + messageOverheadTokens
+	}
+	return n
+}
+
+// Assistant returns the JSON of an assistant's message.
+func Assistant(text string) json.RawMessage {
+	b, err := json.Marshal(Message{Role: "assistant", Content: text})
+	if err != nil {
+		panic(err) // strings always marshal
+	}
+	return b
+}
--- /dev/null
+++ b/internal/engine/service.go
@@ -0,0 +1,92 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+
+	"github.com/berylpond/berylpond/internal/failpoint"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// requestIDHeader carries berylpond's id of a request to a plain service, and back where the service repeats it.
+const requestIDHeader = "X-Request-Id"
+
+// ServiceRequest is a call to a plain service or a tool.
+type ServiceRequest struct {
+	RequestID   string
+	Method      string
+	Path        string
+	Query       string
+	ContentType string
+	Body        []byte
+	Timeout     time.Duration
+	// MaxAnswer bounds the answer's body in bytes.
+	MaxAnswer int64
+}
+
+// ServiceAnswer is a whole answer of a service.
+type ServiceAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Call runs one service call on the backend server at addr. It makes a single attempt.
+func (c *Client) Call(ctx context.Context, addr string, r ServiceRequest) (ServiceAnswer, error) {
+	ctx, w := watch(ctx, r.Timeout)
+	defer w.stop()
+	if err := failpoint.Hit("service.dispatch.before"); err != nil {
+		return ServiceAnswer{}, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryBackend, "%v", err)
+	}
+	var had atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { had.Store(true) }})
+	req, err := newServiceRequest(ctx, addr, r)
+	if err != nil {
+		return ServiceAnswer{}, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "building the request: %v", err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return ServiceAnswer{}, w.explain(sendError(err, had.Load()))
+	}
+	defer resp.Body.Close()
+	a, err := readService(resp, r)
+	return a, w.explain(err)
+}
+
+func newServiceRequest(ctx context.Context, addr string, r ServiceRequest) (*http.Request, error) {
+	url := "http://" + addr + r.Path
+	if r.Query != "" {
+		url += "?" + r.Query
+	}
+	// The body is wrapped, also when it is empty, so that net/http cannot replay the request on another connection.
+	body := struct{ io.Reader }{bytes.NewReader(r.Body)}
+	req, err := http.NewRequestWithContext(ctx, r.Method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(r.Body))
+	req.Header.Set(requestIDHeader, r.RequestID)
+	if r.ContentType != "" {
+		req.Header.Set("Content-Type", r.ContentType)
+	}
+	return req, nil
+}
+
+func readService(resp *http.Response, r ServiceRequest) (ServiceAnswer, error) {
+	if id := resp.Header.Get(requestIDHeader); id != "" && id != r.RequestID {
+		return ServiceAnswer{}, verdict.Fail(http.StatusBadGateway, verdict.ReasonCrossed, "the answer belongs to another request")
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, r.MaxAnswer+1))
+	if err != nil {
+		return ServiceAnswer{}, verdict.Fail(http.StatusBadGateway, verdict.ReasonTruncated, "the answer broke off: %v", rootCause(err))
+	}
+	if int64(len(body)) > r.MaxAnswer {
+		return ServiceAnswer{}, verdict.Fail(http.StatusBadGateway, verdict.ReasonTooLarge, "the answer is larger than %d bytes", r.MaxAnswer)
+	}
+	return ServiceAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
+}
--- /dev/null
+++ b/internal/engine/watch.go
@@ -0,0 +1,56 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// watchdog cancels a call that makes no progress, and tells that apart from a caller that went away.
+type watchdog struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	timer  *time.Timer
+}
+
+// watch returns a context that ends after d without progress.
+func watch(parent context.Context, d time.Duration) (context.Context, *watchdog) {
+	ctx, cancel := context.WithCancelCause(parent)
+	w := &watchdog{ctx: ctx, cancel: cancel}
+	w.timer = time.AfterFunc(d, func() { cancel(errSilent) })
+	return ctx, w
+}
+
+func (w *watchdog) progress(d time.Duration) { w.timer.Reset(d) }
+
+func (w *watchdog) stop() {
+	w.timer.Stop()
+	w.cancel(nil)
+}
+
+// explain replaces an error that the watchdog or the caller caused. It keeps NotRun.
+func (w *watchdog) explain(err error) error {
+	if err == nil || w.ctx.Err() == nil {
+		return err
+	}
+	e := *verdict.From(err)
+	cause := context.Cause(w.ctx)
+	switch {
+	case errors.Is(cause, errSilent):
+		e.Reason, e.Status, e.Detail = verdict.ReasonBackendSilent, http.StatusGatewayTimeout, "the backend server made no progress in time"
+	case errors.Is(cause, context.DeadlineExceeded):
+		e.Reason, e.Status, e.Detail = verdict.ReasonDeadline, http.StatusGatewayTimeout, "the call's deadline passed"
+	default:
+		var v *verdict.Error
+		if errors.As(cause, &v) {
+			e.Reason, e.Status, e.Detail = v.Reason, v.Status, v.Detail
+			break
+		}
+		e.Reason, e.Status, e.Detail = verdict.ReasonCancelled, http.StatusBadGateway, "the call was cancelled"
+	}
+	return &e
+}
--- /dev/null
+++ b/internal/program/store.go
@@ -0,0 +1,368 @@
+// Package program keeps the order, history and budget of programs.
+//
+// A program's state is the fold of its events in the order of the log. Store is that fold: a pure state machine
+// without I/O. Controller runs turns against it.
+package program
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"strconv"
+	"strings"
+	"time"
+
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
+	"github.com/berylpond/berylpond/internal/invariant"
+)
+
+// headDigestBytes is how much of the SHA-256 digest a head shows.
+const headDigestBytes = 16
+
+// Outcome says what applying an event did.
+type Outcome int
+
+const (
+	// Accepted means that the event changed the state.
+	Accepted Outcome = iota
+	// Repeat means that the event had been applied before.
+	Repeat
+	// Rejected means that the event does not fit the state, for example a turn on a head that is not current.
+	Rejected
+)
+
+// Turn is one committed step of a program's history.
+type Turn struct {
+	// Request is the JSON array of the new messages.
+	Request []byte
+	// Answer is the text of the assistant's message.
+	Answer           string
+	FinishReason     string
+	RequestDigest    string
+	PrevHead         string
+	Head             string
+	PromptTokens     int64
+	CachedTokens     int64
+	CompletionTokens int64
+	StartedID        string
+	UnixMS           int64
+}
+
+// Program is the state of one program.
+type Program struct {
+	ID       string
+	Team     string
+	Account  string
+	Parent   string
+	Root     string
+	Head     string
+	Turns    []Turn
+	Created  time.Time
+	Deadline time.Time
+	// BudgetTokens and BudgetCalls are the most that may be spent.
+	BudgetTokens int64
+	BudgetCalls  int64
+	// SpentTokens and SpentCalls are settled.
+	SpentTokens int64
+	SpentCalls  int64
+	Ended       bool
+	EndCause    string
+	EndedAt     time.Time
+
+	// reserved holds the tokens of started turns that are not settled, by event id; reservedSum is their sum and open
+	// their number.
+	reserved    map[string]int64
+	reservedSum int64
+	open        int64
+	// settled holds the ids of started turns that were settled.
+	settled map[string]struct{}
+}
+
+// Reserved returns the tokens reserved for turns that were started and not settled.
+func (p *Program) Reserved() int64 { return p.reservedSum }
+
+// Calls returns the calls counted against the budget: settled ones and those under way.
+func (p *Program) Calls() int64 { return p.SpentCalls + p.open }
+
+// TokensLeft returns the tokens of the budget that are neither spent nor reserved.
+func (p *Program) TokensLeft() int64 { return p.BudgetTokens - p.SpentTokens - p.Reserved() }
+
+// FirstHead returns the head of a program without turns.
+func FirstHead(id string) string { return formatHead(0, id) }
+
+// NextHead returns the head after a turn. It chains the whole history by digest.
+func NextHead(prev string, request []byte, answer string) string {
+	return formatHead(turnNumber(prev)+1, prev, string(request), answer)
+}
+
+func formatHead(turn int, parts ...string) string {
+	h := sha256.New()
+	for _, p := range parts {
+		h.Write([]byte(strconv.Itoa(len(p)) + ":" + p))
+	}
+	return strconv.Itoa(turn) + "-" + hex.EncodeToString(h.Sum(nil)[:headDigestBytes])
+}
+
+func turnNumber(head string) int {
+	n, _, _ := strings.Cut(head, "-")
+	t, _ := strconv.Atoi(n)
+	return t
+}
+
+// Digest returns the digest that identifies a request body for replays.
+func Digest(b []byte) string {
+	sum := sha256.Sum256(b)
+	return hex.EncodeToString(sum[:headDigestBytes])
+}
+
+// Store holds the programs of one data centre's parts. It is not safe for concurrent use.
+type Store struct {
+	programs map[string]*Program
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store { return &Store{programs: map[string]*Program{}} }
+
+// Get returns a program, or nil. The caller must not change it.
+func (s *Store) Get(id string) *Program { return s.programs[id] }
+
+// Len returns the number of programs kept, ended ones included.
+func (s *Store) Len() int { return len(s.programs) }
+
+// Each calls f for every program until f returns false.
+func (s *Store) Each(f func(*Program) bool) {
+	for _, p := range s.programs {
+		if !f(p) {
+			return
+		}
+	}
+}
+
+// Forget drops programs that ended before the given time.
+func (s *Store) Forget(before time.Time) int {
+	n := 0
+	for id, p := range s.programs {
+		if p.Ended && p.EndedAt.Before(before) {
+			delete(s.programs, id)
+			n++
+		}
+	}
+	return n
+}
+
+// Apply folds one event into the state. Events must come in log order; a repeated event changes nothing.
+func (s *Store) Apply(ev *programv1.Event) Outcome {
+	if c := ev.GetCreated(); c != nil {
+		return s.create(ev, c)
+	}
+	p := s.programs[ev.Program]
+	if p == nil {
+		return Rejected
+	}
+	switch b := ev.Body.(type) {
+	case *programv1.Event_TurnStarted:
+		return p.start(ev, b.TurnStarted)
+	case *programv1.Event_TurnCommitted:
+		return p.commit(ev, b.TurnCommitted)
+	case *programv1.Event_TurnAbandoned:
+		return p.abandon(b.TurnAbandoned)
+	case *programv1.Event_Ended:
+		return p.end(ev, b.Ended)
+	}
+	return Rejected
+}
+
+func (s *Store) create(ev *programv1.Event, c *programv1.Created) Outcome {
+	if s.programs[ev.Program] != nil {
+		return Repeat
+	}
+	p := &Program{
+		ID:           ev.Program,
+		Team:         c.Team,
+		Account:      c.Account,
+		Parent:       c.Parent,
+		Root:         c.Root,
+		Head:         FirstHead(ev.Program),
+		Created:      time.UnixMilli(ev.UnixMs),
+		BudgetTokens: c.BudgetTokens,
+		BudgetCalls:  c.BudgetCalls,
+		reserved:     map[string]int64{},
+		settled:      map[string]struct{}{},
+	}
+	if c.DeadlineUnixMs > 0 {
+		p.Deadline = time.UnixMilli(c.DeadlineUnixMs)
+	}
+	s.programs[p.ID] = p
+	return Accepted
+}
+
+func (p *Program) start(ev *programv1.Event, b *programv1.TurnStarted) Outcome {
+	if _, ok := p.reserved[ev.Id]; ok {
+		return Repeat
+	}
+	if _, ok := p.settled[ev.Id]; ok {
+		return Repeat
+	}
+	if p.Ended || b.Head != p.Head || b.ReserveTokens > p.TokensLeft() || p.Calls() >= p.BudgetCalls {
+		return Rejected
+	}
+	p.reserved[ev.Id] = b.ReserveTokens
+	p.reservedSum += b.ReserveTokens
+	p.open++
+	return Accepted
+}
+
+func (p *Program) commit(ev *programv1.Event, b *programv1.TurnCommitted) Outcome {
+	if p.findTurn(b.NewHead) != nil {
+		return Repeat
+	}
+	_, reserved := p.reserved[b.StartedId]
+	if p.Ended || b.Head != p.Head || !reserved {
+		return Rejected
+	}
+	if !invariant.Check(b.NewHead == NextHead(b.Head, b.Request, b.Answer), "program_head_chain", "program", p.ID) {
+		return Rejected
+	}
+	p.settle(b.StartedId, b.PromptTokens+b.CompletionTokens)
+	p.Turns = append(p.Turns, Turn{
+		Request:          b.Request,
+		Answer:           b.Answer,
+		FinishReason:     b.FinishReason,
+		RequestDigest:    b.RequestDigest,
+		PrevHead:         b.Head,
+		Head:             b.NewHead,
+		PromptTokens:     b.PromptTokens,
+		CachedTokens:     b.CachedTokens,
+		CompletionTokens: b.CompletionTokens,
+		StartedID:        b.StartedId,
+		UnixMS:           ev.UnixMs,
+	})
+	p.Head = b.NewHead
+	invariant.Check(turnNumber(p.Head) == len(p.Turns), "program_turn_number", "program", p.ID)
+	return Accepted
+}
+
+func (p *Program) abandon(b *programv1.TurnAbandoned) Outcome {
+	if _, ok := p.settled[b.StartedId]; ok {
+		return Repeat
+	}
+	if _, ok := p.reserved[b.StartedId]; !ok {
+		return Rejected
+	}
+	p.settle(b.StartedId, b.SpentTokens)
+	return Accepted
+}
+
+// settle replaces a reservation by what was spent. Spending above the reservation is an engine that ignored
+// max_tokens; it is counted in full, so that the budget closes.
+func (p *Program) settle(startedID string, spent int64) {
+	p.reservedSum -= p.reserved[startedID]
+	p.open--
+	delete(p.reserved, startedID)
+	p.settled[startedID] = struct{}{}
+	p.SpentTokens += spent
+	p.SpentCalls++
+}
+
+func (p *Program) end(ev *programv1.Event, b *programv1.Ended) Outcome {
+	if p.Ended {
+		return Repeat
+	}
+	p.Ended = true
+	p.EndCause = b.Cause
+	p.EndedAt = time.UnixMilli(ev.UnixMs)
+	return Accepted
+}
+
+func (p *Program) findTurn(head string) *Turn {
+	for i := len(p.Turns) - 1; i >= 0; i-- {
+		if p.Turns[i].Head == head {
+			return &p.Turns[i]
+		}
+	}
+	return nil
+}
+
+// successor returns the turn that followed the given head, or nil.
+func (p *Program) successor(head string) *Turn {
+	for i := len(p.Turns) - 1; i >= 0; i-- {
+		if p.Turns[i].PrevHead == head {
+			return &p.Turns[i]
+		}
+	}
+	return nil
+}
+
+// Events returns events that rebuild the program from nothing. Applying them to a store that has the program changes
+// nothing, so they can be appended again before the originals expire.
+func (p *Program) Events() []*programv1.Event {
+	created := &programv1.Created{
+		Team: p.Team, Account: p.Account, Parent: p.Parent, Root: p.Root,
+		BudgetTokens: p.BudgetTokens, BudgetCalls: p.BudgetCalls,
+	}
+	if !p.Deadline.IsZero() {
+		created.DeadlineUnixMs = p.Deadline.UnixMilli()
+	}
+	out := []*programv1.Event{{
+		Id: p.ID, Program: p.ID, UnixMs: p.Created.UnixMilli(),
+		Body: &programv1.Event_Created{Created: created},
+	}}
+	for _, t := range p.Turns {
+		out = append(out, p.turnEvents(t)...)
+	}
+	return append(out, p.openEvents()...)
+}
+
+func (p *Program) turnEvents(t Turn) []*programv1.Event {
+	return []*programv1.Event{
+		{Id: t.StartedID, Program: p.ID, UnixMs: t.UnixMS, Body: &programv1.Event_TurnStarted{
+			TurnStarted: &programv1.TurnStarted{Head: t.PrevHead},
+		}},
+		{Id: t.Head, Program: p.ID, UnixMs: t.UnixMS, Body: &programv1.Event_TurnCommitted{
+			TurnCommitted: &programv1.TurnCommitted{
+				Head: t.PrevHead, RequestDigest: t.RequestDigest, NewHead: t.Head, Request: t.Request,
+				Answer: t.Answer, FinishReason: t.FinishReason, PromptTokens: t.PromptTokens,
+				CachedTokens: t.CachedTokens, CompletionTokens: t.CompletionTokens, StartedId: t.StartedID,
+			},
+		}},
+	}
+}
+
+// openEvents rebuilds spending without a turn (abandoned calls) and reservations that are still open.
+func (p *Program) openEvents() []*programv1.Event {
+	inTurn := make(map[string]struct{}, len(p.Turns))
+	var turnTokens int64
+	for _, t := range p.Turns {
+		inTurn[t.StartedID] = struct{}{}
+		turnTokens += t.PromptTokens + t.CompletionTokens
+	}
+	abandoned := p.SpentTokens - turnTokens
+	var out []*programv1.Event
+	for id := range p.settled {
+		if _, ok := inTurn[id]; ok {
+			continue
+		}
+		out = append(out, startedEvent(p, id, 0), abandonedEvent(p, id, abandoned))
+		abandoned = 0
+	}
+	for id, n := range p.reserved {
+		out = append(out, startedEvent(p, id, n))
+	}
+	if p.Ended {
+		out = append(out, &programv1.Event{Id: p.ID + "/ended", Program: p.ID, UnixMs: p.EndedAt.UnixMilli(),
+			Body: &programv1.Event_Ended{Ended: &programv1.Ended{Cause: p.EndCause}}})
+	}
+	return out
+}
+
+func startedEvent(p *Program, id string, reserve int64) *programv1.Event {
+	return &programv1.Event{Id: id, Program: p.ID, UnixMs: p.Created.UnixMilli(), Body: &programv1.Event_TurnStarted{
+		TurnStarted: &programv1.TurnStarted{Head: p.Head, ReserveTokens: reserve},
+	}}
+}
+
+func abandonedEvent(p *Program, startedID string, spent int64) *programv1.Event {
+	return &programv1.Event{Id: startedID + "/abandoned", Program: p.ID, UnixMs: p.Created.UnixMilli(),
+		Body: &programv1.Event_TurnAbandoned{
+			TurnAbandoned: &programv1.TurnAbandoned{StartedId: startedID, SpentTokens: spent},
+		}}
+}
--- /dev/null
+++ b/internal/program/turn.go
@@ -0,0 +1,202 @@
+package program
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
+	"github.com/berylpond/berylpond/internal/failpoint"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// TurnSpec describes one call of a program.
+type TurnSpec struct {
+	Program string
+	Team    string
+	Account string
+	// Head is the head that the call follows.
+	Head string
+	// Digest identifies the caller's request, so that a repeated request gets the recorded answer.
+	Digest string
+	// PromptBound is an upper bound of the tokens of the new messages.
+	PromptBound int64
+	// MaxTokens is the most completion tokens that the caller wants.
+	MaxTokens int64
+}
+
+// OpenTurn is a call that may be dispatched. Exactly one of Commit and Abandon must follow.
+type OpenTurn struct {
+	c    *Controller
+	part int
+	term uint64
+	spec TurnSpec
+
+	// StartedID identifies the reservation.
+	StartedID string
+	// History holds the turns before this one; it must not be changed.
+	History []Turn
+	// Root is the root of the program's tree of sub-agents.
+	Root string
+	// MaxTokens is the completion limit that fits the budget.
+	MaxTokens int64
+	// HistoryTokens is the number of tokens of the history, as the engine counted them.
+	HistoryTokens int64
+	// Attained is the number of tokens that the program has spent.
+	Attained int64
+	// Deadline is the program's deadline; zero when it has none.
+	Deadline time.Time
+	// Reserved is the number of tokens reserved for the call.
+	Reserved int64
+}
+
+// Begin checks order and budget and records the reservation. A request that was answered before gets the recorded turn
+// instead. Every error is a *verdict.Error with NotRun.
+func (c *Controller) Begin(ctx context.Context, s TurnSpec) (*OpenTurn, *Turn, error) {
+	part, term, refused := c.hold(s.Program)
+	if refused != nil {
+		return nil, nil, refused
+	}
+	if !c.acquire(s.Program) {
+		return nil, nil, verdict.Refuse(http.StatusConflict, verdict.ReasonTurnInProgress, retryBusy,
+			"another call of this program is under way")
+	}
+	t, recorded, err := c.begin(ctx, s, part, term)
+	if t == nil {
+		c.release(s.Program)
+	}
+	return t, recorded, err
+}
+
+func (c *Controller) acquire(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, ok := c.busy[id]; ok {
+		return false
+	}
+	c.busy[id] = struct{}{}
+	return true
+}
+
+func (c *Controller) release(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.busy, id)
+}
+
+// begin runs with the program acquired.
+func (c *Controller) begin(ctx context.Context, s TurnSpec, part int, term uint64) (*OpenTurn, *Turn, error) {
+	if err := c.flush(ctx, s.Program, part, term); err != nil {
+		return nil, nil, err
+	}
+	p, ok := c.lookup(s.Program)
+	if !ok {
+		return nil, nil, unknownProgram()
+	}
+	if err := checkAccount(&p, s.Team, s.Account); err != nil {
+		return nil, nil, err
+	}
+	if t := p.successor(s.Head); t != nil && t.RequestDigest == s.Digest {
+		return nil, t, nil
+	}
+	t, err := c.open(&p, s)
+	if err != nil {
+		return nil, nil, err
+	}
+	t.part, t.term = part, term
+	ev := &programv1.Event{Id: t.StartedID, Program: p.ID, UnixMs: c.now().UnixMilli(), Body: &programv1.Event_TurnStarted{
+		TurnStarted: &programv1.TurnStarted{Head: s.Head, ReserveTokens: t.Reserved},
+	}}
+	if err := failpoint.Hit("program.start.before"); err != nil {
+		return nil, nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNotDurable, retryNotDurable, "%v", err)
+	}
+	if err := c.record(ctx, part, term, ev); err != nil {
+		return nil, nil, err
+	}
+	return t, nil, nil
+}
+
+// open checks the program's state against the call and computes its reservation.
+func (c *Controller) open(p *Program, s TurnSpec) (*OpenTurn, error) {
+	now := c.now()
+	switch {
+	case p.Ended:
+		return nil, verdict.Refuse(http.StatusGone, verdict.ReasonProgramEnded, 0, "the program has ended: %s", p.EndCause)
+	case !p.Deadline.IsZero() && !now.Before(p.Deadline):
+		return nil, verdict.Refuse(http.StatusGone, verdict.ReasonDeadline, 0, "the program's deadline has passed")
+	case s.Head != p.Head:
+		return nil, verdict.Refuse(http.StatusConflict, verdict.ReasonWrongHead, 0,
+			"the call follows head %q but the program's head is %q", s.Head, p.Head)
+	case p.Calls() >= p.BudgetCalls:
+		return nil, verdict.Refuse(http.StatusForbidden, verdict.ReasonBudgetSpent, 0,
+			"all %d calls of the program's budget are used", p.BudgetCalls)
+	}
+	t := &OpenTurn{
+		c: c, spec: s, StartedID: uuid.NewString(), History: p.Turns[:len(p.Turns):len(p.Turns)],
+		Root: p.Root, Attained: p.SpentTokens, Deadline: p.Deadline, MaxTokens: s.MaxTokens,
+	}
+	if n := len(p.Turns); n > 0 {
+		last := p.Turns[n-1]
+		t.HistoryTokens = last.PromptTokens + last.CompletionTokens
+	}
+	prompt := t.HistoryTokens + s.PromptBound
+	left := p.TokensLeft() - prompt
+	if left < 1 {
+		return nil, verdict.Refuse(http.StatusForbidden, verdict.ReasonBudgetSpent, 0,
+			"the call needs up to %d prompt tokens but %d tokens of the budget are left", prompt, p.TokensLeft())
+	}
+	t.MaxTokens = min(t.MaxTokens, left)
+	t.Reserved = prompt + t.MaxTokens
+	return t, nil
+}
+
+// Answer is what an engine gave for a turn.
+type Answer struct {
+	// Request is the JSON array of the new messages.
+	Request          []byte
+	Text             string
+	FinishReason     string
+	PromptTokens     int64
+	CachedTokens     int64
+	CompletionTokens int64
+}
+
+// Commit records the turn and returns the program's new head. It returns only after the record is durable. An error
+// means that the answer is not part of the history yet and must not be given as whole; the call has run.
+func (t *OpenTurn) Commit(ctx context.Context, a Answer) (string, error) {
+	defer t.c.release(t.spec.Program)
+	head := NextHead(t.spec.Head, a.Request, a.Text)
+	ev := &programv1.Event{Id: head, Program: t.spec.Program, UnixMs: t.c.now().UnixMilli(), Body: &programv1.Event_TurnCommitted{
+		TurnCommitted: &programv1.TurnCommitted{
+			Head: t.spec.Head, RequestDigest: t.spec.Digest, NewHead: head, Request: a.Request, Answer: a.Text,
+			FinishReason: a.FinishReason, PromptTokens: a.PromptTokens, CachedTokens: a.CachedTokens,
+			CompletionTokens: a.CompletionTokens, StartedId: t.StartedID,
+		},
+	}}
+	if err := failpoint.Hit("program.commit.before"); err != nil {
+		return "", verdict.Fail(http.StatusServiceUnavailable, verdict.ReasonNotDurable, "%v", err)
+	}
+	if err := t.c.record(ctx, t.part, t.term, ev); err != nil {
+		e := *verdict.From(err)
+		e.Verdict = verdict.MayHaveRun
+		return "", &e
+	}
+	if err := failpoint.Hit("program.commit.after"); err != nil {
+		return "", verdict.Fail(http.StatusServiceUnavailable, verdict.ReasonNotDurable, "%v", err)
+	}
+	return head, nil
+}
+
+// Abandon settles the reservation of a call that gave no answer. spent is what the call may have used; pass 0 when
+// nothing was written to an engine.
+func (t *OpenTurn) Abandon(ctx context.Context, spent int64) {
+	defer t.c.release(t.spec.Program)
+	id := t.StartedID + "/abandoned"
+	ev := &programv1.Event{Id: id, Program: t.spec.Program, UnixMs: t.c.now().UnixMilli(), Body: &programv1.Event_TurnAbandoned{
+		TurnAbandoned: &programv1.TurnAbandoned{StartedId: t.StartedID, SpentTokens: spent},
+	}}
+	// On failure the event stays pending, and the tokens stay reserved, which is the safe side of the budget.
+	_ = t.c.record(ctx, t.part, t.term, ev)
+}
