Add the keeper's controller and protocol over a plain queue

Cause: owners of programs need one interface for permits, whichever instance keeps the engine group. Ruled out: a unary call plus a lease for each permit, which needs renewals and an expiry; the open stream is the permit, and its loss frees it. Before: nothing. After: controller tests pass over gRPC on loopback under the race detector (local, remote and degraded ways, broken stream, lost keeper, keeper that changes while a call is queued, cancelled call).

--- /dev/null
+++ b/internal/keeper/admit.go
@@ -0,0 +1,221 @@
+package keeper
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	keeperv1 "github.com/berylpond/berylpond/api/keeper/v1"
+	"github.com/berylpond/berylpond/internal/failpoint"
+	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/scheduler/framework"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+var (
+	// errMoved means that the asked instance does not keep the group.
+	errMoved = errors.New("group has moved to another keeper")
+	// errUnreachable means that no keeper could be asked. The call was not granted as far as this instance knows;
+	// a grant that was lost on the way is freed with its stream.
+	errUnreachable = errors.New("keeper is unreachable")
+)
+
+// Admit blocks until the call is granted a permit or refused. The error is always a *verdict.Error with NotRun.
+func (c *Controller) Admit(ctx context.Context, call Call) (*Permit, error) {
+	p, err := c.admit(ctx, call)
+	if err != nil {
+		e := verdict.From(err)
+		c.metrics.refused(e)
+		return nil, e
+	}
+	if err := failpoint.Hit("keeper.grant.after"); err != nil {
+		p.Done(Outcome{Kind: framework.Cancelled})
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonInternal, time.Second, "%v", err)
+	}
+	return p, nil
+}
+
+func (c *Controller) admit(ctx context.Context, call Call) (*Permit, error) {
+	for range maxMoves {
+		g := c.group(groupKey{call.Team, call.Model})
+		if g == nil {
+			return nil, verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownModel, 0, "no engines for model %q", call.Model)
+		}
+		p, err := c.admitOnce(ctx, g, call)
+		switch {
+		case errors.Is(err, errUnreachable):
+			c.metrics.retries.WithLabelValues("keeper_unreachable").Inc()
+			return c.admitIn(ctx, g.degraded, call, "degraded")
+		case errors.Is(err, errMoved):
+			c.metrics.retries.WithLabelValues("keeper_moved").Inc()
+			if err := sleep(ctx, c.cfg.RetryPause); err != nil {
+				return nil, cancelled(ctx)
+			}
+		default:
+			return p, err
+		}
+	}
+	g := c.group(groupKey{call.Team, call.Model})
+	if g == nil {
+		return nil, verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownModel, 0, "no engines for model %q", call.Model)
+	}
+	p, err := c.admitIn(ctx, g.degraded, call, "degraded")
+	if errors.Is(err, errMoved) {
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, time.Second, "the model's engines are changing hands")
+	}
+	return p, err
+}
+
+func (c *Controller) admitOnce(ctx context.Context, g *engineGroup, call Call) (*Permit, error) {
+	if c.keeps(g) {
+		return c.admitIn(ctx, g.kept, call, "local")
+	}
+	holder, ok := c.parts.Holder(g.part)
+	if !ok {
+		return nil, errUnreachable
+	}
+	if holder.ID == c.table.Self().ID {
+		// The part is said to be this instance's, whose lease has lapsed.
+		return nil, errMoved
+	}
+	return c.admitRemote(ctx, holder, call)
+}
+
+// admitIn asks a scheduler in this process.
+func (c *Controller) admitIn(ctx context.Context, r *runner, call Call, way string) (*Permit, error) {
+	g, err := c.wait(ctx, r, call.Call, nil)
+	if err != nil {
+		return nil, err
+	}
+	c.metrics.grants.WithLabelValues(way).Inc()
+	c.metrics.queueWait.Observe(g.QueueWait.Seconds())
+	return &Permit{Engine: g.Engine, CachedTokens: int(g.CachedTokens), holder: localHolder{r, call.ID}}, nil
+}
+
+// wait queues the call until it is answered. It returns errMoved when the runner dropped the call. queued, if set, is
+// called every queuedInterval.
+func (c *Controller) wait(ctx context.Context, r *runner, call framework.Call, queued func()) (*framework.Grant, error) {
+	ch, refusal := r.submit(call)
+	if refusal != nil {
+		return nil, refusal
+	}
+	a, ok := receive(ctx, ch, queued)
+	if !ok {
+		if r.cancel(call.ID) {
+			return nil, cancelled(ctx)
+		}
+		a = <-ch
+	}
+	switch {
+	case a.refusal != nil:
+		return nil, a.refusal
+	case a.grant == nil:
+		return nil, errMoved
+	case ctx.Err() != nil:
+		r.done(call.ID, framework.Outcome{Kind: framework.Cancelled})
+		return nil, cancelled(ctx)
+	}
+	return a.grant, nil
+}
+
+// receive returns false when ctx ends before the answer.
+func receive(ctx context.Context, ch <-chan answer, queued func()) (answer, bool) {
+	var tick <-chan time.Time
+	if queued != nil {
+		t := time.NewTicker(queuedInterval)
+		defer t.Stop()
+		tick = t.C
+	}
+	for {
+		select {
+		case a := <-ch:
+			return a, true
+		case <-ctx.Done():
+			return answer{}, false
+		case <-tick:
+			queued()
+		}
+	}
+}
+
+// admitRemote asks the group's keeper on another instance.
+func (c *Controller) admitRemote(ctx context.Context, holder member.Instance, call Call) (*Permit, error) {
+	conn, err := c.dial.Conn(holder.PeerAddr)
+	if err != nil {
+		return nil, errUnreachable
+	}
+	streamCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, cancel)
+	timer := time.AfterFunc(c.cfg.AdmitTimeout, cancel)
+	stillThere := func() { timer.Reset(c.cfg.AdmitTimeout) }
+	p, err := c.openStream(streamCtx, cancel, stillThere, keeperv1.NewKeeperClient(conn), call)
+	detached := stop()
+	inTime := timer.Stop()
+	switch {
+	case err == nil && detached && inTime:
+		c.metrics.grants.WithLabelValues("remote").Inc()
+		return p, nil
+	case ctx.Err() != nil:
+		cancel()
+		return nil, cancelled(ctx)
+	case err == nil:
+		cancel()
+		return nil, errUnreachable
+	}
+	cancel()
+	return nil, err
+}
+
+func (c *Controller) openStream(ctx context.Context, cancel, stillThere func(), client keeperv1.KeeperClient, call Call) (*Permit, error) {
+	stream, err := client.Admit(ctx)
+	if err != nil {
+		return nil, unreachable(err)
+	}
+	request := &keeperv1.AdmitRequest{Kind: &keeperv1.AdmitRequest_Call{Call: callToWire(call, c.now())}}
+	if err := stream.Send(request); err != nil {
+		return nil, unreachable(err)
+	}
+	reply, err := stream.Recv()
+	for err == nil && reply.GetQueued() != nil {
+		stillThere()
+		reply, err = stream.Recv()
+	}
+	if err != nil {
+		return nil, unreachable(err)
+	}
+	if granted := reply.GetGranted(); granted != nil {
+		c.metrics.queueWait.Observe((time.Duration(granted.GetQueueWaitUs()) * time.Microsecond).Seconds())
+		holder := &remoteHolder{stream: stream, cancel: cancel}
+		return &Permit{Engine: granted.GetEngine(), CachedTokens: int(granted.GetCachedTokens()), holder: holder}, nil
+	}
+	if reply.GetRefused().GetMoved() {
+		return nil, errMoved
+	}
+	return nil, refusedFromWire(reply.GetRefused())
+}
+
+func unreachable(err error) error {
+	klog.V(2).InfoS("Keeper did not answer", "err", err)
+	return errUnreachable
+}
+
+func cancelled(ctx context.Context) *verdict.Error {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return verdict.Refuse(http.StatusGatewayTimeout, verdict.ReasonDeadline, 0, "the deadline passed in the queue")
+	}
+	return verdict.Refuse(499, verdict.ReasonCancelled, 0, "the caller gave up in the queue")
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/keeper/controller.go
@@ -0,0 +1,213 @@
+package keeper
+
+import (
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/grpc"
+
+	keeperv1 "github.com/berylpond/berylpond/api/keeper/v1"
+	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/scheduler"
+	"github.com/berylpond/berylpond/internal/scheduler/framework"
+)
+
+const statusConflict = http.StatusConflict
+
+// Controller asks for permits on behalf of this instance's programs, and grants those of the groups that it keeps.
+type Controller struct {
+	cfg      Config
+	settings framework.Settings
+	table    *member.Table
+	parts    Parts
+	dial     Dialer
+	client   *http.Client
+	now      func() time.Time
+	metrics  *metrics
+
+	mu     sync.RWMutex
+	groups map[groupKey]*engineGroup // guarded by mu
+}
+
+type groupKey struct{ team, model string }
+
+// engineGroup is one group of engines with its two schedulers: kept grants as the group's keeper, degraded grants
+// a small share while the keeper cannot be reached.
+type engineGroup struct {
+	key      groupKey
+	part     int
+	kept     *runner
+	degraded *runner
+
+	mu    sync.RWMutex
+	specs []framework.EngineSpec // guarded by mu
+}
+
+// Option changes a Controller.
+type Option func(*Controller)
+
+// WithClock replaces the clock.
+func WithClock(now func() time.Time) Option { return func(c *Controller) { c.now = now } }
+
+// WithHTTPClient replaces the client that polls engines.
+func WithHTTPClient(h *http.Client) Option { return func(c *Controller) { c.client = h } }
+
+// New returns a controller without groups.
+func New(cfg Config, table *member.Table, parts Parts, dial Dialer, opts ...Option) *Controller {
+	cfg = cfg.withDefaults()
+	c := &Controller{
+		cfg:     cfg,
+		table:   table,
+		parts:   parts,
+		dial:    dial,
+		client:  &http.Client{Timeout: cfg.PollTimeout},
+		now:     time.Now,
+		metrics: newMetrics(),
+		groups:  map[groupKey]*engineGroup{},
+	}
+	c.settings = settingsOf(cfg)
+	for _, o := range opts {
+		o(c)
+	}
+	return c
+}
+
+func settingsOf(cfg Config) framework.Settings {
+	if cfg.Settings != nil {
+		return *cfg.Settings
+	}
+	p, ok := framework.Parse(cfg.Policy)
+	if !ok {
+		p = framework.Berylpond
+	}
+	return framework.Defaults(p)
+}
+
+// Collectors returns the controller's metrics.
+func (c *Controller) Collectors() []prometheus.Collector { return c.metrics.collectors() }
+
+// Register adds the keeper service to a gRPC server.
+func (c *Controller) Register(s grpc.ServiceRegistrar) {
+	keeperv1.RegisterKeeperServer(s, &server{c: c})
+}
+
+// SetModels replaces the groups. A group that stays keeps its queue and its permits.
+func (c *Controller) SetModels(models []Group) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := make(map[groupKey]*engineGroup, len(models))
+	for _, m := range models {
+		key := groupKey{m.Team, m.Model}
+		g := c.groups[key]
+		if g == nil {
+			g = c.newGroup(key, m.Objective)
+		}
+		g.setEngines(m)
+		g.setObjective(m.Objective)
+		next[key] = g
+	}
+	for key, g := range c.groups {
+		if next[key] == nil {
+			g.kept.drop()
+			g.degraded.drop()
+		}
+	}
+	c.groups = next
+}
+
+func (c *Controller) newGroup(key groupKey, objective framework.Objective) *engineGroup {
+	s := c.settings
+	s.Objective = objective
+	local := s
+	local.ConcurrencyShare = 1 / float64(max(2, c.parts.Parts()))
+	return &engineGroup{
+		key:      key,
+		part:     partOf(key, c.cfg.DataCentre, c.parts.Parts()),
+		kept:     newRunner(s, c.metrics, c.now),
+		degraded: newRunner(local, c.metrics, c.now),
+	}
+}
+
+// partOf returns the part with the highest hash for the group.
+func partOf(key groupKey, dc string, parts int) int {
+	best, bestHash := 0, uint64(0)
+	for p := range parts {
+		h := xxhash.Sum64String(key.team + "\x00" + key.model + "\x00" + dc + "\x00" + strconv.Itoa(p))
+		if h > bestHash {
+			best, bestHash = p, h
+		}
+	}
+	return best
+}
+
+func (g *engineGroup) setEngines(m Group) {
+	specs := make([]framework.EngineSpec, 0, len(m.Engines))
+	for _, address := range m.Engines {
+		specs = append(specs, framework.EngineSpec{Address: address, Drained: m.Drained[address]})
+	}
+	g.mu.Lock()
+	g.specs = specs
+	g.mu.Unlock()
+	for _, r := range g.runners() {
+		r.observe(func(s *scheduler.Group, now time.Time) { s.SetEngines(now, specs) })
+	}
+}
+
+func (g *engineGroup) setObjective(o framework.Objective) {
+	for _, r := range g.runners() {
+		r.observe(func(s *scheduler.Group, now time.Time) { s.SetObjective(o) })
+	}
+}
+
+func (g *engineGroup) engines() []framework.EngineSpec {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.specs
+}
+
+func (g *engineGroup) runners() []*runner { return []*runner{g.kept, g.degraded} }
+
+func (c *Controller) group(key groupKey) *engineGroup {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.groups[key]
+}
+
+func (c *Controller) allGroups() []*engineGroup {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	out := make([]*engineGroup, 0, len(c.groups))
+	for _, g := range c.groups {
+		out = append(out, g)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].part < out[b].part })
+	return out
+}
+
+func (c *Controller) keeps(g *engineGroup) bool {
+	_, ok := c.parts.Holds(g.part)
+	return ok
+}
+
+// Status returns the state of every engine as this instance sees it.
+func (c *Controller) Status() []EngineStatus {
+	var out []EngineStatus
+	for _, g := range c.allGroups() {
+		kept := c.keeps(g)
+		r := g.degraded
+		if kept {
+			r = g.kept
+		}
+		r.observe(func(s *scheduler.Group, now time.Time) {
+			for _, st := range s.Status(now) {
+				out = append(out, EngineStatus{Team: g.key.team, Model: g.key.model, Kept: kept, EngineStatus: st})
+			}
+		})
+	}
+	return out
+}
