--- /dev/null
+++ b/internal/fakes/engine/control.go
@@ -0,0 +1,185 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/berylpond/berylpond/internal/fakes/fault"
+)
+
+func (s *Server) lookup(r *http.Request) *execution {
+	x, _ := s.requests.Get(r.PathValue("id"))
+	return x
+}
+
+func (s *Server) handleResume(w http.ResponseWriter, r *http.Request) {
+	offset, err := strconv.Atoi(r.URL.Query().Get("offset"))
+	x := s.lookup(r)
+	switch {
+	case err != nil || offset < 0:
+		http.Error(w, "bad offset", http.StatusBadRequest)
+	case x == nil:
+		http.Error(w, "unknown request", http.StatusNotFound)
+	default:
+		f, _ := s.Faults.Take(answerFaults...)
+		if f.Mode == fault.Crossed {
+			x = s.other(x)
+		}
+		s.stream(w, r, x, min(offset, len(x.chunks)), f)
+	}
+}
+
+func (s *Server) handleCancel(w http.ResponseWriter, r *http.Request) {
+	x := s.lookup(r)
+	if x == nil {
+		http.Error(w, "unknown request", http.StatusNotFound)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !x.ended() {
+		s.queue = slices.DeleteFunc(s.queue, func(q *execution) bool { return q == x })
+		x.state = cancelled
+		x.notify()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := time.Now(); now.Sub(s.reportedAt) >= s.loadLag {
+		s.reportedAt = now
+		s.reported = Load{
+			Running: len(s.batch), Waiting: len(s.queue), KVUsedTokens: s.active + s.cache.used,
+			KVCapacityTokens: s.capacity, AtMS: now.UnixMilli(),
+		}
+	}
+	fault.JSON(w, s.reported)
+}
+
+func (s *Server) handleEvents(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Events{Events: []Event{}, Next: after}
+	limit := time.Now().Add(-s.eventDelay)
+	for _, e := range s.cache.events {
+		if e.Seq > after && !e.at.After(limit) {
+			out.Events = append(out.Events, e)
+			out.Next = e.Seq
+		}
+	}
+	fault.JSON(w, out)
+}
+
+func (s *Server) handleKeys(w http.ResponseWriter, _ *http.Request) {
+	fault.JSON(w, Keys{Keys: s.HeldKeys()})
+}
+
+// HeldKeys returns what the prefix cache holds, by key.
+func (s *Server) HeldKeys() []HeldKey {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := []HeldKey{}
+	for key, e := range s.cache.entries {
+		held = append(held, HeldKey{Key: key, Tokens: e.Value.(Prefix).total()})
+	}
+	slices.SortFunc(held, func(a, b HeldKey) int { return strings.Compare(a.Key, b.Key) })
+	return held
+}
+
+func (s *Server) handleRelease(w http.ResponseWriter, r *http.Request) {
+	var body Release
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		http.Error(w, "bad release", http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, key := range body.Keys {
+		s.cache.drop(key, true)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleExport(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	e := s.cache.entries[r.URL.Query().Get("key")]
+	s.mu.Unlock()
+	if e == nil {
+		http.Error(w, "not cached", http.StatusNotFound)
+		return
+	}
+	p := e.Value.(Prefix)
+	if fault.Wait(r, s.transferTime(p.total())) {
+		fault.JSON(w, p)
+	}
+}
+
+func (s *Server) handleImport(w http.ResponseWriter, r *http.Request) {
+	var p Prefix
+	if err := json.NewDecoder(r.Body).Decode(&p); err != nil || p.Key == "" || len(p.Chain) != len(p.Tokens) {
+		http.Error(w, "bad import", http.StatusBadRequest)
+		return
+	}
+	if !fault.Wait(r, s.transferTime(p.total())) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cache.store(p, s.capacity-s.active)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) handleOrder(w http.ResponseWriter, r *http.Request) {
+	body, err := s.Received.Take(r, requestIDOf)
+	var o Order
+	if err != nil || json.Unmarshal(body, &o) != nil {
+		http.Error(w, "bad order", http.StatusBadRequest)
+		return
+	}
+	if !s.acceptFence(o.Fence) {
+		http.Error(w, "old fencing number", http.StatusConflict)
+		return
+	}
+	if !fault.Wait(r, time.Duration(float64(s.loadTime)/s.scale)) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch o.Kind {
+	case "load_model", "load_adapter":
+		if s.models != nil {
+			s.models[o.Name] = true
+		}
+	case "set_role":
+		s.role = o.Name
+	default:
+		http.Error(w, "unknown kind of order", http.StatusBadRequest)
+		return
+	}
+	s.orders = append(s.orders, o)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// acceptFence reports whether an order with this fencing number is obeyed.
+func (s *Server) acceptFence(fence int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if fence < s.fence {
+		return s.ignoreFence
+	}
+	s.fence = fence
+	return true
+}
+
+func (s *Server) handleOrders(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault.JSON(w, Orders{Orders: append([]Order{}, s.orders...)})
+}
--- /dev/null
+++ b/internal/fakes/engine/protocol.go
@@ -0,0 +1,155 @@
+package engine
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	defaultMaxTokens = 32
+	bytesPerToken    = 4
+	// messageOverhead is the number of tokens that each message costs besides its text.
+	messageOverhead = 4
+)
+
+// Message is one message of a chat.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// StreamOptions is part of a chat request.
+type StreamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+// ChatRequest is the body of POST /v1/chat/completions.
+type ChatRequest struct {
+	Model          string         `json:"model"`
+	Messages       []Message      `json:"messages"`
+	MaxTokens      int            `json:"max_tokens,omitempty"`
+	Stream         bool           `json:"stream,omitempty"`
+	StreamOptions  *StreamOptions `json:"stream_options,omitempty"`
+	PromptCacheKey string         `json:"prompt_cache_key,omitempty"`
+	RequestID      string         `json:"request_id,omitempty"`
+}
+
+// PromptDetails is part of Usage.
+type PromptDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Usage counts the tokens of one request.
+type Usage struct {
+	PromptTokens        int           `json:"prompt_tokens"`
+	CompletionTokens    int           `json:"completion_tokens"`
+	TotalTokens         int           `json:"total_tokens"`
+	PromptTokensDetails PromptDetails `json:"prompt_tokens_details"`
+}
+
+// Choice is one answer of a completion or chunk.
+type Choice struct {
+	Index        int      `json:"index"`
+	Message      *Message `json:"message,omitempty"`
+	Delta        *Delta   `json:"delta,omitempty"`
+	FinishReason *string  `json:"finish_reason"`
+}
+
+// Delta is the piece of an answer in a chunk.
+type Delta struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content,omitempty"`
+}
+
+// Completion is a whole answer or one chunk of a stream.
+type Completion struct {
+	ID      string   `json:"id"`
+	Object  string   `json:"object"`
+	Created int64    `json:"created"`
+	Model   string   `json:"model"`
+	Choices []Choice `json:"choices"`
+	Usage   *Usage   `json:"usage,omitempty"`
+}
+
+// Load answers GET /v1/load.
+type Load struct {
+	Running          int   `json:"running"`
+	Waiting          int   `json:"waiting"`
+	KVUsedTokens     int   `json:"kv_used_tokens"`
+	KVCapacityTokens int   `json:"kv_capacity_tokens"`
+	AtMS             int64 `json:"at_ms"`
+}
+
+// HeldKey is one entry of GET /v1/cache/keys.
+type HeldKey struct {
+	Key    string `json:"key"`
+	Tokens int    `json:"tokens"`
+}
+
+// Keys answers GET /v1/cache/keys.
+type Keys struct {
+	Keys []HeldKey `json:"keys"`
+}
+
+// Events answers GET /v1/cache/events. Next is the sequence number to ask for events after.
+type Events struct {
+	Events []Event `json:"events"`
+	Next   int64   `json:"next"`
+}
+
+// Release is the body of POST /v1/cache/release.
+type Release struct {
+	Keys []string `json:"keys"`
+}
+
+// Order is the body of POST /v1/orders.
+type Order struct {
+	Fence int64  `json:"fence"`
+	Kind  string `json:"kind"`
+	Name  string `json:"name"`
+}
+
+// Orders answers GET /v1/orders: what was carried out.
+type Orders struct {
+	Orders []Order `json:"orders"`
+}
+
+// Executions answers GET /executions: how often each request id was run.
+type Executions struct {
+	Counts map[string]int `json:"counts"`
+}
+
+// Answer returns the chunks of the engine's answer: the first holds a digest of the last user message and the number
+// of messages, so that an answer can be matched to its request. There is one chunk for each token.
+func Answer(messages []Message, maxTokens int) []string {
+	if maxTokens <= 0 {
+		maxTokens = defaultMaxTokens
+	}
+	digest := xxhash.Sum64String(lastUser(messages))
+	chunks := make([]string, maxTokens)
+	chunks[0] = fmt.Sprintf("[%016x/%d]", digest, len(messages))
+	for i := 1; i < maxTokens; i++ {
+		chunks[i] = fmt.Sprintf(" %03x", (digest>>(uint(i)%16*4)+uint64(i))&0xfff)
+	}
+	return chunks
+}
+
+// AnswerText returns the whole answer to messages.
+func AnswerText(messages []Message, maxTokens int) string { return join(Answer(messages, maxTokens)) }
+
+func join(chunks []string) string { return strings.Join(chunks, "") }
+
+func lastUser(messages []Message) string {
+	for i := len(messages) - 1; i >= 0; i-- {
+		if messages[i].Role == "user" {
+			return messages[i].Content
+		}
+	}
+	return ""
+}
+
+func messageTokens(m Message) int {
+	return (len(m.Content)+bytesPerToken-1)/bytesPerToken + messageOverhead
+}
--- /dev/null
+++ b/internal/fakes/service/service.go
@@ -0,0 +1,181 @@
+// Package service is a stand-in for a plain service. It counts the effects of its calls, so that tests can check that
+// what must not be repeated ran at most once.
+//
+// Faults: hang (no effect, no answer), slow (delay before the effect), late (delay after the effect),
+// crash_after_effect and lose_answer (effect, then the connection is closed), lose (effect, no answer), error500 and
+// refuse (no effect), wrong_id (effect, answer with another id), silent (all open connections stop sending), crash
+// (drops new requests for the delay).
+package service
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/berylpond/berylpond/internal/fakes/fault"
+	"github.com/berylpond/berylpond/internal/fakes/record"
+)
+
+const (
+	// RequestIDHeader carries the id of a request and of its answer.
+	RequestIDHeader = "X-Request-Id"
+	otherID         = "another-request"
+)
+
+// EffectRequest is the body of POST /effects/NAME.
+type EffectRequest struct {
+	Key string `json:"key"`
+}
+
+// EffectResponse answers POST /effects/NAME. Count is the number of effects under the key so far.
+type EffectResponse struct {
+	RequestID string `json:"request_id"`
+	Name      string `json:"name"`
+	Key       string `json:"key"`
+	Count     int    `json:"count"`
+}
+
+// Effects answers GET /effects.
+type Effects struct {
+	Total     int            `json:"total"`
+	ByRequest map[string]int `json:"by_request"`
+	ByKey     map[string]int `json:"by_key"`
+}
+
+// Server is the service. It is an http.Handler.
+type Server struct {
+	// Faults is the switch behind PUT /fault.
+	Faults fault.Switch
+	// Received holds every call that reached the service.
+	Received record.Recorder
+
+	mux         *http.ServeMux
+	connections *fault.Connections
+	latency     time.Duration
+
+	mu        sync.Mutex
+	effects   Effects
+	downUntil time.Time
+}
+
+// Option changes a Server under construction.
+type Option func(*Server)
+
+// WithLatency sets the time that each call takes.
+func WithLatency(d time.Duration) Option { return func(s *Server) { s.latency = d } }
+
+// New returns a service without effects.
+func New(opts ...Option) *Server {
+	s := &Server{mux: http.NewServeMux(), connections: fault.NewConnections()}
+	s.effects = Effects{ByRequest: map[string]int{}, ByKey: map[string]int{}}
+	for _, o := range opts {
+		o(s)
+	}
+	s.Faults.OnSet = s.onFault
+	s.Faults.Register(s.mux)
+	s.Received.Register(s.mux)
+	s.mux.HandleFunc("POST /effects/{name}", s.handleEffect)
+	s.mux.HandleFunc("GET /effects", func(w http.ResponseWriter, _ *http.Request) { fault.JSON(w, s.Effects()) })
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Effects returns the counts since the start.
+func (s *Server) Effects() Effects {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Effects{
+		Total: s.effects.Total, ByRequest: maps.Clone(s.effects.ByRequest), ByKey: maps.Clone(s.effects.ByKey),
+	}
+}
+
+func (s *Server) onFault(f fault.Spec) {
+	switch f.Mode {
+	case fault.Silent:
+		s.Faults.Clear()
+		s.connections.Silence()
+	case fault.Crash:
+		s.Faults.Clear()
+		s.mu.Lock()
+		s.downUntil = time.Now().Add(f.Delay())
+		s.mu.Unlock()
+	}
+}
+
+func (s *Server) handleEffect(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(RequestIDHeader)
+	body, err := s.Received.Take(r, func([]byte) string { return id })
+	var in EffectRequest
+	if err != nil || json.Unmarshal(body, &in) != nil {
+		http.Error(w, "bad effect", http.StatusBadRequest)
+		return
+	}
+	s.connections.Use(r)
+	s.mu.Lock()
+	down := time.Now().Before(s.downUntil)
+	s.mu.Unlock()
+	if down {
+		fault.Drop()
+	}
+	if !s.before(w, r) {
+		return
+	}
+	out := s.effect(id, r.PathValue("name"), in.Key)
+	s.after(r, &out)
+	s.connections.Check(r)
+	w.Header().Set(RequestIDHeader, out.RequestID)
+	fault.JSON(w, out)
+}
+
+// before applies the faults that come before the effect. It reports whether to go on.
+func (s *Server) before(w http.ResponseWriter, r *http.Request) bool {
+	if !fault.Wait(r, s.latency) {
+		return false
+	}
+	f, ok := s.Faults.Take(fault.Hang, fault.Slow, fault.Error500, fault.Refuse)
+	if !ok {
+		return true
+	}
+	switch f.Mode {
+	case fault.Hang:
+		fault.Block(r)
+	case fault.Error500:
+		http.Error(w, "internal error", http.StatusInternalServerError)
+		return false
+	case fault.Refuse:
+		http.Error(w, "refused", http.StatusServiceUnavailable)
+		return false
+	}
+	return fault.Wait(r, f.Delay())
+}
+
+// after applies the faults that come after the effect.
+func (s *Server) after(r *http.Request, out *EffectResponse) {
+	f, ok := s.Faults.Take(fault.CrashAfterEffect, fault.LoseAnswer, fault.Lose, fault.Late, fault.WrongID)
+	if !ok {
+		return
+	}
+	switch f.Mode {
+	case fault.CrashAfterEffect, fault.LoseAnswer:
+		fault.Drop()
+	case fault.Lose:
+		fault.Block(r)
+	case fault.Late:
+		fault.Wait(r, f.Delay())
+	case fault.WrongID:
+		out.RequestID = otherID
+	}
+}
+
+func (s *Server) effect(id, name, key string) EffectResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.effects.Total++
+	s.effects.ByRequest[id]++
+	s.effects.ByKey[key]++
+	return EffectResponse{RequestID: id, Name: name, Key: key, Count: s.effects.ByKey[key]}
+}
