--- /dev/null
+++ b/internal/peer/pool.go
@@ -0,0 +1,130 @@
+// Package peer holds the gRPC connections between instances and the conversions of their messages.
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+)
+
+const (
+	// keepaliveTime is the idle time after which a connection is probed.
+	keepaliveTime = 2 * time.Second
+	// keepaliveTimeout is how long a probe may stay unanswered before the connection, with all that waits on it, is
+	// dropped.
+	keepaliveTimeout = 2 * time.Second
+	// minServerPing is the shortest probe interval that a server accepts.
+	minServerPing = time.Second
+	// maxReconnect bounds the pause between two attempts to connect.
+	maxReconnect = time.Second
+	// maxMessageBytes bounds one message between instances.
+	maxMessageBytes = 16 << 20
+	// keepUnused is how long a connection is kept after its last use.
+	keepUnused = 5 * time.Minute
+)
+
+// Pool keeps one connection to each instance. It is safe for concurrent use.
+type Pool struct {
+	mu    sync.Mutex
+	conns map[string]*pooled
+	now   func() time.Time
+}
+
+type pooled struct {
+	conn *grpc.ClientConn
+	used time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{conns: map[string]*pooled{}, now: time.Now} }
+
+// Conn returns the connection to addr and opens it if needed. It does not wait for the connection to be ready.
+func (p *Pool) Conn(addr string) (grpc.ClientConnInterface, error) { return p.get(addr) }
+
+func (p *Pool) get(addr string) (*grpc.ClientConn, error) {
+	if addr == "" {
+		return nil, errors.New("the instance's address is not known")
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c := p.conns[addr]; c != nil {
+		c.used = p.now()
+		return c.conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+addr, dialOptions()...)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connecting to %s", addr)
+	}
+	p.conns[addr] = &pooled{conn: conn, used: p.now()}
+	return conn, nil
+}
+
+func dialOptions() []grpc.DialOption {
+	reconnect := backoff.DefaultConfig
+	reconnect.BaseDelay = 100 * time.Millisecond
+	reconnect.MaxDelay = maxReconnect
+	return []grpc.DialOption{
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: time.Second}),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+	}
+}
+
+// Ready waits until the connection to addr is established. A call given up because Ready failed was never sent.
+func (p *Pool) Ready(ctx context.Context, addr string) (grpc.ClientConnInterface, error) {
+	conn, err := p.get(addr)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		s := conn.GetState()
+		if s == connectivity.Ready {
+			return conn, nil
+		}
+		conn.Connect()
+		if !conn.WaitForStateChange(ctx, s) {
+			return nil, errors.Newf("no connection to %s: %s", addr, s)
+		}
+	}
+}
+
+// Trim closes the connections that have not been used for a while.
+func (p *Pool) Trim() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, c := range p.conns {
+		if p.now().Sub(c.used) > keepUnused {
+			c.conn.Close()
+			delete(p.conns, addr)
+		}
+	}
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, c := range p.conns {
+		c.conn.Close()
+		delete(p.conns, addr)
+	}
+}
+
+// NewServer returns a gRPC server with the limits that Pool's connections expect.
+func NewServer() *grpc.Server {
+	return grpc.NewServer(
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minServerPing, PermitWithoutStream: true}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+	)
+}
