--- a/internal/fakes/tool/tool.go
+++ b/internal/fakes/tool/tool.go
@@ -71,7 +71,9 @@
 func (s *Server) Calls() int64 { return s.calls.Load() }
 
 // Output returns the answer of the named tool to an input.
-func Output(name, input string) string { return fmt.Sprintf("%s:%016x", name, xxhash.Sum64String(input)) }
+func Output(name, input string) string {
+	return fmt.Sprintf("%s:%016x", name, xxhash.Sum64String(input))
+}
 
 func (s *Server) handleCall(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(requestIDHeader)
