Add berylfakes, which runs the stand-ins as processes

Removed records of a republisher leave a tombstone for one retention, so that a copy appended by a lagging instance does not bring them back.

--- /dev/null
+++ b/cmd/berylfakes/service.go
@@ -0,0 +1,17 @@
+package main
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/berylpond/berylpond/internal/fakes/service"
+)
+
+func serviceCommand() *cobra.Command {
+	c := &cobra.Command{Use: "service", Short: "Plain service that counts its effects", Args: cobra.NoArgs}
+	listen := listenFlag(c)
+	latency := c.Flags().Duration("latency", 0, "time that each call takes")
+	c.RunE = func(*cobra.Command, []string) error {
+		return serve("service", *listen, service.New(service.WithLatency(*latency)))
+	}
+	return c
+}
--- a/internal/journal/republish.go
+++ b/internal/journal/republish.go
@@ -23,17 +23,28 @@
 	appended time.Time
 }
 
+// tombstone keeps copies of a removed record from bringing it back.
+type tombstone struct {
+	version uint64
+	at      time.Time
+}
+
 // Republisher knows the live records of a stream and says which have to be appended again before they expire. A copy
 // keeps the version of its original, so that it never beats a later edit. Republisher is a pure state machine; its
 // holder locks it.
 type Republisher struct {
-	after time.Duration
-	live  map[LiveKey]*live
+	retention time.Duration
+	after     time.Duration
+	live      map[LiveKey]*live
+	removed   map[LiveKey]tombstone
 }
 
 // NewRepublisher returns a republisher that makes copies at the given fraction of the log's retention.
 func NewRepublisher(retention time.Duration, fraction float64) *Republisher {
-	return &Republisher{after: time.Duration(float64(retention) * fraction), live: map[LiveKey]*live{}}
+	return &Republisher{
+		retention: retention, after: time.Duration(float64(retention) * fraction),
+		live: map[LiveKey]*live{}, removed: map[LiveKey]tombstone{},
+	}
 }
 
 // Observe notes a record that was read. It reports whether the record is the newest of its kind and key: a copy or an
@@ -43,6 +54,9 @@
 	key := LiveKey{Kind: rec.GetKind(), Key: rec.GetKey()}
 	version := VersionOf(p, rec)
 	appended := time.UnixMilli(max(rec.GetUnixMs(), rec.GetCopiedUnixMs()))
+	if t, ok := r.removed[key]; ok && version <= t.version {
+		return false
+	}
 	known := r.live[key]
 	switch {
 	case known == nil || version > known.version:
@@ -54,8 +68,17 @@
 	return false
 }
 
-// Remove forgets a record that is live no longer.
-func (r *Republisher) Remove(kind, key string) { delete(r.live, LiveKey{Kind: kind, Key: key}) }
+// Remove forgets a record that is live no longer. For one retention its copies do not bring it back; only a newer
+// version does.
+func (r *Republisher) Remove(now time.Time, kind, key string) {
+	id := LiveKey{Kind: kind, Key: key}
+	known := r.live[id]
+	if known == nil {
+		return
+	}
+	delete(r.live, id)
+	r.removed[id] = tombstone{version: known.version, at: now}
+}
 
 // Len returns the number of live records.
 func (r *Republisher) Len() int { return len(r.live) }
@@ -63,6 +86,11 @@
 // Due returns copies of the records whose newest copy is old at now, oldest first. The caller appends them; they stay
 // due until Observe has read them back.
 func (r *Republisher) Due(now time.Time) []*journalv1.Record {
+	for id, t := range r.removed {
+		if now.Sub(t.at) >= r.retention {
+			delete(r.removed, id)
+		}
+	}
 	var due []*live
 	for _, l := range r.live {
 		if now.Sub(l.appended) >= r.after {
