--- /dev/null
+++ b/internal/journal/republish.go
@@ -0,0 +1,114 @@
+package journal
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	journalv1 "github.com/berylpond/berylpond/api/journal/v1"
+)
+
+// LiveKey names a live record.
+type LiveKey struct {
+	Kind string
+	Key  string
+}
+
+type live struct {
+	rec     *journalv1.Record
+	version uint64
+	// appended is the time of the newest copy.
+	appended time.Time
+}
+
+// tombstone keeps copies of a removed record from bringing it back.
+type tombstone struct {
+	version uint64
+	at      time.Time
+}
+
+// Republisher knows the live records of a stream and says which have to be appended again before they expire. A copy
+// keeps the version of its original, so that it never beats a later edit. Republisher is a pure state machine; its
+// holder locks it.
+type Republisher struct {
+	retention time.Duration
+	after     time.Duration
+	live      map[LiveKey]*live
+	removed   map[LiveKey]tombstone
+}
+
+// NewRepublisher returns a republisher that makes copies at the given fraction of the log's retention.
+func NewRepublisher(retention time.Duration, fraction float64) *Republisher {
+	return &Republisher{
+		retention: retention, after: time.Duration(float64(retention) * fraction),
+		live: map[LiveKey]*live{}, removed: map[LiveKey]tombstone{},
+	}
+}
+
+// Observe notes a record that was read. It reports whether the record is the newest of its kind and key: a copy or an
+// older edit is not. The versions of one kind and key must be either all set by the writers or all zero in the
+// originals.
+func (r *Republisher) Observe(p Position, rec *journalv1.Record) bool {
+	key := LiveKey{Kind: rec.GetKind(), Key: rec.GetKey()}
+	version := VersionOf(p, rec)
+	appended := time.UnixMilli(max(rec.GetUnixMs(), rec.GetCopiedUnixMs()))
+	if t, ok := r.removed[key]; ok && version <= t.version {
+		return false
+	}
+	known := r.live[key]
+	switch {
+	case known == nil || version > known.version:
+		r.live[key] = &live{rec: rec, version: version, appended: appended}
+		return true
+	case version == known.version && appended.After(known.appended):
+		known.appended = appended
+	}
+	return false
+}
+
+// Remove forgets a record that is live no longer. For one retention its copies do not bring it back; only a newer
+// version does.
+func (r *Republisher) Remove(now time.Time, kind, key string) {
+	id := LiveKey{Kind: kind, Key: key}
+	known := r.live[id]
+	if known == nil {
+		return
+	}
+	delete(r.live, id)
+	r.removed[id] = tombstone{version: known.version, at: now}
+}
+
+// Len returns the number of live records.
+func (r *Republisher) Len() int { return len(r.live) }
+
+// Due returns copies of the records whose newest copy is old at now, oldest first. The caller appends them; they stay
+// due until Observe has read them back.
+func (r *Republisher) Due(now time.Time) []*journalv1.Record {
+	for id, t := range r.removed {
+		if now.Sub(t.at) >= r.retention {
+			delete(r.removed, id)
+		}
+	}
+	var due []*live
+	for _, l := range r.live {
+		if now.Sub(l.appended) >= r.after {
+			due = append(due, l)
+		}
+	}
+	slices.SortFunc(due, func(a, b *live) int {
+		if c := a.appended.Compare(b.appended); c != 0 {
+			return c
+		}
+		return strings.Compare(a.rec.GetKind()+"\x00"+a.rec.GetKey(), b.rec.GetKind()+"\x00"+b.rec.GetKey())
+	})
+	copies := make([]*journalv1.Record, 0, len(due))
+	for _, l := range due {
+		c := proto.Clone(l.rec).(*journalv1.Record)
+		c.Version = l.version
+		c.CopiedUnixMs = now.UnixMilli()
+		copies = append(copies, c)
+	}
+	return copies
+}
