--- /dev/null
+++ b/internal/executor/model.go
@@ -0,0 +1,316 @@
+package executor
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	"github.com/berylpond/berylpond/internal/config"
+	"github.com/berylpond/berylpond/internal/engine"
+	"github.com/berylpond/berylpond/internal/keeper"
+	"github.com/berylpond/berylpond/internal/program"
+	"github.com/berylpond/berylpond/internal/scheduler/framework"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+const (
+	// defaultMaxTokens is the completion limit of a call that names none.
+	defaultMaxTokens = 1024
+	// maxModelAttempts bounds the engines that one call is sent to.
+	maxModelAttempts = 3
+	// bytesPerToken estimates tokens for queueing; budgets use the bound instead.
+	bytesPerToken = 4
+	// settleTimeout bounds the recording of a turn's end after its caller has gone.
+	settleTimeout = 3 * time.Second
+)
+
+// modelCall is one model call under way.
+type modelCall struct {
+	x    *Executor
+	req  *peerv1.CallRequest
+	chat *engine.ChatRequest
+	// turn is nil for a call without a program.
+	turn *program.OpenTurn
+	emit Emit
+	// fresh holds the new messages of the call.
+	fresh []json.RawMessage
+	// emitted is set once a part of the answer went to the caller, after which no other engine may be tried.
+	emitted bool
+	// written is set once something was written to an engine.
+	written bool
+	avoid   []string
+}
+
+func (x *Executor) model(ctx context.Context, snap *config.Snapshot, r *peerv1.CallRequest, emit Emit) error {
+	chat, refused := engine.ParseChat(r.Body)
+	if refused != nil {
+		return refused
+	}
+	m, ok := snap.Model(r.Account.Team, chat.Model)
+	if !ok || !allowed(m.Accounts, r.Account.Name) {
+		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownModel, 0, "no model %q for this account", chat.Model)
+	}
+	if r.Program == "" && r.IdempotencyKey != "" {
+		return x.once(ctx, r, emit, func(ctx context.Context, emit Emit) error {
+			return x.modelOnce(ctx, chat, r, emit)
+		})
+	}
+	return x.modelOnce(ctx, chat, r, emit)
+}
+
+func (x *Executor) modelOnce(ctx context.Context, chat *engine.ChatRequest, r *peerv1.CallRequest, emit Emit) error {
+	c := &modelCall{x: x, req: r, chat: chat, emit: emit, fresh: chat.Messages}
+	if r.Program == "" {
+		return c.withoutProgram(ctx)
+	}
+	return c.withProgram(ctx)
+}
+
+func allowed(accounts []string, name string) bool {
+	if len(accounts) == 0 {
+		return true
+	}
+	for _, a := range accounts {
+		if a == name {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *modelCall) withoutProgram(ctx context.Context) error {
+	c.chat.MaxTokens = c.chat.Limit(defaultMaxTokens)
+	c.chat.MaxCompletionTokens = 0
+	c.chat.PromptCacheKey = ""
+	res, err := c.attempts(ctx)
+	if err != nil {
+		return err
+	}
+	return c.finish(res, "")
+}
+
+func (c *modelCall) withProgram(ctx context.Context) error {
+	begun := time.Now()
+	turn, recorded, err := c.x.d.Programs.Begin(ctx, program.TurnSpec{
+		Program: c.req.Program, Team: c.req.Account.Team, Account: c.req.Account.Name, Head: c.req.Head,
+		Digest: program.Digest(c.req.Body), PromptBound: engine.PromptBound(c.fresh), MaxTokens: c.chat.Limit(defaultMaxTokens),
+	})
+	if err != nil {
+		return err
+	}
+	c.x.observe("begin", begun)
+	if recorded != nil {
+		return c.replay(recorded)
+	}
+	c.turn = turn
+	if !turn.Deadline.IsZero() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, turn.Deadline)
+		defer cancel()
+	}
+	request, err := json.Marshal(c.fresh)
+	if err != nil {
+		c.abandon(ctx, 0)
+		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "encoding the messages: %v", err)
+	}
+	if err := c.prepare(); err != nil {
+		c.abandon(ctx, 0)
+		return err
+	}
+	res, err := c.attempts(ctx)
+	if err != nil {
+		c.abandon(ctx, c.spentOnFailure())
+		return err
+	}
+	return c.commit(ctx, request, res)
+}
+
+// prepare puts the history before the new messages and fits the call into the budget.
+func (c *modelCall) prepare() error {
+	var all []json.RawMessage
+	for _, t := range c.turn.History {
+		var msgs []json.RawMessage
+		if err := json.Unmarshal(t.Request, &msgs); err != nil {
+			return verdict.Refuse(http.StatusInternalServerError, verdict.ReasonInternal, 0, "the recorded history cannot be decoded")
+		}
+		all = append(append(all, msgs...), engine.Assistant(t.Answer))
+	}
+	c.chat.Messages = append(all, c.fresh...)
+	c.chat.MaxTokens = c.turn.MaxTokens
+	c.chat.MaxCompletionTokens = 0
+	c.chat.PromptCacheKey = c.req.Program
+	return nil
+}
+
+// commit records the turn, also when the caller has gone meanwhile, and only then ends the answer.
+func (c *modelCall) commit(ctx context.Context, request []byte, res engine.Result) error {
+	begun := time.Now()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	head, err := c.turn.Commit(ctx, program.Answer{
+		Request: request, Text: res.Text, FinishReason: res.FinishReason, PromptTokens: res.Usage.PromptTokens,
+		CachedTokens: res.Usage.PromptTokensDetails.CachedTokens, CompletionTokens: res.Usage.CompletionTokens,
+	})
+	if err != nil {
+		return err
+	}
+	c.x.observe("commit", begun)
+	return c.finish(res, head)
+}
+
+// finish emits what is left of the answer and its end.
+func (c *modelCall) finish(res engine.Result, head string) error {
+	if !c.chat.Stream {
+		if err := c.emit(startEvent(http.StatusOK, "application/json", c.chat.Model)); err != nil {
+			return err
+		}
+		if err := c.emit(deltaEvent([]byte(res.Text))); err != nil {
+			return err
+		}
+	}
+	return c.emit(endEvent(&peerv1.End{
+		Head: head, FinishReason: res.FinishReason, PromptTokens: res.Usage.PromptTokens,
+		CachedTokens: res.Usage.PromptTokensDetails.CachedTokens, CompletionTokens: res.Usage.CompletionTokens,
+	}))
+}
+
+// replay answers a repeated request from the record.
+func (c *modelCall) replay(t *program.Turn) error {
+	if err := c.emit(startEvent(http.StatusOK, "application/json", c.chat.Model)); err != nil {
+		return err
+	}
+	if err := c.emit(deltaEvent([]byte(t.Answer))); err != nil {
+		return err
+	}
+	return c.emit(endEvent(&peerv1.End{
+		Head: t.Head, FinishReason: t.FinishReason, PromptTokens: t.PromptTokens, CachedTokens: t.CachedTokens,
+		CompletionTokens: t.CompletionTokens, Replayed: true,
+	}))
+}
+
+func (c *modelCall) abandon(ctx context.Context, spent int64) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
+	defer cancel()
+	c.turn.Abandon(ctx, spent)
+}
+
+// spentOnFailure is the whole reservation once an engine got the call, since its use is unknown.
+func (c *modelCall) spentOnFailure() int64 {
+	if !c.written {
+		return 0
+	}
+	return c.turn.Reserved
+}
+
+// attempts sends the call to engines until one gives a whole answer. Model calls are repeatable as long as nothing of
+// the answer has gone to the caller.
+func (c *modelCall) attempts(ctx context.Context) (engine.Result, error) {
+	for n := 1; ; n++ {
+		res, err := c.attempt(ctx)
+		if err == nil {
+			return res, nil
+		}
+		e := verdict.From(err)
+		if e.Verdict != verdict.NotRun {
+			c.written = true
+		}
+		if n == maxModelAttempts || !c.mayRetry(ctx, e) {
+			return engine.Result{}, afterWriting(c.written, e)
+		}
+		c.x.retries.WithLabelValues(string(e.Reason)).Inc()
+	}
+}
+
+func (c *modelCall) mayRetry(ctx context.Context, e *verdict.Error) bool {
+	if ctx.Err() != nil || c.emitted || !e.Verdict.RetrySafe(true) {
+		return false
+	}
+	switch e.Reason {
+	case verdict.ReasonBackendFailed, verdict.ReasonBackendSilent, verdict.ReasonTruncated, verdict.ReasonCrossed,
+		verdict.ReasonNoBackend:
+		return len(c.avoid) > 0
+	}
+	return false
+}
+
+// attempt gets a permit and calls the engine that it names.
+func (c *modelCall) attempt(ctx context.Context) (engine.Result, error) {
+	id := uuid.NewString()
+	queued := time.Now()
+	permit, err := c.x.d.Keeper.Admit(ctx, c.call(id))
+	if err != nil {
+		return engine.Result{}, err
+	}
+	c.x.observe("queue", queued)
+	c.x.attempts.Inc()
+	chat := *c.chat
+	chat.RequestID = id
+	first := false
+	sent := time.Now()
+	res, err := c.x.d.Client.Chat(ctx, permit.Engine, chat, func(piece string) error {
+		if !first {
+			first = true
+			c.x.observe("first_token", sent)
+		}
+		permit.Progress()
+		return c.pass(piece)
+	})
+	permit.Done(outcome(res, err))
+	if err != nil {
+		c.avoid = append(c.avoid, permit.Engine)
+		return engine.Result{}, err
+	}
+	c.x.observe("engine", sent)
+	return res, nil
+}
+
+// pass sends a piece of text to a caller that streams.
+func (c *modelCall) pass(piece string) error {
+	if !c.chat.Stream {
+		return nil
+	}
+	if !c.emitted {
+		c.emitted = true
+		if err := c.emit(startEvent(http.StatusOK, "text/event-stream", c.chat.Model)); err != nil {
+			return err
+		}
+	}
+	return c.emit(deltaEvent([]byte(piece)))
+}
+
+func (c *modelCall) call(id string) keeper.Call {
+	call := keeper.Call{Team: c.req.Account.Team, Model: c.chat.Model, Call: framework.Call{
+		ID: id, Program: c.req.Program, Account: c.req.Account.Name, Weight: c.req.Account.Weight,
+		NewTokens: engine.PromptBound(c.fresh) / bytesPerToken, ExpectedOutput: c.chat.MaxTokens, Avoid: c.avoid,
+	}}
+	if c.turn == nil {
+		call.Program = id
+		return call
+	}
+	call.Root = c.turn.Root
+	call.Turn = len(c.turn.History)
+	call.Attained = c.turn.Attained
+	call.PrefixTokens = c.turn.HistoryTokens
+	call.Deadline = c.turn.Deadline
+	return call
+}
+
+func outcome(res engine.Result, err error) keeper.Outcome {
+	if err == nil {
+		return keeper.Outcome{
+			Kind: framework.OK, PromptTokens: res.Usage.PromptTokens,
+			CachedTokens: res.Usage.PromptTokensDetails.CachedTokens, CompletionTokens: res.Usage.CompletionTokens,
+		}
+	}
+	switch verdict.From(err).Reason {
+	case verdict.ReasonBackendSilent:
+		return keeper.Outcome{Kind: framework.Silent}
+	case verdict.ReasonBackendFailed, verdict.ReasonTruncated, verdict.ReasonCrossed, verdict.ReasonNoBackend:
+		return keeper.Outcome{Kind: framework.Failed}
+	}
+	return keeper.Outcome{Kind: framework.Cancelled}
+}
--- /dev/null
+++ b/internal/executor/service.go
@@ -0,0 +1,103 @@
+package executor
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	"github.com/berylpond/berylpond/internal/config"
+	"github.com/berylpond/berylpond/internal/document"
+	"github.com/berylpond/berylpond/internal/engine"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+const (
+	// maxServiceAttempts bounds the backend servers that one repeatable call is sent to.
+	maxServiceAttempts = 2
+	// maxServiceAnswer bounds a service's answer, in bytes.
+	maxServiceAnswer = 8 << 20
+)
+
+func (x *Executor) service(ctx context.Context, snap *config.Snapshot, r *peerv1.CallRequest, emit Emit) error {
+	team, route, ok := snap.Route(r.Method, r.Path)
+	if !ok || (!route.Open && team != r.Account.Team) {
+		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownRoute, 0, "no route for %s %s", r.Method, r.Path)
+	}
+	if !route.Open && !allowed(route.Accounts, r.Account.Name) {
+		return verdict.Refuse(http.StatusForbidden, verdict.ReasonForbidden, 0, "this account may not call %s", r.Path)
+	}
+	if int64(len(r.Body)) > route.MaxBody {
+		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, 0, "body is larger than %d bytes", route.MaxBody)
+	}
+	call := func(ctx context.Context, emit Emit) error {
+		return x.serviceAttempts(ctx, team, route, r, emit)
+	}
+	if route.Repeatable && r.IdempotencyKey == "" {
+		return call(ctx, emit)
+	}
+	if r.IdempotencyKey == "" {
+		// Without a key of the caller's, each request is one of its own; it is still sent at most once.
+		r.IdempotencyKey = "generated-" + r.RequestId
+	}
+	return x.once(ctx, r, emit, call)
+}
+
+func (x *Executor) serviceAttempts(ctx context.Context, team string, route document.Route, r *peerv1.CallRequest, emit Emit) error {
+	var avoid []string
+	written := false
+	for n := 1; ; n++ {
+		addr, ok := x.balance.pick(x.d.Backends.Service(team, route.Service), avoid)
+		if !ok {
+			return afterWriting(written, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryConfiguration,
+				"service %q has no backend server to send this to", route.Service))
+		}
+		answer, err := x.serviceAttempt(ctx, addr, route, r)
+		if err == nil {
+			return emitService(answer, emit)
+		}
+		e := verdict.From(err)
+		written = written || e.Verdict != verdict.NotRun
+		if n == maxServiceAttempts || ctx.Err() != nil || !e.Verdict.RetrySafe(route.Repeatable) {
+			return afterWriting(written, e)
+		}
+		x.retries.WithLabelValues(string(e.Reason)).Inc()
+		avoid = append(avoid, addr)
+	}
+}
+
+func (x *Executor) serviceAttempt(ctx context.Context, addr string, route document.Route, r *peerv1.CallRequest) (engine.ServiceAnswer, error) {
+	begun := time.Now()
+	x.attempts.Inc()
+	done := x.balance.begin(addr)
+	answer, err := x.d.Client.Call(ctx, addr, engine.ServiceRequest{
+		RequestID: uuid.NewString(), Method: r.Method, Path: r.Path, Query: r.Query, ContentType: r.ContentType,
+		Body: r.Body, Timeout: route.Timeout, MaxAnswer: maxServiceAnswer,
+	})
+	done(err)
+	x.observe("service", begun)
+	return answer, err
+}
+
+func emitService(a engine.ServiceAnswer, emit Emit) error {
+	if err := emit(startEvent(int32(a.Status), a.ContentType, "")); err != nil {
+		return err
+	}
+	if err := emit(deltaEvent(a.Body)); err != nil {
+		return err
+	}
+	return emit(endEvent(&peerv1.End{}))
+}
+
+// afterWriting gives the failure of a later attempt the verdict of the whole call: once something was written to a
+// backend server, no failure is NotRun.
+func afterWriting(written bool, e *verdict.Error) *verdict.Error {
+	if !written || e.Verdict != verdict.NotRun {
+		return e
+	}
+	c := *e
+	c.Verdict = verdict.MayHaveRun
+	return &c
+}
--- /dev/null
+++ b/internal/frontend/commands/programs.go
@@ -0,0 +1,105 @@
+package commands
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	"github.com/berylpond/berylpond/internal/document"
+	"github.com/berylpond/berylpond/internal/frontend/request"
+	"github.com/berylpond/berylpond/internal/program"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// createRequest is the body of POST /v1/programs. Every member is optional.
+type createRequest struct {
+	Budget struct {
+		Tokens  int64 `json:"tokens"`
+		Calls   int64 `json:"calls"`
+		Seconds int64 `json:"seconds"`
+	} `json:"budget"`
+	// Deadline is in RFC 3339.
+	Deadline *time.Time `json:"deadline"`
+	Parent   string     `json:"parent"`
+}
+
+// CreateProgram serves POST /v1/programs.
+func (h *Handlers) CreateProgram(c *echo.Context) error {
+	body, err := readBody(c)
+	if err != nil {
+		return err
+	}
+	var r createRequest
+	if len(body) > 0 {
+		if err := json.Unmarshal(body, &r); err != nil {
+			return verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "body is not a program request: %v", err)
+		}
+	}
+	account := request.Account(c)
+	limits, refused := h.limits(account.Team, &r)
+	if refused != nil {
+		return refused
+	}
+	home := h.dataCentre
+	if r.Parent != "" {
+		// A sub-agent lives where its parent lives, so that both are ordered by one holder.
+		if home, err = program.HomeDataCentre(r.Parent); err != nil {
+			return verdict.Refuse(http.StatusBadRequest, verdict.ReasonUnknownProgram, 0, "parent: %v", err)
+		}
+	}
+	p, err := h.router.CreateProgram(c.Request().Context(), &peerv1.CreateProgramRequest{
+		Account: account, Program: program.NewID(home), Parent: r.Parent, BudgetTokens: limits.Tokens,
+		BudgetCalls: limits.Calls, DeadlineUnixMs: deadline(&r, limits).UnixMilli(),
+	})
+	if err != nil {
+		return explain(c.Request().Context(), err)
+	}
+	c.Response().Header().Set(HeaderProgram, p.Id)
+	c.Response().Header().Set(HeaderHead, p.Head)
+	return c.JSON(http.StatusCreated, request.NewProgram(p))
+}
+
+// limits returns the budget asked for, or the team's default, and refuses one above the team's maximum.
+func (h *Handlers) limits(team string, r *createRequest) (document.Limits, *verdict.Error) {
+	b := h.snapshot().Document(team).Budget
+	l := b.Default
+	asked := document.Limits{Tokens: r.Budget.Tokens, Calls: r.Budget.Calls, Time: time.Duration(r.Budget.Seconds) * time.Second}
+	if asked.Tokens < 0 || asked.Calls < 0 || asked.Time < 0 {
+		return l, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "budget: values must not be negative")
+	}
+	if asked.Tokens > b.Maximum.Tokens || asked.Calls > b.Maximum.Calls || asked.Time > b.Maximum.Time {
+		return l, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0,
+			"budget: the team allows at most %d tokens, %d calls and %s", b.Maximum.Tokens, b.Maximum.Calls, b.Maximum.Time)
+	}
+	if asked.Tokens > 0 {
+		l.Tokens = asked.Tokens
+	}
+	if asked.Calls > 0 {
+		l.Calls = asked.Calls
+	}
+	if asked.Time > 0 {
+		l.Time = asked.Time
+	}
+	return l, nil
+}
+
+// deadline is the earlier of the deadline asked for and the end of the budget's time.
+func deadline(r *createRequest, l document.Limits) time.Time {
+	d := time.Now().Add(l.Time)
+	if r.Deadline != nil && r.Deadline.Before(d) {
+		return *r.Deadline
+	}
+	return d
+}
+
+// EndProgram serves DELETE /v1/programs/:id.
+func (h *Handlers) EndProgram(c *echo.Context) error {
+	p, err := h.router.EndProgram(c.Request().Context(), &peerv1.ProgramRequest{Account: request.Account(c), Program: c.Param("id")})
+	if err != nil {
+		return explain(c.Request().Context(), err)
+	}
+	return c.JSON(http.StatusOK, request.NewProgram(p))
+}
--- /dev/null
+++ b/internal/frontend/problem.go
@@ -0,0 +1,94 @@
+// Package frontend is the HTTP interface of callers. Requests that change state are in commands, those that read are in
+// queries.
+package frontend
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/labstack/echo/v5"
+	"k8s.io/klog/v2"
+
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// contentTypeProblem is the media type of an error. Source: RFC 9457.
+const contentTypeProblem = "application/problem+json"
+
+// Problem is the body of an error.
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"`
+	Status int    `json:"status"`
+	Detail string `json:"detail,omitempty"`
+	// Verdict says whether the request may have run: "not-run", "may-have-run" or "ran".
+	Verdict string `json:"verdict"`
+	// Reason is machine-readable.
+	Reason string `json:"reason"`
+	// RetryAfterSeconds is set where trying again helps.
+	RetryAfterSeconds float64 `json:"retry_after_seconds,omitempty"`
+	RequestID         string  `json:"request_id,omitempty"`
+}
+
+// NewProblem returns the body for a refusal or failure.
+func NewProblem(e *verdict.Error, requestID string) Problem {
+	return Problem{
+		Type:              "urn:berylpond:" + string(e.Reason),
+		Title:             http.StatusText(e.Status),
+		Status:            e.Status,
+		Detail:            e.Detail,
+		Verdict:           e.Verdict.String(),
+		Reason:            string(e.Reason),
+		RetryAfterSeconds: e.RetryAfter.Seconds(),
+		RequestID:         requestID,
+	}
+}
+
+// handleError is the last step of every request that failed.
+func (s *Server) handleError(c *echo.Context, err error) {
+	e := asVerdict(err)
+	s.metrics.refusals.WithLabelValues(string(e.Reason), e.Verdict.String()).Inc()
+	id := RequestID(c)
+	klog.V(1).InfoS("Request failed", "request", id, "reason", e.Reason, "verdict", e.Verdict.String(), "detail", e.Detail)
+	res, uerr := echo.UnwrapResponse(c.Response())
+	if uerr == nil && res.Committed {
+		// A streamed answer has begun; its handler has written the error as the last event.
+		return
+	}
+	if e.RetryAfter > 0 {
+		c.Response().Header().Set("Retry-After", retryAfterSeconds(e.RetryAfter))
+	}
+	c.Response().Header().Set(echo.HeaderContentType, contentTypeProblem)
+	if err := c.JSON(e.Status, NewProblem(e, id)); err != nil {
+		klog.V(1).InfoS("Problem could not be sent", "request", id, "err", err)
+	}
+}
+
+// retryAfterSeconds rounds up to whole seconds, as the header wants.
+func retryAfterSeconds(d time.Duration) string {
+	return strconv.FormatInt(int64((d+time.Second-1)/time.Second), 10)
+}
+
+// asVerdict maps echo's own errors, which come before anything was sent anywhere, to NotRun.
+func asVerdict(err error) *verdict.Error {
+	var coder echo.HTTPStatusCoder
+	var v *verdict.Error
+	if !errors.As(err, &v) && errors.As(err, &coder) {
+		code := coder.StatusCode()
+		reason := verdict.ReasonMalformed
+		if code == http.StatusNotFound || code == http.StatusMethodNotAllowed {
+			reason = verdict.ReasonUnknownRoute
+		}
+		if code == http.StatusRequestEntityTooLarge {
+			reason = verdict.ReasonTooLarge
+		}
+		return verdict.Refuse(code, reason, 0, "%s", http.StatusText(code))
+	}
+	e := *verdict.From(err)
+	if e.Status == 0 {
+		e.Status = http.StatusBadGateway
+	}
+	return &e
+}
--- /dev/null
+++ b/internal/frontend/request/request.go
@@ -0,0 +1,145 @@
+// Package request holds what commands and queries share about a caller's request.
+package request
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/labstack/echo/v5"
+
+	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	"github.com/berylpond/berylpond/internal/config"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+const (
+	// retryConfiguration is the time after which an instance without a configuration may have one.
+	retryConfiguration = time.Second
+
+	// IDKey is the context key of the request's id.
+	IDKey = "berylpond.request"
+
+	accountKey   = "berylpond.account"
+	bearerPrefix = "Bearer "
+)
+
+// ID returns the id of the request.
+func ID(c *echo.Context) string {
+	id, _ := c.Get(IDKey).(string)
+	return id
+}
+
+// Account returns the client account whose key came with the request; nil on an open route.
+func Account(c *echo.Context) *peerv1.Account {
+	a, _ := c.Get(accountKey).(*peerv1.Account)
+	return a
+}
+
+// Taker takes from an account's rate.
+type Taker interface {
+	Take(ctx context.Context, account string, n float64) error
+}
+
+// Authenticator checks keys and rates, and ends the requests of withdrawn keys. It is safe for concurrent use.
+type Authenticator struct {
+	snapshot func() *config.Snapshot
+	quota    Taker
+
+	mu     sync.Mutex
+	next   uint64
+	active map[uint64]activeRequest
+}
+
+type activeRequest struct {
+	team   string
+	keyID  string
+	cancel context.CancelCauseFunc
+}
+
+// NewAuthenticator returns an authenticator over the configuration in force.
+func NewAuthenticator(snapshot func() *config.Snapshot, quota Taker) *Authenticator {
+	return &Authenticator{snapshot: snapshot, quota: quota, active: map[uint64]activeRequest{}}
+}
+
+// Required refuses requests without a valid key, or over their account's rate.
+func (a *Authenticator) Required(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error { return a.keyed(c, next) }
+}
+
+// Optional treats a request without a key as one of no account; only open routes serve it.
+func (a *Authenticator) Optional(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		if c.Request().Header.Get(echo.HeaderAuthorization) == "" {
+			return next(c)
+		}
+		return a.keyed(c, next)
+	}
+}
+
+func (a *Authenticator) keyed(c *echo.Context, next echo.HandlerFunc) error {
+	snap := a.snapshot()
+	if snap == nil {
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, retryConfiguration,
+			"this instance has no configuration yet")
+	}
+	key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), bearerPrefix)
+	if !ok || key == "" {
+		return verdict.Refuse(http.StatusUnauthorized, verdict.ReasonBadKey, 0, "the Authorization header must be: Bearer KEY")
+	}
+	account, refused := snap.Authenticate(key)
+	if refused != nil {
+		return refused
+	}
+	ctx, done := a.track(c.Request().Context(), account.Team, account.KeyID)
+	defer done()
+	// A withdrawal between Authenticate and track would otherwise be missed.
+	if !a.snapshot().KeyValid(account.Team, account.KeyID) {
+		return withdrawn()
+	}
+	c.SetRequest(c.Request().WithContext(ctx))
+	c.Set(accountKey, &peerv1.Account{Team: account.Team, Name: account.Name, KeyId: account.KeyID, Weight: account.Weight})
+	if c.Request().Method != http.MethodGet || !strings.HasPrefix(c.Request().URL.Path, "/v1/") {
+		if err := a.quota.Take(ctx, QuotaName(account.Team, account.Name), 1); err != nil {
+			return err
+		}
+	}
+	return next(c)
+}
+
+// QuotaName is the name under which an account's rate is kept. Accounts of different teams never share one.
+func QuotaName(team, account string) string { return team + "/" + account }
+
+func withdrawn() *verdict.Error {
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.ReasonKeyWithdrawn, Status: http.StatusUnauthorized,
+		Detail: "the key was withdrawn"}
+}
+
+// track registers a request until done is called, so that a withdrawal of its key ends it.
+func (a *Authenticator) track(ctx context.Context, team, keyID string) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.next++
+	n := a.next
+	a.active[n] = activeRequest{team: team, keyID: keyID, cancel: cancel}
+	return ctx, func() {
+		a.mu.Lock()
+		delete(a.active, n)
+		a.mu.Unlock()
+		cancel(nil)
+	}
+}
+
+// EndWithdrawn ends the requests whose key is no longer valid. It is called on each change of configuration.
+func (a *Authenticator) EndWithdrawn(snap *config.Snapshot) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.active {
+		if !snap.KeyValid(r.team, r.keyID) {
+			r.cancel(withdrawn())
+		}
+	}
+}
--- /dev/null
+++ b/internal/frontend/server.go
@@ -0,0 +1,145 @@
+package frontend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/labstack/echo/v5"
+	"github.com/labstack/echo/v5/middleware"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"k8s.io/klog/v2"
+
+	"github.com/berylpond/berylpond/internal/frontend/commands"
+	"github.com/berylpond/berylpond/internal/frontend/queries"
+	"github.com/berylpond/berylpond/internal/frontend/request"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+const (
+	// maxBodyBytes bounds every request body; routes may set less.
+	maxBodyBytes = 8 << 20
+	// retryDraining is the time after which another instance serves a caller that this one refuses.
+	retryDraining = time.Second
+	// readHeaderTimeout bounds the time in which a caller sends its header.
+	readHeaderTimeout = 10 * time.Second
+)
+
+// Server serves callers. Create it with New.
+type Server struct {
+	echo    *echo.Echo
+	metrics *metrics
+	drain   func() bool
+	http    *http.Server
+}
+
+// Deps holds what a Server works with.
+type Deps struct {
+	Auth     *request.Authenticator
+	Commands *commands.Handlers
+	Queries  *queries.Handlers
+	Registry *prometheus.Registry
+	// Draining reports whether a graceful shutdown has begun.
+	Draining func() bool
+}
+
+// New returns a server that is not listening yet.
+func New(d Deps) *Server {
+	s := &Server{echo: echo.New(), metrics: newMetrics(), drain: d.Draining}
+	d.Registry.MustRegister(s.metrics.collectors()...)
+	s.echo.HTTPErrorHandler = s.handleError
+	s.echo.Use(requestID, s.observe, recoverPanic, middleware.BodyLimit(maxBodyBytes))
+	s.routes(d)
+	return s
+}
+
+func (s *Server) routes(d Deps) {
+	e := s.echo
+	e.GET("/healthz", d.Queries.Health)
+	e.GET("/readyz", d.Queries.Ready)
+	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{Registry: d.Registry})))
+
+	keyed := e.Group("/v1", d.Auth.Required, s.refuseDraining)
+	keyed.POST("/chat/completions", d.Commands.Chat)
+	keyed.GET("/models", d.Queries.Models)
+	keyed.POST("/programs", d.Commands.CreateProgram)
+	keyed.GET("/programs/:id", d.Queries.Program)
+	keyed.DELETE("/programs/:id", d.Commands.EndProgram)
+
+	// Everything else is a route of a team's document, which may be open to all.
+	e.Any("/*", d.Commands.Service, d.Auth.Optional, s.refuseDraining)
+}
+
+// refuseDraining refuses new work once a graceful shutdown has begun.
+func (s *Server) refuseDraining(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		if s.drain() {
+			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonShuttingDown, retryDraining, "this instance is shutting down")
+		}
+		return next(c)
+	}
+}
+
+// requestID gives each request an id of our own, which the answer repeats.
+func requestID(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		id := uuid.NewString()
+		c.Set(request.IDKey, id)
+		c.Response().Header().Set(echo.HeaderXRequestID, id)
+		return next(c)
+	}
+}
+
+// RequestID returns the id of the request.
+func RequestID(c *echo.Context) string { return request.ID(c) }
+
+// recoverPanic turns a panic into an answer; what the request did before is not known.
+func recoverPanic(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) (err error) {
+		defer func() {
+			if p := recover(); p != nil {
+				klog.ErrorS(nil, "Request panicked", "request", request.ID(c), "panic", p)
+				err = verdict.Fail(http.StatusInternalServerError, verdict.ReasonInternal, "internal error")
+			}
+		}()
+		return next(c)
+	}
+}
+
+// observe counts requests and measures them by route.
+func (s *Server) observe(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c *echo.Context) error {
+		begun := time.Now()
+		s.metrics.inFlight.Inc()
+		defer s.metrics.inFlight.Dec()
+		err := next(c)
+		s.metrics.duration.WithLabelValues(c.Path()).Observe(time.Since(begun).Seconds())
+		return err
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.echo.ServeHTTP(w, r) }
+
+// Serve answers callers on l until Shutdown.
+func (s *Server) Serve(l net.Listener) error {
+	s.http = &http.Server{Handler: s.echo, ReadHeaderTimeout: readHeaderTimeout}
+	if err := s.http.Serve(l); err != http.ErrServerClosed {
+		return err
+	}
+	return nil
+}
+
+// Shutdown lets the requests under way finish until ctx ends, then closes their connections.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if s.http == nil {
+		return nil
+	}
+	if err := s.http.Shutdown(ctx); err != nil {
+		return s.http.Close()
+	}
+	return nil
+}
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -81,9 +81,9 @@
 type heldPart struct {
 	// promised is the highest term that was promised.
 	promised uint64
-	order []string
-	byID  map[string][]byte
-	bytes int
+	order    []string
+	byID     map[string][]byte
+	bytes    int
 }
 
 // New returns an empty ledger.
