Add state machines of conserved rate and burst

Bare token transfers let the lender refill while tokens are under way, so that more than the burst exists; a transfer therefore moves burst with its tokens for a short term. First cut, not yet tested.

Conclusion: one loan mechanism carries both transfers and loans.

--- /dev/null
+++ b/internal/quota/holder.go
@@ -0,0 +1,244 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PartOf returns the part of an account by rendezvous hashing over parts.
+func PartOf(account string, parts int) int {
+	best, bestScore := 0, uint64(0)
+	h := xxhash.Sum64String(account)
+	for p := range parts {
+		if score := mix(h, uint64(p)); p == 0 || score > bestScore {
+			best, bestScore = p, score
+		}
+	}
+	return best
+}
+
+// mix is the finalizer of SplitMix64 over the two values.
+func mix(h, p uint64) uint64 {
+	z := h + (p+1)*0x9e3779b97f4a7c15
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// State is what a holder hands over of one account.
+type State struct {
+	Account string
+	Level   float64
+	Lent    []LentState
+	// Since is how long the sender's view of its predecessor's loans reaches back.
+	Since time.Duration
+}
+
+// LentState is one loan handed over.
+type LentState struct {
+	Loan   uint64
+	Amount Amount
+	Left   time.Duration
+}
+
+// PartState is what a holder hands over of a part.
+type PartState struct {
+	Part     int
+	Term     uint64
+	Since    time.Duration
+	Accounts []State
+}
+
+type limitEntry struct {
+	share Share
+	added time.Time
+}
+
+type heldPart struct {
+	term     uint64
+	since    time.Time
+	accounts map[string]*Account
+}
+
+type offer struct {
+	state PartState
+	at    time.Time
+}
+
+// Holder is the state of all accounts whose parts this instance holds. It isn't safe for concurrent use.
+type Holder struct {
+	terms   Terms
+	dcs     int
+	slots   int
+	version uint64
+	limits  map[string]limitEntry
+	parts   map[int]*heldPart
+	left    map[int]uint64
+	offers  map[int]offer
+	nextSeq uint64
+}
+
+// NewHolder returns a holder for one of dcs data centres, whose cell has the given number of slots.
+func NewHolder(terms Terms, dcs, slots int) *Holder {
+	return &Holder{
+		terms: terms, dcs: dcs, slots: slots,
+		limits: map[string]limitEntry{}, parts: map[int]*heldPart{}, left: map[int]uint64{}, offers: map[int]offer{},
+	}
+}
+
+// Version returns the version of the limits in force here.
+func (h *Holder) Version() uint64 { return h.version }
+
+// Share returns the static share of an account.
+func (h *Holder) Share(account string) (Share, bool) {
+	e, ok := h.limits[account]
+	return e.share, ok
+}
+
+// SetLimits takes a version of the limits into force. An older version than the one in force is dropped. An account
+// that is new in this version starts empty.
+func (h *Holder) SetLimits(now time.Time, version uint64, limits []Limit) {
+	if version < h.version || (version == h.version && len(h.limits) > 0) {
+		return
+	}
+	h.version = version
+	next := make(map[string]limitEntry, len(limits))
+	for _, l := range limits {
+		e, ok := h.limits[l.Account]
+		if !ok {
+			e.added = now
+		}
+		e.share = Split(l, h.dcs, h.slots)
+		next[l.Account] = e
+	}
+	h.limits = next
+	for _, p := range h.parts {
+		for name, a := range p.accounts {
+			if e, ok := next[name]; ok {
+				a.SetShare(now, e.share)
+			} else {
+				delete(p.accounts, name)
+			}
+		}
+	}
+}
+
+// Observe tells the holder whether it has the lease of part, under which term, as of now. The lease must have been
+// looked up after now was read. It reports whether the part may be used.
+func (h *Holder) Observe(now time.Time, part int, term uint64, held bool) bool {
+	p := h.parts[part]
+	if !held || (h.left[part] == term && term != 0) {
+		delete(h.parts, part)
+		return false
+	}
+	if p != nil && p.term == term {
+		return true
+	}
+	p = &heldPart{term: term, since: now, accounts: map[string]*Account{}}
+	if o, ok := h.offers[part]; ok && o.state.Term+1 == term {
+		h.restore(p, o)
+	}
+	delete(h.offers, part)
+	h.parts[part] = p
+	return true
+}
+
+func (h *Holder) restore(p *heldPart, o offer) {
+	p.since = o.at.Add(-o.state.Since)
+	for _, s := range o.state.Accounts {
+		e, ok := h.limits[s.Account]
+		if !ok {
+			continue
+		}
+		a := NewAccount(e.share, h.terms, p.term, o.at.Add(-s.Since))
+		a.bucket = Bucket{level: s.Level, at: o.at}
+		for _, l := range s.Lent {
+			a.addLoan(&a.lent, loan{id: l.Loan, amount: l.Amount, expires: o.at.Add(l.Left), long: l.Amount.Rate > 0})
+		}
+		a.bucket.level = min(a.bucket.level, a.Current().Burst)
+		p.accounts[s.Account] = a
+	}
+}
+
+// Offer keeps a predecessor's state until this instance gets the next term of the part. At most one instance gets
+// that term, so the state is used once at most.
+func (h *Holder) Offer(now time.Time, s PartState) {
+	if o, ok := h.offers[s.Part]; ok && o.state.Term >= s.Term {
+		return
+	}
+	h.offers[s.Part] = offer{state: s, at: now}
+}
+
+// Leave stops all use of the parts held under their present terms, and returns the states to hand over.
+func (h *Holder) Leave(now time.Time) []PartState {
+	var out []PartState
+	for part, p := range h.parts {
+		h.left[part] = p.term
+		ps := PartState{Part: part, Term: p.term, Since: now.Sub(p.since)}
+		for name, a := range p.accounts {
+			a.Advance(now)
+			ps.Accounts = append(ps.Accounts, exportState(now, name, a))
+		}
+		out = append(out, ps)
+		delete(h.parts, part)
+	}
+	slices.SortFunc(out, func(a, b PartState) int { return a.Part - b.Part })
+	return out
+}
+
+func exportState(now time.Time, name string, a *Account) State {
+	s := State{Account: name, Since: now.Sub(a.since)}
+	s.Level = min(a.bucket.level, a.own().Burst)
+	for _, l := range a.lent {
+		s.Lent = append(s.Lent, LentState{Loan: l.id, Amount: l.amount, Left: l.expires.Sub(now)})
+	}
+	return s
+}
+
+// Account returns the state of an account in a part that Observe has just reported usable.
+func (h *Holder) Account(part int, name string) (*Account, bool) {
+	p, ok := h.parts[part]
+	if !ok {
+		return nil, false
+	}
+	if a, ok := p.accounts[name]; ok {
+		return a, true
+	}
+	e, ok := h.limits[name]
+	if !ok {
+		return nil, false
+	}
+	since := p.since
+	if e.added.After(since) {
+		since = e.added
+	}
+	a := NewAccount(e.share, h.terms, p.term, since)
+	p.accounts[name] = a
+	return a, true
+}
+
+// Held calls f for each account with state in a part held here.
+func (h *Holder) Held(f func(part int, account string, a *Account)) {
+	for part, p := range h.parts {
+		for name, a := range p.accounts {
+			f(part, name, a)
+		}
+	}
+}
+
+// NextSequence returns a sequence number not used before by this process.
+func (h *Holder) NextSequence() uint64 {
+	h.nextSeq++
+	return h.nextSeq
+}
+
+// Accept takes in a grant for an account, unless its version is older than the one in force here.
+func (h *Holder) Accept(now time.Time, part int, name string, g Grant) {
+	a, ok := h.Account(part, name)
+	if !ok || g.Version < h.version {
+		return
+	}
+	a.Accept(now, g)
+}
