--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -28,6 +28,8 @@
 	demandWindow = time.Second
 	// headroom is the factor over its own demand that a holder keeps when lending, and asks for when borrowing.
 	headroom = 1.2
+	// nearShare is the part of its rate at which a holder asks for more.
+	nearShare = 0.95
 	// maxRetryAfter bounds the time to come back that a refusal names.
 	maxRetryAfter = time.Minute
 )
@@ -354,7 +356,7 @@
 			out = append(out, Wish{Peer: l.peer, Request: Request{Renew: l.id}})
 		}
 	}
-	if demand*headroom <= rate || len(peers) == 0 {
+	if demand <= nearShare*rate || len(peers) == 0 {
 		return out
 	}
 	each := (headroom*demand - rate) / float64(len(peers))
--- /dev/null
+++ b/internal/quota/quotactl/metrics.go
@@ -0,0 +1,43 @@
+package quotactl
+
+import "github.com/prometheus/client_golang/prometheus"
+
+// refusalCause is a metric label.
+type refusalCause string
+
+const (
+	causeOverRate   refusalCause = "over_rate"
+	causeUnknown    refusalCause = "unknown_account"
+	causeNoHolder   refusalCause = "no_holder"
+	causeNotHolder  refusalCause = "not_holder"
+	causeLostAnswer refusalCause = "lost_answer"
+	causeInjected   refusalCause = "injected"
+)
+
+type metrics struct {
+	admitted       *prometheus.CounterVec
+	refused        *prometheus.CounterVec
+	borrowedTokens prometheus.Counter
+	lendFailed     prometheus.Counter
+	handOverFailed prometheus.Counter
+}
+
+func newMetrics() *metrics {
+	counter := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Name: "berylpond_quota_" + name, Help: help})
+	}
+	vector := func(name, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "berylpond_quota_" + name, Help: help}, []string{label})
+	}
+	return &metrics{
+		admitted:       vector("admitted_total", "Takes admitted, by where the tokens were.", "path"),
+		refused:        vector("refused_total", "Takes refused, by cause.", "cause"),
+		borrowedTokens: counter("borrowed_tokens_total", "Tokens fetched from other data centres."),
+		lendFailed:     counter("lend_failed_total", "Requests to other data centres without an answer."),
+		handOverFailed: counter("hand_over_failed_total", "Offers of state that did not reach an instance."),
+	}
+}
+
+func (m *metrics) collectors() []prometheus.Collector {
+	return []prometheus.Collector{m.admitted, m.refused, m.borrowedTokens, m.lendFailed, m.handOverFailed}
+}
--- /dev/null
+++ b/internal/quota/quotactl/server.go
@@ -0,0 +1,158 @@
+package quotactl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	quotav1 "github.com/berylpond/berylpond/api/quota/v1"
+	"github.com/berylpond/berylpond/internal/failpoint"
+	"github.com/berylpond/berylpond/internal/quota"
+)
+
+// serveTake takes for another instance. Only takes that are short of tokens wait, for tokens from other data centres.
+func (c *Controller) serveTake(ctx context.Context, req *quotav1.TakeRequest) *quotav1.TakeResponse {
+	resp := &quotav1.TakeResponse{Results: make([]*quotav1.TakeResult, len(req.Items))}
+	var wg sync.WaitGroup
+	for i, it := range req.Items {
+		r, short := c.tryTake(it.Account, it.N, true)
+		resp.Results[i] = toResult(r)
+		if short <= 0 {
+			continue
+		}
+		wg.Go(func() {
+			resp.Results[i] = toResult(c.takeShort(ctx, it.Account, it.N, r, short))
+		})
+	}
+	wg.Wait()
+	return resp
+}
+
+// server adapts the Controller, whose own Take is for callers in the process.
+type server struct {
+	quotav1.UnimplementedQuotaServer
+	c *Controller
+}
+
+// Take implements quotav1.QuotaServer.
+func (s *server) Take(ctx context.Context, req *quotav1.TakeRequest) (*quotav1.TakeResponse, error) {
+	return s.c.serveTake(ctx, req), nil
+}
+
+// Lend implements quotav1.QuotaServer.
+func (s *server) Lend(_ context.Context, req *quotav1.LendRequest) (*quotav1.LendResponse, error) {
+	return s.c.serveLend(req)
+}
+
+// HandOver implements quotav1.QuotaServer.
+func (s *server) HandOver(_ context.Context, req *quotav1.HandOverRequest) (*quotav1.HandOverResponse, error) {
+	s.c.mu.Lock()
+	defer s.c.mu.Unlock()
+	s.c.holder.Offer(s.c.now(), fromHandOver(req))
+	return &quotav1.HandOverResponse{}, nil
+}
+
+// serveLend lends what is held here, and passes the rest on to its holder once.
+func (c *Controller) serveLend(req *quotav1.LendRequest) (*quotav1.LendResponse, error) {
+	resp := &quotav1.LendResponse{}
+	elsewhere := map[string][]*quotav1.LendItem{}
+	for _, it := range req.Items {
+		g, held, err := c.lend(req.DataCentre, it)
+		if err != nil {
+			return nil, err
+		}
+		if held {
+			resp.Grants = append(resp.Grants, g)
+			continue
+		}
+		part := quota.PartOf(it.Account, c.parts.Parts())
+		if in, ok := c.parts.Holder(part); ok && !req.Forwarded && in.ID != c.table.Self().ID {
+			elsewhere[in.ID] = append(elsewhere[in.ID], it)
+		}
+	}
+	for id, items := range elsewhere {
+		in, ok := c.table.Get(id)
+		if !ok {
+			continue
+		}
+		fwd := &quotav1.LendRequest{DataCentre: req.DataCentre, Forwarded: true, Items: items}
+		if r, err := c.lendAt(in, fwd); err == nil {
+			resp.Grants = append(resp.Grants, r.Grants...)
+		}
+	}
+	return resp, nil
+}
+
+func (c *Controller) lend(peer string, it *quotav1.LendItem) (*quotav1.Grant, bool, error) {
+	g, held := c.lendLocked(peer, it)
+	if !held {
+		return nil, false, nil
+	}
+	point := "quota.loan.granted"
+	if it.Tokens > 0 {
+		point = "quota.transfer.debited"
+	}
+	if err := failpoint.Hit(point); err != nil {
+		return nil, true, status.Error(codes.Unavailable, err.Error())
+	}
+	return g, true, nil
+}
+
+func (c *Controller) lendLocked(peer string, it *quotav1.LendItem) (*quotav1.Grant, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, a, held := c.account(it.Account)
+	if !held {
+		return nil, false
+	}
+	if a == nil {
+		return &quotav1.Grant{Sequence: it.Sequence, Version: c.holder.Version()}, true
+	}
+	r := quota.Request{Sequence: it.Sequence, Tokens: it.Tokens, Rate: it.Rate, Renew: it.Renew}
+	g := a.Lend(now, peer, r)
+	g.Version = c.holder.Version()
+	return toGrant(g), true
+}
+
+// Leave stops the use of all parts held here and hands their state to the other instances of the data centre. Call
+// it before the leases are given up.
+func (c *Controller) Leave(ctx context.Context) error {
+	c.mu.Lock()
+	c.observeAll()
+	c.leaving = true
+	c.floor.Stop()
+	states := c.holder.Leave(c.now())
+	c.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, in := range c.table.InDataCentre(c.cfg.DataCentre) {
+		if in.ID == c.table.Self().ID || in.Leaving {
+			continue
+		}
+		wg.Go(func() { c.handOver(ctx, in.PeerAddr, states) })
+	}
+	wg.Wait()
+	return ctx.Err()
+}
+
+// handOver offers the states to one instance. An offer that is lost makes the next holder start empty.
+func (c *Controller) handOver(ctx context.Context, addr string, states []quota.PartState) {
+	conn, err := c.dial.Conn(addr)
+	if err != nil {
+		c.metrics.handOverFailed.Inc()
+		return
+	}
+	for _, s := range states {
+		callCtx, cancel := context.WithTimeout(ctx, c.cfg.TakeTimeout)
+		_, err := quotav1.NewQuotaClient(conn).HandOver(callCtx, toHandOver(s))
+		cancel()
+		if err != nil {
+			c.metrics.handOverFailed.Inc()
+			return
+		}
+	}
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
