--- /dev/null
+++ b/internal/quota/account.go
@@ -0,0 +1,533 @@
+package quota
+
+import (
+	"math"
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/berylpond/berylpond/internal/invariant"
+)
+
+// Terms are the durations of the protocol. They are the same at all instances.
+type Terms struct {
+	// Transfer is how long burst stays with a borrower of tokens.
+	Transfer time.Duration
+	// Loan is how long rate and burst are lent without renewal.
+	Loan time.Duration
+	// Margin is what a lender waits beyond a loan's term, for clocks that run at different speeds.
+	Margin time.Duration
+}
+
+// DefaultTerms let shares follow demand within 10 s.
+func DefaultTerms() Terms {
+	return Terms{Transfer: 2 * time.Second, Loan: 4 * time.Second, Margin: 200 * time.Millisecond}
+}
+
+const (
+	// demandWindow is the time constant of the demand estimate.
+	demandWindow = time.Second
+	// headroom is the factor over its own demand that a holder keeps when lending, and asks for when borrowing.
+	headroom = 1.2
+	// nearShare is the part of its rate at which a holder asks for more.
+	nearShare = 0.95
+	// returnBefore is the time before the end of a loan at which it is returned though it would be needed.
+	returnBefore = 300 * time.Millisecond
+	// maxRetryAfter bounds the time to come back that a refusal names.
+	maxRetryAfter = time.Minute
+)
+
+// Request asks a lender for tokens now, for rate over a longer term, or to renew a loan; or it gives a loan back.
+type Request struct {
+	// Sender and Sequence identify the request. Sender names one run of one process.
+	Sender   string
+	Sequence uint64
+	Tokens   float64
+	Rate     float64
+	Renew    uint64
+	Return   *Piece
+}
+
+// Piece is rate and burst that moves from one data centre to another, with the tokens in it.
+type Piece struct {
+	// Lender is the data centre whose share the piece belongs to, and Loan its name there.
+	Lender string
+	Loan   uint64
+	Amount Amount
+	Tokens float64
+	// Term counts from the sending of the request that the piece answers.
+	Term time.Duration
+	// Long marks loans that can be renewed.
+	Long bool
+}
+
+// Grant answers a Request.
+type Grant struct {
+	Sequence uint64
+	Version  uint64
+	Pieces   []Piece
+	// Renewed is set when the loan in Request.Renew has got Term anew.
+	Renewed bool
+	Loan    uint64
+	Term    time.Duration
+	// Level and LevelRate are the lender's after the grant; hints only.
+	Level     float64
+	LevelRate float64
+}
+
+// Tokens returns the tokens in all pieces.
+func (g Grant) Tokens() float64 {
+	var n float64
+	for _, p := range g.Pieces {
+		n += p.Tokens
+	}
+	return n
+}
+
+type returnKey struct {
+	sender   string
+	sequence uint64
+}
+
+type loan struct {
+	// lender is empty for what is lent from the own share.
+	lender  string
+	id      uint64
+	amount  Amount
+	expires time.Time
+	long    bool
+	// inherited marks loans of a predecessor; their early return is not accepted, as it may have been before.
+	inherited bool
+	// returned holds the returns already taken in.
+	returned map[returnKey]bool
+}
+
+type pending struct {
+	peer string
+	sent time.Time
+}
+
+// Account is the state of one client account at the holder of its part in one data centre. It isn't safe for
+// concurrent use.
+type Account struct {
+	dc       string
+	share    Share
+	terms    Terms
+	bucket   Bucket
+	lent     []loan
+	borrowed []loan
+	pending  map[uint64]pending
+	demand   float64
+	demandAt time.Time
+	nextLoan uint64
+	since    time.Time
+}
+
+// NewAccount returns an account in data centre dc whose holder has had the part since the given time, from an unknown predecessor: the
+// bucket is empty, and all that the predecessor may have lent counts as lent until the longest term has passed.
+// Loan ids start from term, which no other holder shares.
+func NewAccount(dc string, share Share, terms Terms, term uint64, since time.Time) *Account {
+	a := &Account{dc: dc, share: share, terms: terms, nextLoan: term << 32, since: since}
+	a.bucket.at = since
+	return a
+}
+
+// loansUnknownUntil is when all long loans of an unknown predecessor have ended.
+func (a *Account) loansUnknownUntil() time.Time { return a.since.Add(a.terms.Loan + a.terms.Margin) }
+
+// transfersUnknownUntil is when all transfers of an unknown predecessor have ended.
+func (a *Account) transfersUnknownUntil() time.Time {
+	return a.since.Add(a.terms.Transfer + a.terms.Margin)
+}
+
+// addLoan keeps list ordered by expiry.
+func (a *Account) addLoan(list *[]loan, l loan) {
+	*list = append(*list, l)
+	s := *list
+	sort.SliceStable(s, func(i, j int) bool { return s[i].expires.Before(s[j].expires) })
+}
+
+func total(list []loan) Amount {
+	var sum Amount
+	for _, l := range list {
+		sum.Rate += l.amount.Rate
+		sum.Burst += l.amount.Burst
+	}
+	return sum
+}
+
+// own returns what is left of the static share.
+func (a *Account) own() Amount {
+	lent := total(a.lent)
+	own := Amount{Rate: max(0, a.share.Holder.Rate-lent.Rate), Burst: max(0, a.share.Holder.Burst-lent.Burst)}
+	if a.bucket.at.Before(a.loansUnknownUntil()) {
+		own = Amount{Rate: min(own.Rate, a.share.Floor.Rate), Burst: min(own.Burst, a.share.Floor.Burst)}
+	}
+	if a.bucket.at.Before(a.transfersUnknownUntil()) {
+		own = Amount{}
+	}
+	return own
+}
+
+// Current returns the rate and burst that the bucket runs with.
+func (a *Account) Current() Amount {
+	own, borrowed := a.own(), total(a.borrowed)
+	return Amount{Rate: own.Rate + borrowed.Rate, Burst: own.Burst + borrowed.Burst}
+}
+
+// Advance brings the state to now. Loans end at their own times, however long the process was paused.
+func (a *Account) Advance(now time.Time) {
+	for {
+		next, ok := a.nextExpiry()
+		if !ok || next.After(now) {
+			break
+		}
+		a.bucket.Fill(next, a.Current())
+		a.expire(next)
+		a.bucket.level = min(a.bucket.level, a.Current().Burst)
+	}
+	a.bucket.Fill(now, a.Current())
+	for seq, p := range a.pending {
+		if now.Sub(p.sent) > a.terms.Loan {
+			delete(a.pending, seq)
+		}
+	}
+	invariant.Check(a.bucket.level <= a.Current().Burst+tolerance, "quota.level_within_burst")
+}
+
+// nextExpiry returns the next time at which the amounts change by themselves.
+func (a *Account) nextExpiry() (next time.Time, ok bool) {
+	earliest := func(t time.Time) {
+		if !ok || t.Before(next) {
+			next, ok = t, true
+		}
+	}
+	if len(a.lent) > 0 {
+		earliest(a.lent[0].expires)
+	}
+	if len(a.borrowed) > 0 {
+		earliest(a.borrowed[0].expires)
+	}
+	for _, t := range []time.Time{a.transfersUnknownUntil(), a.loansUnknownUntil()} {
+		if t.After(a.bucket.at) {
+			earliest(t)
+		}
+	}
+	return next, ok
+}
+
+func (a *Account) expire(at time.Time) {
+	for len(a.lent) > 0 && !a.lent[0].expires.After(at) {
+		a.lent = a.lent[1:]
+	}
+	for len(a.borrowed) > 0 && !a.borrowed[0].expires.After(at) {
+		a.borrowed = a.borrowed[1:]
+	}
+}
+
+// Ask counts n requests as demand.
+func (a *Account) Ask(now time.Time, n float64) {
+	a.demand = a.Demand(now)*demandWindow.Seconds() + n
+	a.demandAt = now
+}
+
+// Demand returns the recent demand in requests per second.
+func (a *Account) Demand(now time.Time) float64 {
+	age := max(0, now.Sub(a.demandAt))
+	return a.demand / demandWindow.Seconds() * math.Exp(-age.Seconds()/demandWindow.Seconds())
+}
+
+// Take spends n tokens. When there are too few it returns how many are short and when they will be there.
+func (a *Account) Take(now time.Time, n float64) (ok bool, short float64, retryAfter time.Duration) {
+	a.Advance(now)
+	if a.bucket.Spend(n) {
+		return true, 0, 0
+	}
+	short = n - a.bucket.level
+	return false, short, wait(short, a.Current().Rate)
+}
+
+func wait(tokens, rate float64) time.Duration {
+	if rate <= 0 || tokens/rate > maxRetryAfter.Seconds() {
+		return maxRetryAfter
+	}
+	return max(time.Millisecond, time.Duration(tokens/rate*float64(time.Second)))
+}
+
+// Lend debits what it grants before the grant can be sent. The request must have been received by now.
+func (a *Account) Lend(now time.Time, peer string, r Request) Grant {
+	a.Advance(now)
+	g := Grant{Sequence: r.Sequence}
+	switch {
+	case r.Return != nil:
+		if a.giveBack(*r.Return, returnKey{r.Sender, r.Sequence}) {
+			a.bucket.level = min(a.bucket.level+r.Return.Tokens, a.Current().Burst)
+		}
+	case r.Renew != 0:
+		g.Renewed = a.renew(now, r.Renew)
+		g.Loan, g.Term = r.Renew, a.terms.Loan
+	case r.Tokens > 0:
+		g.Pieces = a.lendTokens(now, peer, r.Tokens)
+	case r.Rate > 0:
+		g.Pieces = a.lendRate(now, r.Rate)
+	}
+	a.bucket.level = max(0, min(a.bucket.level, a.Current().Burst))
+	g.Level, g.LevelRate = a.bucket.level, a.Current().Rate
+	return g
+}
+
+// giveBack takes a piece of a loan off what is lent. A key that isn't zero is taken once. It reports false when the loan has ended here, in which case the
+// tokens are void: their burst was in use again already.
+func (a *Account) giveBack(p Piece, key returnKey) bool {
+	for i := range a.lent {
+		l := &a.lent[i]
+		if l.id != p.Loan || l.inherited || l.returned[key] {
+			continue
+		}
+		if !invariant.Check(p.Amount.Burst <= l.amount.Burst+tolerance, "quota.returned_within_lent") {
+			return false
+		}
+		if key != (returnKey{}) {
+			if l.returned == nil {
+				l.returned = map[returnKey]bool{}
+			}
+			l.returned[key] = true
+		}
+		l.amount.Rate = max(0, l.amount.Rate-p.Amount.Rate)
+		l.amount.Burst = max(0, l.amount.Burst-p.Amount.Burst)
+		if l.amount.Burst <= tolerance {
+			a.lent = append(a.lent[:i:i], a.lent[i+1:]...)
+		}
+		return true
+	}
+	return false
+}
+
+func (a *Account) renew(now time.Time, id uint64) bool {
+	if a.Demand(now) > a.own().Rate {
+		return false
+	}
+	for i, l := range a.lent {
+		if l.id != id || !l.long {
+			continue
+		}
+		a.lent = append(a.lent[:i:i], a.lent[i+1:]...)
+		l.expires = now.Add(a.terms.Loan + a.terms.Margin)
+		a.addLoan(&a.lent, l)
+		return true
+	}
+	return false
+}
+
+// lendTokens gives tokens together with as much burst, floor included, and the rate that fills it, for a short term.
+// Without the burst the lender would refill while the tokens are on their way, and there would be more than the
+// account's burst; without the rate the lender would have no room for what comes in. What the peer itself has lent
+// goes first, then what others have lent, then the own share.
+func (a *Account) lendTokens(now time.Time, peer string, want float64) []Piece {
+	var out []Piece
+	left := min(want, a.bucket.level)
+	for _, first := range []bool{true, false} {
+		for i := range a.borrowed {
+			if l := &a.borrowed[i]; (l.lender == peer) == first {
+				out, left = appendPiece(out, left, a.cut(now, l, left))
+			}
+		}
+	}
+	a.dropSpentLoans()
+	own := a.own()
+	if give := min(left, own.Burst); give > tolerance {
+		p := Piece{Amount: portion(own, give), Tokens: give, Term: a.terms.Transfer}
+		out, _ = appendPiece(out, left, a.lendOwn(now, p))
+	}
+	for _, p := range out {
+		a.bucket.level -= p.Tokens
+	}
+	return out
+}
+
+func appendPiece(out []Piece, left float64, p Piece) ([]Piece, float64) {
+	if p.Tokens <= 0 {
+		return out, left
+	}
+	return append(out, p), left - p.Tokens
+}
+
+// portion returns the part of a that has the given burst.
+func portion(a Amount, burst float64) Amount {
+	return Amount{Rate: a.Rate * burst / a.Burst, Burst: burst}
+}
+
+// cut takes up to burst off a borrowed loan, to pass it on.
+func (a *Account) cut(now time.Time, l *loan, burst float64) Piece {
+	burst = min(burst, l.amount.Burst)
+	if burst <= tolerance {
+		return Piece{}
+	}
+	p := Piece{Lender: l.lender, Loan: l.id, Amount: portion(l.amount, burst), Tokens: burst, Term: l.expires.Sub(now), Long: l.long}
+	l.amount.Rate = max(0, l.amount.Rate-p.Amount.Rate)
+	l.amount.Burst = max(0, l.amount.Burst-p.Amount.Burst)
+	return p
+}
+
+func (a *Account) dropSpentLoans() {
+	a.borrowed = slices.DeleteFunc(a.borrowed, func(l loan) bool { return l.amount.Burst <= tolerance })
+}
+
+// lendOwn records a piece of the own share as lent.
+func (a *Account) lendOwn(now time.Time, p Piece) Piece {
+	a.nextLoan++
+	p.Lender, p.Loan = a.dc, a.nextLoan
+	a.addLoan(&a.lent, loan{id: p.Loan, amount: p.Amount, expires: now.Add(p.Term + a.terms.Margin), long: p.Long})
+	return p
+}
+
+// lendRate gives spare rate, the burst that goes with it, and the tokens in that.
+func (a *Account) lendRate(now time.Time, want float64) []Piece {
+	if now.Before(a.loansUnknownUntil()) {
+		return nil
+	}
+	var long Amount
+	for _, l := range a.lent {
+		if l.long {
+			long.Rate += l.amount.Rate
+			long.Burst += l.amount.Burst
+		}
+	}
+	lendable := Amount{Rate: a.share.Holder.Rate - a.share.Floor.Rate, Burst: a.share.Holder.Burst - a.share.Floor.Burst}
+	own := a.own()
+	rate := min(want, lendable.Rate-long.Rate, own.Rate-headroom*a.Demand(now))
+	if own.Burst <= 0 || rate <= floorFraction*min(want, lendable.Rate) {
+		return nil
+	}
+	burst := max(0, min(own.Burst*rate/own.Rate, lendable.Burst-long.Burst))
+	if burst <= tolerance {
+		return nil
+	}
+	p := Piece{Amount: Amount{Rate: rate, Burst: burst}, Term: a.terms.Loan, Long: true}
+	p.Tokens = min(burst, a.bucket.level*burst/a.Current().Burst)
+	a.bucket.level -= p.Tokens
+	invariant.Check(long.Rate+rate <= lendable.Rate+tolerance && long.Burst+burst <= lendable.Burst+tolerance, "quota.lent_within_lendable")
+	return []Piece{a.lendOwn(now, p)}
+}
+
+// Sent records that a request with this sequence number goes to peer. Sequence numbers never repeat in a process.
+func (a *Account) Sent(now time.Time, peer string, sequence uint64) {
+	if a.pending == nil {
+		a.pending = map[uint64]pending{}
+	}
+	a.pending[sequence] = pending{peer: peer, sent: now}
+}
+
+// Accept takes in the first answer to a request; others are dropped. A loan's term counts from the sending of the
+// request, so that it ends here before it ends at the lender.
+func (a *Account) Accept(now time.Time, g Grant) {
+	a.Advance(now)
+	p, ok := a.pending[g.Sequence]
+	if !ok {
+		return
+	}
+	delete(a.pending, g.Sequence)
+	if g.Renewed {
+		a.extend(g.Loan, p.peer, p.sent.Add(g.Term))
+	}
+	for _, piece := range g.Pieces {
+		a.acceptPiece(now, p.sent, piece)
+	}
+}
+
+func (a *Account) acceptPiece(now, sent time.Time, p Piece) {
+	expires := sent.Add(p.Term)
+	switch {
+	case p.Lender == a.dc:
+		if !a.giveBack(p, returnKey{}) {
+			return
+		}
+	case !expires.After(now):
+		return
+	default:
+		a.addLoan(&a.borrowed, loan{lender: p.Lender, id: p.Loan, amount: p.Amount, expires: expires, long: p.Long})
+	}
+	a.bucket.level = min(a.bucket.level+p.Tokens, a.Current().Burst)
+}
+
+func (a *Account) extend(id uint64, lender string, expires time.Time) {
+	for i, l := range a.borrowed {
+		if l.id != id || l.lender != lender || l.expires.After(expires) {
+			continue
+		}
+		a.borrowed = append(a.borrowed[:i:i], a.borrowed[i+1:]...)
+		l.expires = expires
+		a.addLoan(&a.borrowed, l)
+		return
+	}
+}
+
+// Wish is a request that demand calls for.
+type Wish struct {
+	Peer    string
+	Request Request
+}
+
+// Wishes returns what to ask of peers so that the share follows demand: renewals of loans past half their term while
+// the rate is still needed, the return of others before they end, and more rate when demand comes near to the share.
+func (a *Account) Wishes(now time.Time, peers []string) []Wish {
+	a.Advance(now)
+	demand := a.Demand(now)
+	out := a.endings(now, demand)
+	rate := a.Current().Rate
+	if demand <= nearShare*rate || len(peers) == 0 {
+		return out
+	}
+	each := (headroom*demand - rate) / float64(len(peers))
+	for _, p := range peers {
+		out = append(out, Wish{Peer: p, Request: Request{Rate: each}})
+	}
+	return out
+}
+
+// endings renews or returns the loans that end soon. A returned piece is debited here first.
+func (a *Account) endings(now time.Time, demand float64) []Wish {
+	var out []Wish
+	rate := a.Current().Rate
+	for i := range a.borrowed {
+		l := &a.borrowed[i]
+		left := l.expires.Sub(now)
+		if l.long && headroom*demand > rate-l.amount.Rate && left > returnBefore {
+			if left < a.terms.Loan/2 {
+				out = append(out, Wish{Peer: l.lender, Request: Request{Renew: l.id}})
+			}
+			continue
+		}
+		if left >= a.terms.Transfer/2 {
+			continue
+		}
+		current := a.Current().Burst
+		tokens := min(l.amount.Burst, a.bucket.level*l.amount.Burst/current)
+		p := a.cut(now, l, l.amount.Burst)
+		p.Tokens = tokens
+		a.bucket.level = max(0, a.bucket.level-tokens)
+		rate = a.Current().Rate
+		out = append(out, Wish{Peer: p.Lender, Request: Request{Return: &p}})
+	}
+	a.dropSpentLoans()
+	return out
+}
+
+// SetShare takes a new version of the limit into force. Lowering drops what was borrowed under the old one.
+func (a *Account) SetShare(now time.Time, s Share) {
+	a.Advance(now)
+	if s.Holder.Rate < a.share.Holder.Rate || s.Holder.Burst < a.share.Holder.Burst {
+		a.borrowed, a.pending = nil, nil
+	}
+	a.share = s
+	a.bucket.level = min(a.bucket.level, a.Current().Burst)
+}
+
+// Level returns the tokens at the last Advance.
+func (a *Account) Level() float64 { return a.bucket.level }
+
+// Lent returns what is lent out, and Borrowed what is borrowed, at the last Advance.
+func (a *Account) Lent() Amount { return total(a.lent) }
+
+// Borrowed returns what is borrowed at the last Advance.
+func (a *Account) Borrowed() Amount { return total(a.borrowed) }
