Add team documents and their versioned configuration

Cause: instances need one configuration that spreads in seconds, never reverts, and survives a log that is away or has expired records.

The version of a document is the offset of its accepted edit plus one, so no two documents can share a version. A per-team counter was ruled out: a reader that begins after records expired would have to guess it. Copies say up to which offset they are exact; a reader judges edits only from there on and holds them until then.

Before: nothing. No test has been run yet; those follow.

Conclusion: first cut, so that callers can be wired to the API.

--- /dev/null
+++ b/internal/config/merge.go
@@ -0,0 +1,216 @@
+package config
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	configv1 "github.com/berylpond/berylpond/api/config/v1"
+)
+
+// Merge takes what another state holds. Versions only rise and the set of withdrawn keys only grows, so that the
+// order and number of merges do not matter. It reports false if a splice did not fit: the sender reconciles then.
+func (s *State) Merge(d *configv1.Delta) bool {
+	complete := true
+	for _, w := range d.GetWithdrawals() {
+		s.withdraw(w)
+	}
+	for _, in := range d.GetTeams() {
+		complete = s.mergeTeam(in) && complete
+	}
+	for _, in := range d.GetDrains() {
+		s.drain(in)
+	}
+	return complete
+}
+
+// Root returns a hash of all that Digest covers. Equal roots mean that there is nothing to exchange.
+func (s *State) Root() uint64 {
+	h := xxhash.New()
+	var buf []byte
+	for _, name := range s.teamNames() {
+		t := s.teams[name]
+		buf = append(buf[:0], name...)
+		buf = binary.LittleEndian.AppendUint64(append(buf, 0), t.version)
+		for _, b := range t.buckets {
+			buf = binary.LittleEndian.AppendUint64(buf, b)
+		}
+		buf = append(buf, boolByte(t.exact))
+		_, _ = h.Write(buf)
+	}
+	_, _ = h.Write(binary.LittleEndian.AppendUint64(nil, s.drainsHash()))
+	return h.Sum64()
+}
+
+func boolByte(b bool) byte {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Digest summarises the state.
+func (s *State) Digest() *configv1.Digest {
+	d := &configv1.Digest{Drains: s.drainsHash()}
+	for _, name := range s.teamNames() {
+		t := s.teams[name]
+		d.Teams = append(d.Teams, &configv1.TeamDigest{Team: name, Version: t.version, Exact: t.exact, Withdrawals: t.buckets})
+	}
+	return d
+}
+
+// Delta returns what this state holds beyond the one that digest describes.
+func (s *State) Delta(digest *configv1.Digest) *configv1.Delta {
+	theirs := map[string]*configv1.TeamDigest{}
+	for _, t := range digest.GetTeams() {
+		theirs[t.Team] = t
+	}
+	out := &configv1.Delta{}
+	for _, name := range s.teamNames() {
+		t, peer := s.teams[name], theirs[name]
+		if t.version > peer.GetVersion() || (t.exact && !peer.GetExact() && t.version == peer.GetVersion()) {
+			out.Teams = append(out.Teams, s.teamState(t, peer.GetVersion()))
+		}
+		out.Withdrawals = append(out.Withdrawals, t.withdrawalsBeyond(peer.GetWithdrawals())...)
+	}
+	if digest.GetDrains() != s.drainsHash() {
+		for _, b := range slices.Sorted(maps.Keys(s.drains)) {
+			out.Drains = append(out.Drains, s.drains[b])
+		}
+	}
+	return out
+}
+
+// teamState returns a team's state for a peer that holds the document of the given version.
+func (s *State) teamState(t *team, peerVersion uint64) *configv1.TeamState {
+	out := &configv1.TeamState{
+		Team: t.name, Version: t.version, Exact: t.exact, AsOf: s.asOf(t),
+		EditId: t.info.EditID, Author: t.info.Author, AtUnixMs: t.info.At.UnixMilli(),
+	}
+	if t.version == 0 {
+		out.AtUnixMs = 0
+		return out
+	}
+	base, ok := t.bases[peerVersion]
+	if !ok {
+		out.Document = t.doc
+		return out
+	}
+	out.Splice = makeSplice(base, t.doc)
+	out.SpliceBase = peerVersion
+	return out
+}
+
+// asOf returns the offset before which all log records are accounted for in the team's state.
+func (s *State) asOf(t *team) uint64 {
+	if !t.exact {
+		return t.asOf
+	}
+	return max(t.asOf, s.next)
+}
+
+func (t *team) withdrawalsBeyond(theirs []uint64) []*configv1.KeyWithdrawal {
+	if slices.Equal(t.buckets, theirs) {
+		return nil
+	}
+	var out []*configv1.KeyWithdrawal
+	for id, at := range t.withdrawn {
+		b := xxhash.Sum64String(id) % withdrawalBuckets
+		if int(b) < len(theirs) && theirs[b] == t.buckets[b] {
+			continue
+		}
+		out = append(out, &configv1.KeyWithdrawal{Team: t.name, KeyId: id, AtUnixMs: at})
+	}
+	slices.SortFunc(out, func(a, b *configv1.KeyWithdrawal) int { return cmp.Compare(a.KeyId, b.KeyId) })
+	return out
+}
+
+// Copy returns the record that keeps a team's state in the log beyond the life of the originals. It is nil if the
+// state is not exact: its version could not be placed in the order of the log.
+func (s *State) Copy(teamName string) *configv1.Record {
+	t := s.teams[teamName]
+	if t == nil || !t.exact {
+		return nil
+	}
+	c := &configv1.Copy{State: s.teamState(t, 0), Withdrawals: t.withdrawalsBeyond(nil)}
+	return &configv1.Record{Kind: &configv1.Record_Copy{Copy: c}}
+}
+
+// Withdraw takes a withdrawal at once and returns the record for the log; nil if the key was withdrawn before.
+func (s *State) Withdraw(w *configv1.KeyWithdrawal) *configv1.Record {
+	if !s.withdraw(w) {
+		return nil
+	}
+	return &configv1.Record{Kind: &configv1.Record_Withdrawal{Withdrawal: w}}
+}
+
+// Drain switches the drain of a backend server and returns the record for the log; nil if nothing changed.
+func (s *State) Drain(backend string, on bool) *configv1.Record {
+	old := s.drains[backend]
+	if old.GetOn() == on {
+		return nil
+	}
+	d := &configv1.BackendDrain{Backend: backend, On: on, Version: old.GetVersion() + 1}
+	s.drain(d)
+	return &configv1.Record{Kind: &configv1.Record_Drain{Drain: d}}
+}
+
+func (s *State) teamNames() []string {
+	return slices.Sorted(maps.Keys(s.teams))
+}
+
+// drainsHash covers every drain, whatever its order.
+func (s *State) drainsHash() uint64 {
+	var sum uint64
+	for b, d := range s.drains {
+		buf := binary.LittleEndian.AppendUint64(append([]byte(b), boolByte(d.On)), d.Version)
+		sum ^= xxhash.Sum64(buf)
+	}
+	return sum
+}
+
+// History returns the known versions of a team's document, oldest first.
+func (s *State) History(team string) []VersionInfo {
+	t := s.teams[team]
+	if t == nil {
+		return nil
+	}
+	return slices.Clone(t.history)
+}
+
+// Document returns the text of a team's current document and its version. The caller must not change the text.
+func (s *State) Document(team string) (doc []byte, version uint64) {
+	t := s.teams[team]
+	if t == nil {
+		return nil, 0
+	}
+	return t.doc, t.version
+}
+
+// Withdrawn returns the withdrawn key ids of a team.
+func (s *State) Withdrawn(team string) map[string]bool {
+	out := map[string]bool{}
+	if t := s.teams[team]; t != nil {
+		for id := range t.withdrawn {
+			out[id] = true
+		}
+	}
+	return out
+}
+
+// Drained returns the addresses of the drained backend servers.
+func (s *State) Drained() map[string]bool {
+	out := map[string]bool{}
+	for b, d := range s.drains {
+		if d.On {
+			out[b] = true
+		}
+	}
+	return out
+}
+
+// Teams returns the names of all teams, in order.
+func (s *State) Teams() []string { return s.teamNames() }
--- /dev/null
+++ b/internal/document/document.go
@@ -0,0 +1,258 @@
+// Package document holds the document that a team keeps for its service: who may call, what each client account may
+// use, and which models and services its agents reach. The document is written in TOML.
+package document
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Document is a parsed and validated document. It is immutable once Parse returned it.
+type Document struct {
+	// Team names the owner; each team has one document.
+	Team string `json:"team"`
+	// DataCentres lists the data centres that the team uses.
+	DataCentres []string `json:"data_centres"`
+	// Accounts lists the client accounts, ordered by name.
+	Accounts []Account `json:"account"`
+	// Models lists the models, ordered by name.
+	Models []Model `json:"model"`
+	// Services lists the plain services and tools, ordered by name.
+	Services []Service `json:"service"`
+	// Routes lists the HTTP routes to services, in the order of the document.
+	Routes []Route `json:"route"`
+	// Budget bounds programs.
+	Budget Budget `json:"budget"`
+	// Objective weighs the aims of the scheduling policy.
+	Objective Objective `json:"objective"`
+}
+
+// Account is a client account.
+type Account struct {
+	Name string `json:"name"`
+	// Rate is in requests a second, across the fleet.
+	Rate float64 `json:"rate"`
+	// Burst is the depth of the account's token bucket, in requests.
+	Burst int `json:"burst"`
+	// Weight is the account's share relative to others; 1 unless set.
+	Weight float64 `json:"weight"`
+	// Keys are the account's keys, as hashes only.
+	Keys []Key `json:"keys"`
+}
+
+// Key is a caller's key in hashed form.
+type Key struct {
+	// ID is the public part of the key, by which it is looked up and withdrawn.
+	ID string `json:"id"`
+	// Salt is hex: the prefix of the hashed text, or the HMAC key.
+	Salt string `json:"salt"`
+	// Hash is "sha256:" or "hmac-sha256:" and hex.
+	Hash string `json:"hash"`
+}
+
+// Pool is the backend servers of a model or service in one data centre.
+type Pool struct {
+	DataCentre string `json:"data_centre"`
+	// Backends are host:port addresses. Empty when FromList is set.
+	Backends []string `json:"backends"`
+	// FromList takes the backend servers from the platform's instance list, under the name in Name.
+	FromList bool `json:"from_list"`
+	// Name is the pool's name in the platform's instance list.
+	Name string `json:"name"`
+}
+
+// Model is a model that the team's programs may call.
+type Model struct {
+	Name  string `json:"name"`
+	Pools []Pool `json:"pool"`
+	// ContextTokens is the longest prompt with its answer, in tokens.
+	ContextTokens int `json:"context_tokens"`
+	// PromptCost and CompletionCost weigh one token of each kind against the others; 1 unless set.
+	PromptCost     float64 `json:"prompt_cost"`
+	CompletionCost float64 `json:"completion_cost"`
+	// Accounts are the accounts that may call the model; empty means all of the team.
+	Accounts []string `json:"accounts"`
+}
+
+// Service is a plain service or tool.
+type Service struct {
+	Name  string `json:"name"`
+	Pools []Pool `json:"pool"`
+}
+
+// Route leads requests to a service.
+type Route struct {
+	// Path is matched by segments: "{name}" stands for one segment, and a last "*" for the rest.
+	Path string `json:"path"`
+	// Method is an HTTP method, or "*" for any.
+	Method  string `json:"method"`
+	Service string `json:"service"`
+	// Repeatable is set when a request may run more than once.
+	Repeatable bool `json:"repeatable"`
+	// Open is set when callers need no key.
+	Open bool `json:"open"`
+	// Accounts are the accounts allowed; empty means all of the team.
+	Accounts []string `json:"accounts"`
+	// Timeout bounds one request.
+	Timeout time.Duration `json:"timeout"`
+	// MaxBody is the largest request body, in bytes.
+	MaxBody int64 `json:"max_body"`
+}
+
+// Limits is an amount of work of one program.
+type Limits struct {
+	Tokens int64         `json:"tokens"`
+	Calls  int64         `json:"calls"`
+	Time   time.Duration `json:"time"`
+}
+
+// Budget holds the budget of programs that ask for none, and the largest that may be asked for.
+type Budget struct {
+	Default Limits `json:"default"`
+	Maximum Limits `json:"maximum"`
+}
+
+// Objective holds the relative weights of the aims; only their ratios matter.
+type Objective struct {
+	ProgramLatency     float64 `json:"program_latency"`
+	WastedCache        float64 `json:"wasted_cache"`
+	RefusalsWithinRate float64 `json:"refusals_within_rate"`
+	WorstServedAccount float64 `json:"worst_served_account"`
+}
+
+// Defaults of optional settings.
+const (
+	DefaultTimeout       = 30 * time.Second
+	DefaultMaxBody       = 1 << 20
+	DefaultContextTokens = 32 << 10
+)
+
+func defaultBudget() Budget {
+	return Budget{
+		Default: Limits{Tokens: 200_000, Calls: 100, Time: time.Hour},
+		Maximum: Limits{Tokens: 2_000_000, Calls: 1000, Time: 24 * time.Hour},
+	}
+}
+
+// Canonical returns a byte form that is equal for documents of equal meaning, whatever their order and layout.
+func (d *Document) Canonical() []byte {
+	b, err := json.Marshal(d)
+	if err != nil {
+		panic(err) // Every field is a plain value: numbers are checked to be finite.
+	}
+	return b
+}
+
+// Digest returns the hex SHA-256 of Canonical.
+func (d *Document) Digest() string {
+	sum := sha256.Sum256(d.Canonical())
+	return hex.EncodeToString(sum[:])
+}
+
+// Account returns the named client account.
+func (d *Document) Account(name string) (Account, bool) {
+	for _, a := range d.Accounts {
+		if a.Name == name {
+			return a, true
+		}
+	}
+	return Account{}, false
+}
+
+// Model returns the named model.
+func (d *Document) Model(name string) (Model, bool) {
+	for _, m := range d.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Service returns the named service.
+func (d *Document) Service(name string) (Service, bool) {
+	for _, s := range d.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Allows reports whether the named account may use the route. An open route allows all.
+func (r Route) Allows(account string) bool {
+	return r.Open || len(r.Accounts) == 0 || slices.Contains(r.Accounts, account)
+}
+
+// Allows reports whether the named account may call the model.
+func (m Model) Allows(account string) bool {
+	return len(m.Accounts) == 0 || slices.Contains(m.Accounts, account)
+}
+
+// Matches reports whether the route takes requests of the method and path.
+func (r Route) Matches(method, path string) bool {
+	if r.Method != "*" && r.Method != method {
+		return false
+	}
+	want, got := strings.Split(r.Path, "/"), strings.Split(path, "/")
+	for i, seg := range want {
+		if seg == "*" && i == len(want)-1 {
+			return len(got) > i
+		}
+		if i >= len(got) || (!isParameter(seg) && seg != got[i]) || (isParameter(seg) && got[i] == "") {
+			return false
+		}
+	}
+	return len(want) == len(got)
+}
+
+func isParameter(seg string) bool {
+	return len(seg) > 2 && seg[0] == '{' && seg[len(seg)-1] == '}'
+}
+
+// Specificity orders routes that match one request: the highest is taken.
+func (r Route) Specificity() int {
+	n := 0
+	for _, seg := range strings.Split(r.Path, "/") {
+		switch {
+		case seg == "*":
+		case isParameter(seg):
+			n += 2
+		default:
+			n += 3
+		}
+	}
+	n *= 2
+	if r.Method != "*" {
+		n++
+	}
+	return n
+}
+
+// sort puts the parts whose order has no meaning into one order.
+func (d *Document) sort() {
+	slices.Sort(d.DataCentres)
+	slices.SortFunc(d.Accounts, func(a, b Account) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Models, func(a, b Model) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(d.Services, func(a, b Service) int { return strings.Compare(a.Name, b.Name) })
+	for i := range d.Accounts {
+		slices.SortFunc(d.Accounts[i].Keys, func(a, b Key) int { return strings.Compare(a.ID, b.ID) })
+	}
+	for i := range d.Models {
+		sortPools(d.Models[i].Pools)
+	}
+	for i := range d.Services {
+		sortPools(d.Services[i].Pools)
+	}
+}
+
+func sortPools(ps []Pool) {
+	slices.SortFunc(ps, func(a, b Pool) int { return strings.Compare(a.DataCentre, b.DataCentre) })
+	for _, p := range ps {
+		slices.Sort(p.Backends)
+	}
+}
--- /dev/null
+++ b/internal/document/index.go
@@ -0,0 +1,109 @@
+package document
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// index maps the path of each key in a TOML text, such as "account[2].rate", to its line, from 1.
+type index struct {
+	data   []byte
+	lines  map[string]int
+	counts map[string]int
+}
+
+func newIndex(data []byte) *index {
+	x := &index{data: data, lines: map[string]int{}, counts: map[string]int{}}
+	var p unstable.Parser
+	p.Reset(data)
+	prefix := ""
+	for p.NextExpression() {
+		switch n := p.Expression(); n.Kind {
+		case unstable.Table:
+			prefix = x.tablePath(n, false)
+		case unstable.ArrayTable:
+			prefix = x.tablePath(n, true)
+		case unstable.KeyValue:
+			x.keyValue(prefix, n)
+		}
+	}
+	return x
+}
+
+// tablePath returns the path of a [table] or [[array table]] and notes its line.
+func (x *index) tablePath(n *unstable.Node, array bool) string {
+	path, line := "", 0
+	for it := n.Key(); it.Next(); {
+		k := it.Node()
+		path = join(path, string(k.Data))
+		line = x.line(k)
+		if it.IsLast() && array {
+			i := x.counts[path]
+			x.counts[path]++
+			path = fmt.Sprintf("%s[%d]", path, i)
+		} else if i := x.counts[path]; i > 0 {
+			path = fmt.Sprintf("%s[%d]", path, i-1)
+		}
+	}
+	x.lines[path] = line
+	return path
+}
+
+func (x *index) keyValue(prefix string, n *unstable.Node) {
+	path, line := prefix, 0
+	for it := n.Key(); it.Next(); {
+		path = join(path, string(it.Node().Data))
+		line = x.line(it.Node())
+	}
+	x.lines[path] = line
+	x.value(path, n.Value())
+}
+
+// value notes the keys inside inline tables and arrays.
+func (x *index) value(path string, n *unstable.Node) {
+	switch n.Kind {
+	case unstable.InlineTable:
+		for it := n.Children(); it.Next(); {
+			x.keyValue(path, it.Node())
+		}
+	case unstable.Array:
+		i := 0
+		for it := n.Children(); it.Next(); i++ {
+			x.value(fmt.Sprintf("%s[%d]", path, i), it.Node())
+		}
+	}
+}
+
+func (x *index) line(n *unstable.Node) int {
+	return 1 + bytes.Count(x.data[:n.Raw.Offset], []byte("\n"))
+}
+
+// at returns the line of a path, or of the nearest enclosing one that is written out.
+func (x *index) at(path string) int {
+	for path != "" {
+		if line, ok := x.lines[path]; ok {
+			return line
+		}
+		path = parent(path)
+	}
+	return 1
+}
+
+func join(path, key string) string {
+	if path == "" {
+		return key
+	}
+	return path + "." + key
+}
+
+// parent cuts the last key or array index off a path.
+func parent(path string) string {
+	for i := len(path) - 1; i > 0; i-- {
+		if path[i] == '.' || path[i] == '[' {
+			return path[:i]
+		}
+	}
+	return ""
+}
