--- a/internal/keeper/admit.go
+++ b/internal/keeper/admit.go
@@ -23,21 +23,30 @@
 	errUnreachable = errors.New("keeper is unreachable")
 )
 
-// Admit blocks until the call is granted a permit or refused. The error is always a *verdict.Error with NotRun.
+// Admit blocks until the call is granted a permit or refused. The error is always a *verdict.Error. Its verdict is
+// NotRun for a first attempt, and that of the last attempt (Call.Prior) for a retry, since it speaks of the whole call.
 func (c *Controller) Admit(ctx context.Context, call Call) (*Permit, error) {
 	p, err := c.admit(ctx, call)
 	if err != nil {
-		e := verdict.From(err)
-		c.metrics.refused(e)
-		return nil, e
+		return nil, c.refuse(&call, verdict.From(err))
 	}
 	if err := failpoint.Hit("keeper.grant.after"); err != nil {
 		p.Done(Outcome{Kind: framework.Cancelled})
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonInternal, time.Second, "%v", err)
+		return nil, c.refuse(&call, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonInternal, time.Second, "%v", err))
 	}
 	return p, nil
 }
 
+func (c *Controller) refuse(call *Call, e *verdict.Error) *verdict.Error {
+	c.metrics.refused(e)
+	if !call.Retry() {
+		return e
+	}
+	whole := *e
+	whole.Verdict = call.Prior
+	return &whole
+}
+
 func (c *Controller) admit(ctx context.Context, call Call) (*Permit, error) {
 	for range maxMoves {
 		g := c.group(groupKey{call.Team, call.Model})
--- a/internal/keeper/wire.go
+++ b/internal/keeper/wire.go
@@ -13,7 +13,7 @@
 		Id: c.ID, Team: c.Team, Model: c.Model, Program: c.Program, Root: c.Root,
 		Account: c.Account, Weight: c.Weight, Turn: int32(c.Turn), AttainedTokens: c.Attained,
 		PrefixTokens: c.PrefixTokens, NewTokens: c.NewTokens, ExpectedOutput: c.ExpectedOutput,
-		Avoid: c.Avoid,
+		Avoid: c.Avoid, Prior: c.Prior.String(), Repeatable: c.Repeatable,
 	}
 	if !c.Deadline.IsZero() {
 		// Clocks differ between instances, so the time left travels. At least 1 ms, since 0 means none.
@@ -27,7 +27,7 @@
 		ID: in.GetId(), Program: in.GetProgram(), Root: in.GetRoot(),
 		Account: in.GetAccount(), Weight: in.GetWeight(), Turn: int(in.GetTurn()), Attained: in.GetAttainedTokens(),
 		PrefixTokens: in.GetPrefixTokens(), NewTokens: in.GetNewTokens(), ExpectedOutput: in.GetExpectedOutput(),
-		Avoid: in.GetAvoid(),
+		Avoid: in.GetAvoid(), Prior: verdict.Parse(in.GetPrior()), Repeatable: in.GetRepeatable(),
 	}}
 	if in.GetDeadlineMs() > 0 {
 		c.Deadline = now.Add(time.Duration(in.GetDeadlineMs()) * time.Millisecond)
--- a/internal/scheduler/framework/call.go
+++ b/internal/scheduler/framework/call.go
@@ -1,7 +1,11 @@
 // Package framework holds the types that the parts of the scheduler share.
 package framework
 
-import "time"
+import (
+	"time"
+
+	"github.com/berylpond/berylpond/internal/verdict"
+)
 
 // Call is one model call that asks for a permit.
 type Call struct {
@@ -29,6 +33,10 @@
 	Deadline time.Time
 	// Avoid lists the engines that already failed this call. A call with a non-empty list is a retry.
 	Avoid []string
+	// Prior is the verdict of a retry's last attempt.
+	Prior verdict.Verdict
+	// Repeatable is set when the call may run more than once.
+	Repeatable bool
 }
 
 // RootProgram returns the program that the call counts to.
--- a/internal/scheduler/framework/settings.go
+++ b/internal/scheduler/framework/settings.go
@@ -116,3 +116,8 @@
 	}
 	return s
 }
+
+// Of returns the cost of a call. Cached tokens are part of the prompt.
+func (w CostWeights) Of(prompt, cached, completion int64) float64 {
+	return w.Prompt*float64(prompt-cached) + w.Cached*float64(cached) + w.Completion*float64(completion)
+}
