Serve a whole small site: daemon, settings, dev command

Ruled out: taking part in the cell before the log was read (a slot that forgot what it accepted would count again). Before: parts without a process.

--- /dev/null
+++ b/cmd/berylpondd/dev.go
@@ -0,0 +1,32 @@
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/berylpond/berylpond/internal/dev"
+	"github.com/berylpond/berylpond/internal/logging"
+)
+
+func devCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "dev", Short: "Run a whole small site, stand-ins included, in one process", Args: cobra.NoArgs,
+		Example: "  berylpondd dev\n  berylpondd dev --callers 127.0.0.1:0",
+	}
+	callers := c.Flags().String("callers", "127.0.0.1:8080", "address for callers")
+	peers := c.Flags().String("peers", "127.0.0.1:7080", "address for operators and other instances")
+	verbosity := c.Flags().IntP("verbosity", "v", 0, "log level")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		logging.Setup(os.Stderr, "local-0", *verbosity)
+		site, err := dev.Start(c.Context(), dev.Options{Callers: *callers, Peers: *peers})
+		if err != nil {
+			return err
+		}
+		defer site.Close()
+		site.Print(c.OutOrStdout())
+		<-c.Context().Done()
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/cmd/berylpondd/run.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/berylpond/berylpond/internal/daemon"
+	"github.com/berylpond/berylpond/internal/logging"
+	"github.com/berylpond/berylpond/internal/settings"
+)
+
+// errUsage marks errors of the command line and the settings.
+var errUsage = errors.New("usage")
+
+func exitCode(err error) int {
+	if errors.Is(err, errUsage) {
+		return exitUsage
+	}
+	return exitFailed
+}
+
+func settingsFlag(c *cobra.Command) *string {
+	return c.Flags().StringP("settings", "s", "berylpondd.toml", "settings file")
+}
+
+func load(path string) (settings.Settings, error) {
+	s, err := settings.Load(path)
+	if err != nil {
+		return s, errors.Mark(err, errUsage)
+	}
+	return s, nil
+}
+
+func runCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "run", Short: "Run the daemon", Args: cobra.NoArgs,
+		Example: "  berylpondd run --settings /etc/berylpond/berylpondd.toml",
+	}
+	path := settingsFlag(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		s, err := load(*path)
+		if err != nil {
+			return err
+		}
+		logging.Setup(os.Stderr, s.Instance.ID, s.Log.Verbosity)
+		d, err := daemon.New(s)
+		if err != nil {
+			return err
+		}
+		return d.Run(c.Context())
+	}
+	return c
+}
+
+func checkCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "check-settings", Short: "Check a settings file and report every problem", Args: cobra.NoArgs,
+		Example: "  berylpondd check-settings --settings berylpondd.toml",
+	}
+	path := settingsFlag(c)
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		if _, err := load(*path); err != nil {
+			return err
+		}
+		fmt.Fprintf(c.OutOrStdout(), "%s is good\n", *path)
+		return nil
+	}
+	return c
+}
--- /dev/null
+++ b/internal/backends/directory.go
@@ -0,0 +1,119 @@
+// Package backends resolves the pools of the teams' documents to the backend servers of one data centre.
+package backends
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/berylpond/berylpond/internal/config"
+	"github.com/berylpond/berylpond/internal/document"
+	"github.com/berylpond/berylpond/internal/platform"
+)
+
+// Backend is one backend server of a pool.
+type Backend struct {
+	Address string
+	Team    string
+	// Name is the model or service that the backend server works for.
+	Name  string
+	Model bool
+	// Leaving is set when the platform's list or an operator says that it gets no new work.
+	Leaving bool
+}
+
+// Directory is safe for concurrent use.
+type Directory struct {
+	dc string
+
+	mu   sync.Mutex
+	snap *config.Snapshot
+	list []platform.Instance
+}
+
+// New returns an empty directory for one data centre.
+func New(dc string) *Directory { return &Directory{dc: dc} }
+
+// SetSnapshot takes in a change of configuration.
+func (d *Directory) SetSnapshot(s *config.Snapshot) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.snap = s
+}
+
+// SetInstances takes in the platform's list, which lags. While the platform is away the last list stays.
+func (d *Directory) SetInstances(list []platform.Instance) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.list = list
+}
+
+// Service returns the backend servers of a service that may get new work.
+func (d *Directory) Service(team, name string) []string {
+	var out []string
+	for _, b := range d.All() {
+		if !b.Model && !b.Leaving && b.Team == team && b.Name == name {
+			out = append(out, b.Address)
+		}
+	}
+	return out
+}
+
+// All returns every backend server of the data centre.
+func (d *Directory) All() []Backend {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.snap == nil {
+		return nil
+	}
+	var out []Backend
+	for _, team := range d.snap.Teams() {
+		doc := d.snap.Document(team)
+		for _, m := range doc.Models {
+			out = d.appendPools(out, Backend{Team: team, Name: m.Name, Model: true}, m.Pools)
+		}
+		for _, s := range doc.Services {
+			out = d.appendPools(out, Backend{Team: team, Name: s.Name}, s.Pools)
+		}
+	}
+	return out
+}
+
+// appendPools adds the backend servers of the pools in this data centre. d.mu is held.
+func (d *Directory) appendPools(out []Backend, b Backend, pools []document.Pool) []Backend {
+	for _, p := range pools {
+		if p.DataCentre != d.dc {
+			continue
+		}
+		for _, addr := range d.addresses(p) {
+			b.Address = addr
+			b.Leaving = d.leaving(addr)
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// addresses returns the pool's members. d.mu is held.
+func (d *Directory) addresses(p document.Pool) []string {
+	if !p.FromList {
+		return p.Backends
+	}
+	var out []string
+	for _, in := range d.list {
+		if in.Pool == p.Name && in.DataCentre == d.dc && in.Kind != platform.KindEntry {
+			out = append(out, in.Address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// leaving reports whether an operator or the platform's list takes the backend server out. d.mu is held.
+func (d *Directory) leaving(addr string) bool {
+	if d.snap.Drained(addr) {
+		return true
+	}
+	return slices.ContainsFunc(d.list, func(in platform.Instance) bool {
+		return in.Address == addr && in.State == platform.StateLeaving
+	})
+}
--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,50 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/berylpond/berylpond/internal/cell"
+	"github.com/berylpond/berylpond/internal/config"
+	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/platform"
+)
+
+// parts shows the cell's leases in the forms that the other packages ask for.
+type parts struct {
+	cell *cell.Controller
+	n    int
+}
+
+// Parts returns the number of parts.
+func (p *parts) Parts() int { return p.n }
+
+// Holds reports the term under which this instance holds the part.
+func (p *parts) Holds(part int) (uint64, bool) {
+	g, ok := p.cell.Holds(part)
+	return g.Term, ok
+}
+
+// Holder returns the instance that is believed to hold the part.
+func (p *parts) Holder(part int) (member.Instance, bool) { return p.cell.Holder(part) }
+
+// configLog adapts the platform's client to package config.
+type configLog struct{ c *platform.Client }
+
+// Append implements config.Log.
+func (l configLog) Append(ctx context.Context, stream string, records [][]byte) (int64, error) {
+	return l.c.Append(ctx, stream, records)
+}
+
+// Read implements config.Log.
+func (l configLog) Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (config.Page, error) {
+	page, err := l.c.Read(ctx, stream, from, max, wait)
+	if err != nil {
+		return config.Page{}, err
+	}
+	out := config.Page{First: page.First, End: page.End, Records: make([]config.Record, len(page.Records))}
+	for i, r := range page.Records {
+		out.Records[i] = config.Record{Offset: r.Offset, Data: r.Data}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/internal/daemon/peerserver.go
@@ -0,0 +1,128 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
+	"github.com/berylpond/berylpond/internal/ledger"
+	"github.com/berylpond/berylpond/internal/peer"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// defaultListLimit bounds a list of programs whose request names no limit.
+const defaultListLimit = 100
+
+// peerServer serves what other instances ask.
+type peerServer struct {
+	peerv1.UnimplementedPeerServer
+	d *Daemon
+}
+
+func registerPeer(s grpc.ServiceRegistrar, d *Daemon) {
+	peerv1.RegisterPeerServer(s, &peerServer{d: d})
+}
+
+// Exchange merges the caller's table and returns this instance's.
+func (p *peerServer) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeReply, error) {
+	p.d.mergeInstances(req.Instances)
+	return &peerv1.ExchangeReply{Instances: p.d.instancesToWire()}, nil
+}
+
+// Call runs or passes on one call.
+func (p *peerServer) Call(req *peerv1.CallRequest, stream grpc.ServerStreamingServer[peerv1.CallEvent]) error {
+	err := p.d.router.Call(stream.Context(), req, func(ev *peerv1.CallEvent) error {
+		if err := stream.Send(ev); err != nil {
+			return verdict.Fail(502, verdict.ReasonCancelled, "the instance that passed the call on has gone")
+		}
+		return nil
+	})
+	if err == nil {
+		return nil
+	}
+	return stream.Send(&peerv1.CallEvent{Event: &peerv1.CallEvent_Failure{Failure: peer.FailureToWire(verdict.From(err))}})
+}
+
+// CreateProgram creates a program here or at its holder.
+func (p *peerServer) CreateProgram(ctx context.Context, req *peerv1.CreateProgramRequest) (*peerv1.ProgramReply, error) {
+	return programReply(p.d.router.CreateProgram(ctx, req))
+}
+
+// GetProgram reads a program.
+func (p *peerServer) GetProgram(ctx context.Context, req *peerv1.ProgramRequest) (*peerv1.ProgramReply, error) {
+	return programReply(p.d.router.GetProgram(ctx, req))
+}
+
+// EndProgram ends a program.
+func (p *peerServer) EndProgram(ctx context.Context, req *peerv1.ProgramRequest) (*peerv1.ProgramReply, error) {
+	return programReply(p.d.router.EndProgram(ctx, req))
+}
+
+func programReply(pr *peerv1.Program, err error) (*peerv1.ProgramReply, error) {
+	if err != nil {
+		return &peerv1.ProgramReply{Failure: peer.FailureToWire(verdict.From(err))}, nil
+	}
+	return &peerv1.ProgramReply{Program: pr}, nil
+}
+
+// ListPrograms lists the programs that this instance holds.
+func (p *peerServer) ListPrograms(_ context.Context, req *peerv1.ListProgramsRequest) (*peerv1.ListProgramsReply, error) {
+	limit := int(req.Limit)
+	if limit <= 0 {
+		limit = defaultListLimit
+	}
+	out := &peerv1.ListProgramsReply{}
+	for _, pr := range p.d.programs.List(req.Team, limit) {
+		out.Programs = append(out.Programs, peer.ProgramToWire(&pr, false))
+	}
+	return out, nil
+}
+
+// Hold keeps an event for the holder of a part.
+func (p *peerServer) Hold(_ context.Context, req *peerv1.HoldRequest) (*peerv1.HoldReply, error) {
+	if err := p.d.ledger.Hold(req); err != nil {
+		return nil, ledgerStatus(err)
+	}
+	return &peerv1.HoldReply{}, nil
+}
+
+// FetchHeld returns the held events of a part and promises the new holder's term.
+func (p *peerServer) FetchHeld(_ context.Context, req *peerv1.FetchHeldRequest) (*peerv1.FetchHeldReply, error) {
+	events, err := p.d.ledger.Promise(int(req.Part), req.Term)
+	if err != nil {
+		return nil, ledgerStatus(err)
+	}
+	return &peerv1.FetchHeldReply{Events: events}, nil
+}
+
+// RecordEvent records the end of a turn that began at a previous holder of the part.
+func (p *peerServer) RecordEvent(ctx context.Context, req *peerv1.RecordEventRequest) (*peerv1.RecordEventReply, error) {
+	ev := &programv1.Event{}
+	if err := proto.Unmarshal(req.Event, ev); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	if err := p.d.programs.RecordForeign(ctx, ev); err != nil {
+		return &peerv1.RecordEventReply{Failure: peer.FailureToWire(verdict.From(err))}, nil
+	}
+	return &peerv1.RecordEventReply{}, nil
+}
+
+func ledgerStatus(err error) error {
+	switch {
+	case errors.Is(err, ledger.ErrStaleTerm):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	case errors.Is(err, ledger.ErrFull):
+		return status.Error(codes.ResourceExhausted, err.Error())
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
+
+// adminTimeout bounds a request of an operator.
+const adminTimeout = 5 * time.Second
--- /dev/null
+++ b/internal/daemon/streams.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	journalv1 "github.com/berylpond/berylpond/api/journal/v1"
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
+	"github.com/berylpond/berylpond/internal/intent"
+	"github.com/berylpond/berylpond/internal/journal"
+	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/platform"
+)
+
+// kindProgram is the kind of journal records that hold an event of a program.
+const kindProgram = "program"
+
+// streams writes and follows the two streams of the data centre: events of programs and intents.
+type streams struct {
+	metrics *journal.Metrics
+	index   *intent.Index
+	events  *journal.Writer
+	intents *journal.Writer
+	eventR  *journal.Reader
+	intentR *journal.Reader
+	// apply takes each event read from the log; it is set before Run.
+	apply func(*programv1.Event)
+}
+
+func newStreams(log *platform.Client, self member.Instance, onIntent func(id string)) *streams {
+	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent)}
+	id := journal.WriterID{Instance: self.ID, Incarnation: self.Incarnation}
+	events, intents := "journal/"+self.DataCentre, "intents/"+self.DataCentre
+	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics))
+	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics))
+	s.eventR = journal.NewReader(log, events, s, journal.WithReaderMetrics(s.metrics))
+	s.intentR = journal.NewReader(log, intents, s.index, journal.WithReaderMetrics(s.metrics))
+	return s
+}
+
+// Collectors returns the metrics of the journal.
+func (s *streams) Collectors() []prometheus.Collector { return s.metrics.Collectors() }
+
+// Run follows both streams.
+func (s *streams) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return s.eventR.Run(ctx) })
+	g.Go(func() error { return s.intentR.Run(ctx) })
+	return g.Wait()
+}
+
+// WaitCaughtUp waits until both streams were read to their ends.
+func (s *streams) WaitCaughtUp(ctx context.Context) error {
+	if err := s.eventR.WaitCaughtUp(ctx); err != nil {
+		return err
+	}
+	return s.intentR.WaitCaughtUp(ctx)
+}
+
+// Append implements ledger.Log.
+func (s *streams) Append(ctx context.Context, ev *programv1.Event) error {
+	raw, err := proto.Marshal(ev)
+	if err != nil {
+		return errors.Wrap(err, "encoding an event")
+	}
+	_, err = s.events.Append(ctx, &journalv1.Record{Kind: kindProgram, Key: ev.Program, Payload: raw, UnixMs: ev.UnixMs})
+	return err
+}
+
+// Apply implements journal.Handler for the stream of events.
+func (s *streams) Apply(_ journal.Position, rec *journalv1.Record) {
+	if rec.Kind != kindProgram {
+		return
+	}
+	ev := &programv1.Event{}
+	if err := proto.Unmarshal(rec.Payload, ev); err != nil {
+		klog.ErrorS(err, "Event in the log cannot be decoded", "program", rec.Key)
+		return
+	}
+	s.apply(ev)
+}
+
+// Gap implements journal.Handler. Live programs are appended again before their events expire, so what is lost at the
+// start belongs to programs that have ended.
+func (s *streams) Gap(g journal.Gap) {
+	if !g.AtStart {
+		klog.ErrorS(nil, "Events expired before they were read", "from", g.From, "first", g.First)
+	}
+}
+
+// Drain waits until everything queued is on the log.
+func (s *streams) Drain(ctx context.Context) error {
+	return errors.CombineErrors(s.events.Drain(ctx), s.intents.Drain(ctx))
+}
--- /dev/null
+++ b/internal/daemon/tasks.go
@@ -0,0 +1,306 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
+	"github.com/berylpond/berylpond/internal/config"
+	"github.com/berylpond/berylpond/internal/frontend/request"
+	"github.com/berylpond/berylpond/internal/keeper"
+	"github.com/berylpond/berylpond/internal/peer"
+	"github.com/berylpond/berylpond/internal/platform"
+	"github.com/berylpond/berylpond/internal/program"
+	"github.com/berylpond/berylpond/internal/quota/quotactl"
+	"github.com/berylpond/berylpond/internal/scheduler/framework"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+const (
+	// membershipInterval is the pause between two looks at the platform's list and two exchanges with peers.
+	membershipInterval = time.Second
+	// exchangeFanout is the number of peers asked in each round.
+	exchangeFanout  = 3
+	exchangeTimeout = time.Second
+	sweepInterval   = time.Second
+	// gatherPause is the pause before a part whose events could not be gathered is tried again.
+	gatherPause = 100 * time.Millisecond
+)
+
+// runCell takes part in the cell once the log was read and the promises of the slot's previous occupant have run out.
+func (d *Daemon) runCell(ctx context.Context) error {
+	if err := d.journal.WaitCaughtUp(ctx); err != nil {
+		return err
+	}
+	quiet := time.Duration(d.set.Timing.Lease + d.set.Timing.Margin)
+	select {
+	case <-time.After(time.Until(d.started.Add(quiet))):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	d.ledger.SetReady()
+	return d.cell.Run(ctx)
+}
+
+// runGather makes each newly held part ready: it collects the events that earlier holders had recorded.
+func (d *Daemon) runGather(ctx context.Context) error {
+	tick := time.NewTicker(gatherPause)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		for part := range d.parts.Parts() {
+			d.gather(ctx, part)
+		}
+	}
+}
+
+func (d *Daemon) gather(ctx context.Context, part int) {
+	term, ok := d.parts.Holds(part)
+	if !ok || d.programs.Ready(part, term) {
+		return
+	}
+	err := d.ledger.Gather(ctx, part, term, func(ev *programv1.Event) bool { return d.programs.Apply(ev) == program.Accepted })
+	if err != nil {
+		klog.V(1).InfoS("Part is not ready", "part", part, "term", term, "err", err)
+		return
+	}
+	d.programs.SetReady(part, term)
+	klog.InfoS("Part is ready", "part", part, "term", term)
+}
+
+// applyEvent takes in an event from the log.
+func (d *Daemon) applyEvent(ev *programv1.Event) {
+	d.programs.Apply(ev)
+	d.ledger.Seen(program.PartOf(ev.Program, d.parts.Parts()), ev.Id)
+}
+
+// forwardEvent passes an event of a turn that ended after its part moved to the part's new holder.
+func (d *Daemon) forwardEvent(ctx context.Context, part int, ev *programv1.Event) error {
+	in, ok := d.parts.Holder(part)
+	if !ok || in.ID == d.table.Self().ID {
+		return verdict.Fail(503, verdict.ReasonOwnerUnavailable, "the program's part has no other holder yet")
+	}
+	conn, err := d.pool.Ready(ctx, in.PeerAddr)
+	if err != nil {
+		return err
+	}
+	raw, err := proto.Marshal(ev)
+	if err != nil {
+		return err
+	}
+	reply, err := peerv1.NewPeerClient(conn).RecordEvent(ctx, &peerv1.RecordEventRequest{Event: raw})
+	if err != nil {
+		return err
+	}
+	if reply.Failure != nil {
+		return peer.FailureFromWire(reply.Failure)
+	}
+	return nil
+}
+
+func (d *Daemon) runSweep(ctx context.Context) error {
+	tick := time.NewTicker(sweepInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+		if n := d.programs.Sweep(ctx); n > 0 {
+			klog.InfoS("Ended programs past their deadline", "programs", n)
+		}
+		d.pool.Trim()
+	}
+}
+
+// configChanged puts a new configuration into force here.
+func (d *Daemon) configChanged(s *config.Snapshot) {
+	var version uint64
+	for _, team := range s.Teams() {
+		version += s.Version(team)
+	}
+	var limits []quotactl.Limit
+	for _, a := range s.Accounts() {
+		limits = append(limits, quotactl.Limit{Account: request.QuotaName(a.Team, a.Name), Rate: a.Rate, Burst: float64(a.Burst)})
+	}
+	d.quota.SetLimits(version, limits)
+	d.auth.EndWithdrawn(s)
+	d.backends.SetSnapshot(s)
+	d.updateModels()
+}
+
+// updateModels tells the keeper which engines there are.
+func (d *Daemon) updateModels() {
+	snap := d.config.Snapshot()
+	if snap == nil {
+		return
+	}
+	type key struct{ team, model string }
+	groups := map[key]*keeper.Group{}
+	var order []key
+	for _, b := range d.backends.All() {
+		if !b.Model {
+			continue
+		}
+		k := key{b.Team, b.Name}
+		g := groups[k]
+		if g == nil {
+			o := snap.Document(b.Team).Objective
+			g = &keeper.Group{Team: b.Team, Model: b.Name, Drained: map[string]bool{}, Objective: framework.Objective{
+				ProgramLatency: o.ProgramLatency, WastedCache: o.WastedCache,
+				RefusalsWithinRate: o.RefusalsWithinRate, WorstServedAccount: o.WorstServedAccount,
+			}}
+			groups[k] = g
+			order = append(order, k)
+		}
+		g.Engines = append(g.Engines, b.Address)
+		g.Drained[b.Address] = b.Leaving
+	}
+	var list []keeper.Group
+	for _, k := range order {
+		list = append(list, *groups[k])
+	}
+	d.keeper.SetModels(list)
+}
+
+// runMembership keeps the table of instances and the list of backend servers.
+func (d *Daemon) runMembership(ctx context.Context) error {
+	tick := time.NewTicker(membershipInterval)
+	defer tick.Stop()
+	for {
+		d.readPlatformList(ctx)
+		d.exchangeRound(ctx)
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+		}
+	}
+}
+
+func (d *Daemon) readPlatformList(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	list, err := d.platform.Instances(ctx)
+	d.platformReachable.Store(err == nil)
+	if err != nil {
+		return
+	}
+	d.backends.SetInstances(list)
+	d.updateModels()
+	for _, in := range list {
+		if in.Kind != platform.KindEntry || in.ID == d.table.Self().ID {
+			continue
+		}
+		if _, known := d.table.Get(in.ID); !known {
+			go d.exchange(ctx, in.Address)
+		}
+	}
+}
+
+// exchangeRound tells a few peers, and the seeds that are not known yet, what this instance knows.
+func (d *Daemon) exchangeRound(ctx context.Context) {
+	known := map[string]bool{d.table.Self().PeerAddr: true}
+	var addrs []string
+	for _, in := range d.table.All() {
+		if !known[in.PeerAddr] {
+			known[in.PeerAddr] = true
+			addrs = append(addrs, in.PeerAddr)
+		}
+	}
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	if len(addrs) > exchangeFanout {
+		addrs = addrs[:exchangeFanout]
+	}
+	for _, seed := range d.set.Peers.Seeds {
+		if !known[seed] {
+			addrs = append(addrs, seed)
+		}
+	}
+	for _, addr := range addrs {
+		go d.exchange(ctx, addr)
+	}
+}
+
+func (d *Daemon) exchange(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exchangeTimeout)
+	defer cancel()
+	conn, err := d.pool.Conn(addr)
+	if err != nil {
+		return
+	}
+	reply, err := peerv1.NewPeerClient(conn).Exchange(ctx, &peerv1.ExchangeRequest{Instances: d.instancesToWire()})
+	if err != nil {
+		return
+	}
+	d.mergeInstances(reply.Instances)
+}
+
+func (d *Daemon) instancesToWire() []*peerv1.Instance {
+	var out []*peerv1.Instance
+	for _, in := range d.table.All() {
+		if in.ID == d.table.Self().ID {
+			in.Leaving = d.draining.Load()
+		}
+		out = append(out, peer.InstanceToWire(in))
+	}
+	return out
+}
+
+func (d *Daemon) mergeInstances(list []*peerv1.Instance) {
+	for _, in := range list {
+		d.table.Merge(peer.InstanceFromWire(in))
+	}
+}
+
+// announceLeaving tells every known instance that this one is leaving.
+func (d *Daemon) announceLeaving(ctx context.Context) {
+	for _, in := range d.table.All() {
+		if in.ID != d.table.Self().ID {
+			go d.exchange(ctx, in.PeerAddr)
+		}
+	}
+}
+
+// gauges shows state that other packages keep.
+func (d *Daemon) gauges() []prometheus.Collector {
+	gauge := func(name, help string, f func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "berylpond_" + name, Help: help}, f)
+	}
+	return []prometheus.Collector{
+		gauge("standing", "1 while a majority of the cell answers this instance.", func() float64 { return flag(d.cell.Standing()) }),
+		gauge("platform_reachable", "1 while the platform's instance list answers.", func() float64 { return flag(d.platformReachable.Load()) }),
+		gauge("programs", "Programs in memory, ended ones included.", func() float64 { return float64(d.programs.Len()) }),
+		gauge("instances_known", "Instances in the table, this one included.", func() float64 { return float64(len(d.table.All())) }),
+		gauge("held_events", "Events kept in memory that were not read from the log yet.", func() float64 {
+			n, _ := d.ledger.HeldEvents()
+			return float64(n)
+		}),
+		gauge("held_event_bytes", "Bytes of the events kept in memory that were not read from the log yet.", func() float64 {
+			_, n := d.ledger.HeldEvents()
+			return float64(n)
+		}),
+		gauge("journal_pending", "Records queued for the log.", func() float64 {
+			return float64(d.journal.events.Pending() + d.journal.intents.Pending())
+		}),
+		gauge("journal_away", "1 while appends to the log have failed for some time.", func() float64 { return flag(d.journal.events.Away()) }),
+	}
+}
+
+func flag(on bool) float64 {
+	if on {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/dev/site.go
@@ -0,0 +1,256 @@
+// Package dev runs a whole small site in one process: stand-ins of the platform and of backend servers on loopback
+// addresses, and one daemon.
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/berylpond/berylpond/internal/config"
+	"github.com/berylpond/berylpond/internal/daemon"
+	"github.com/berylpond/berylpond/internal/document"
+	"github.com/berylpond/berylpond/internal/fakes/engine"
+	"github.com/berylpond/berylpond/internal/fakes/instances"
+	"github.com/berylpond/berylpond/internal/fakes/logsvc"
+	"github.com/berylpond/berylpond/internal/fakes/service"
+	"github.com/berylpond/berylpond/internal/fakes/tool"
+	"github.com/berylpond/berylpond/internal/settings"
+)
+
+const (
+	dataCentre = "local"
+	team       = "dev"
+	engines    = 2
+	// readyTimeout bounds the start of the site.
+	readyTimeout = 20 * time.Second
+)
+
+// Options are the addresses of the daemon; the stand-ins take free ports.
+type Options struct {
+	Callers string
+	Peers   string
+}
+
+// Site is a running site.
+type Site struct {
+	// Key is the development key.
+	Key     string
+	Callers string
+	Peers   string
+
+	servers []*http.Server
+	closers []func()
+	daemon  *daemon.Daemon
+	done    chan error
+	cancel  context.CancelFunc
+}
+
+// Start brings the site up and returns once it serves calls.
+func Start(ctx context.Context, o Options) (*Site, error) {
+	s := &Site{done: make(chan error, 1)}
+	set, doc, err := s.standIns()
+	if err != nil {
+		return nil, err
+	}
+	set.Listen = settings.Listen{Callers: o.Callers, Peers: o.Peers}
+	if s.daemon, err = daemon.New(set); err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.Callers, s.Peers = s.daemon.CallerAddr(), s.daemon.PeerAddr()
+	var run context.Context
+	run, s.cancel = context.WithCancel(ctx)
+	go func() { s.done <- s.daemon.Run(run) }()
+	return s, s.configure(ctx, doc)
+}
+
+// standIns starts the platform and the backend servers.
+func (s *Site) standIns() (settings.Settings, []byte, error) {
+	set := settings.Default()
+	set.Instance = settings.Instance{ID: "local-0", DataCentre: dataCentre, DataCentres: []string{dataCentre}, CellSlots: 1}
+	// Nothing ran before, so there are no claims and promises to wait for.
+	set.Timing.Lease, set.Timing.Margin = settings.Duration(time.Second), settings.Duration(100*time.Millisecond)
+	set.Timing.Heartbeat, set.Timing.ClaimWindow = settings.Duration(250*time.Millisecond), settings.Duration(2*time.Second)
+	logAddr, err := s.serve(logsvc.New())
+	if err != nil {
+		return set, nil, err
+	}
+	listAddr, err := s.serve(instances.New())
+	if err != nil {
+		return set, nil, err
+	}
+	set.Platform = settings.Platform{Log: "http://" + logAddr, Instances: "http://" + listAddr}
+	doc, err := s.backendServers()
+	return set, doc, err
+}
+
+func (s *Site) backendServers() ([]byte, error) {
+	var addrs []string
+	for range engines {
+		e := engine.New()
+		s.closers = append(s.closers, e.Close)
+		addr, err := s.serve(e)
+		if err != nil {
+			return nil, err
+		}
+		addrs = append(addrs, addr)
+	}
+	serviceAddr, err := s.serve(service.New())
+	if err != nil {
+		return nil, err
+	}
+	toolAddr, err := s.serve(tool.New())
+	if err != nil {
+		return nil, err
+	}
+	key, hashed, err := document.NewKey()
+	if err != nil {
+		return nil, err
+	}
+	s.Key = key
+	return devDocument(hashed, addrs, serviceAddr, toolAddr), nil
+}
+
+func (s *Site) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "stand-in")
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	s.servers = append(s.servers, srv)
+	go func() { _ = srv.Serve(l) }()
+	return l.Addr().String(), nil
+}
+
+func devDocument(key document.Key, engines []string, serviceAddr, toolAddr string) []byte {
+	return fmt.Appendf(nil, `team = %q
+data_centres = [%q]
+
+[[account]]
+name = "developer"
+rate = "50/s"
+burst = 100
+keys = [{ id = %q, salt = %q, hash = %q }]
+
+[[model]]
+name = "small"
+[[model.pool]]
+data_centre = %q
+backends = [%q, %q]
+
+[[service]]
+name = "effects"
+[[service.pool]]
+data_centre = %q
+backends = [%q]
+
+[[service]]
+name = "tools"
+[[service.pool]]
+data_centre = %q
+backends = [%q]
+
+[[route]]
+path = "/effects/{name}"
+method = "POST"
+service = "effects"
+repeatable = false
+
+[[route]]
+path = "/effects"
+method = "GET"
+service = "effects"
+repeatable = true
+
+[[route]]
+path = "/tools/{name}"
+method = "POST"
+service = "tools"
+repeatable = true
+`, team, dataCentre, key.ID, key.Salt, key.Hash, dataCentre, engines[0], engines[1], dataCentre, serviceAddr, dataCentre, toolAddr)
+}
+
+// configure applies the document and waits until calls are served.
+func (s *Site) configure(ctx context.Context, doc []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	var err error
+	for ctx.Err() == nil {
+		if _, err = s.daemon.Apply(ctx, team, 0, doc); err == nil {
+			return s.awaitReady(ctx)
+		}
+		var conflict *config.ConflictError
+		if errors.As(err, &conflict) {
+			return err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.CombineErrors(err, ctx.Err())
+}
+
+func (s *Site) awaitReady(ctx context.Context) error {
+	for ctx.Err() == nil {
+		resp, err := http.Get("http://" + s.Callers + "/readyz")
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.Wrap(ctx.Err(), "the site did not become ready")
+}
+
+// Wait returns when the daemon ends.
+func (s *Site) Wait() error { return <-s.done }
+
+// Close stops the daemon and the stand-ins.
+func (s *Site) Close() {
+	if s.cancel != nil {
+		s.cancel()
+		<-s.done
+	}
+	var closing sync.WaitGroup
+	for _, srv := range s.servers {
+		closing.Go(func() { _ = srv.Close() })
+	}
+	closing.Wait()
+	for _, c := range s.closers {
+		c()
+	}
+}
+
+// Print writes commands to paste.
+func (s *Site) Print(w io.Writer) {
+	fmt.Fprintf(w, `A small site is running. Its key is good for this run only.
+
+  export BP=http://%s KEY=%s
+
+  # one call
+  curl -s $BP/v1/chat/completions -H "Authorization: Bearer $KEY" \
+    -d '{"model":"small","max_tokens":20,"messages":[{"role":"user","content":"hello"}]}'
+
+  # a program that remembers its conversation: create it, then call with its id and head
+  curl -si $BP/v1/programs -H "Authorization: Bearer $KEY" -d '{"budget":{"tokens":20000,"calls":10}}'
+  curl -sN $BP/v1/chat/completions -H "Authorization: Bearer $KEY" \
+    -H "Berylpond-Program: ID" -H "Berylpond-Head: HEAD" \
+    -d '{"model":"small","stream":true,"max_tokens":20,"messages":[{"role":"user","content":"hello"}]}'
+
+  # a service call that must run at most once: send it twice
+  curl -si $BP/effects/refund -H "Authorization: Bearer $KEY" -H "Idempotency-Key: refund-1" \
+    -H "Content-Type: application/json" -d '{"effect_key":"till-7"}'
+
+  # what an operator sees
+  go run ./cmd/berylctl --instance %s status
+
+Press Ctrl-C to stop.
+`, s.Callers, s.Key, s.Peers)
+}
--- a/internal/executor/service.go
+++ b/internal/executor/service.go
@@ -22,8 +22,9 @@
 )
 
 func (x *Executor) service(ctx context.Context, snap *config.Snapshot, r *peerv1.CallRequest, emit Emit) error {
-	team, route, ok := snap.Route(r.Method, r.Path)
-	if !ok || (!route.Open && team != r.Account.Team) {
+	team := r.Account.Team
+	route, ok := snap.TeamRoute(team, r.Method, r.Path)
+	if !ok {
 		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownRoute, 0, "no route for %s %s", r.Method, r.Path)
 	}
 	if !route.Open && !allowed(route.Accounts, r.Account.Name) {
--- a/internal/frontend/commands/service.go
+++ b/internal/frontend/commands/service.go
@@ -24,8 +24,11 @@
 			"this instance has no configuration yet")
 	}
 	r := c.Request()
-	team, route, ok := snap.Route(r.Method, r.URL.Path)
 	account := request.Account(c)
+	team, route, ok := snap.Route(r.Method, r.URL.Path)
+	if account != nil {
+		route, ok = snap.TeamRoute(account.Team, r.Method, r.URL.Path)
+	}
 	switch {
 	case !ok:
 		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownRoute, 0, "no route for %s %s", r.Method, r.URL.Path)
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	programv1 "github.com/berylpond/berylpond/api/program/v1"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
@@ -15,10 +17,15 @@
 	retryBusy = 200 * time.Millisecond
 	// retryNotDurable is the time after which a call that could not be recorded may be tried again.
 	retryNotDurable = time.Second
+	// forwardPause is the pause between two attempts to reach the part's new holder.
+	forwardPause = 50 * time.Millisecond
 	// keepEnded is how long an ended program stays known, so that its callers learn that it has ended.
 	keepEnded = 10 * time.Minute
 )
 
+// errNoForward is the answer of a controller that knows no other holders.
+var errNoForward = errors.New("no other holder is known")
+
 // Recorder makes an event durable outside this process before it returns nil: a majority of the cell has it under the
 // term, and the log too unless the log is away. After an error the event may be durable or not.
 type Recorder interface {
@@ -40,6 +47,9 @@
 	rec   Recorder
 	now   func() time.Time
 	ended func(programID string)
+	// forward passes an event to the part's new holder.
+	forward  func(ctx context.Context, part int, ev *programv1.Event) error
+	draining func() bool
 
 	mu    sync.Mutex
 	store *Store
@@ -61,11 +71,21 @@
 // WithEnded sets a function that is called, without locks held, when a program ends.
 func WithEnded(f func(programID string)) Option { return func(c *Controller) { c.ended = f } }
 
+// WithForward sets the function that passes the end of a turn to the new holder of its part.
+func WithForward(f func(ctx context.Context, part int, ev *programv1.Event) error) Option {
+	return func(c *Controller) { c.forward = f }
+}
+
+// WithDraining sets the function that reports a graceful shutdown, during which no turn begins.
+func WithDraining(f func() bool) Option { return func(c *Controller) { c.draining = f } }
+
 // NewController returns a controller for the programs whose home is the given data centre.
 func NewController(dc string, parts Parts, rec Recorder, opts ...Option) *Controller {
 	c := &Controller{
 		dc: dc, parts: parts, rec: rec, now: time.Now, ended: func(string) {},
-		store: NewStore(), busy: map[string]struct{}{}, pending: map[string]*programv1.Event{}, ready: map[int]uint64{},
+		forward:  func(context.Context, int, *programv1.Event) error { return errNoForward },
+		draining: func() bool { return false },
+		store:    NewStore(), busy: map[string]struct{}{}, pending: map[string]*programv1.Event{}, ready: map[int]uint64{},
 	}
 	for _, o := range opts {
 		o(c)
@@ -92,14 +112,19 @@
 	c.ready[part] = term
 }
 
+// Ready reports whether SetReady was called for the part under the term.
+func (c *Controller) Ready(part int, term uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ready[part] == term
+}
+
 // hold returns the term under which the program's part is held and ready.
 func (c *Controller) hold(id string) (int, uint64, *verdict.Error) {
 	part := PartOf(id, c.parts.Parts())
 	term, ok := c.parts.Holds(part)
 	if ok {
-		c.mu.Lock()
-		ok = c.ready[part] == term
-		c.mu.Unlock()
+		ok = c.Ready(part, term)
 	}
 	if !ok {
 		return 0, 0, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, retryNotDurable,
@@ -182,10 +207,14 @@
 	if err := c.record(ctx, part, term, ev); err != nil && verdict.From(err).Reason != verdict.ReasonWrongHead {
 		return err
 	}
+	c.clearPending(id)
+	return nil
+}
+
+func (c *Controller) clearPending(id string) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	delete(c.pending, id)
-	c.mu.Unlock()
-	return nil
 }
 
 // lookup returns a copy of the program's state; slices are shared and append-only.
@@ -307,3 +336,45 @@
 	defer c.mu.Unlock()
 	return c.store.Len()
 }
+
+// RecordForeign records the end of a turn that began at a previous holder of the part. The program's head decides
+// whether it still fits.
+func (c *Controller) RecordForeign(ctx context.Context, ev *programv1.Event) error {
+	part, term, refused := c.hold(ev.Program)
+	if refused != nil {
+		return refused
+	}
+	if err := c.flush(ctx, ev.Program, part, term); err != nil {
+		return err
+	}
+	return c.record(ctx, part, term, ev)
+}
+
+// recordOrForward records the end of a turn here, or at the part's new holder when the part has moved meanwhile.
+func (c *Controller) recordOrForward(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
+	if now, ok := c.parts.Holds(part); ok && now == term {
+		err := c.record(ctx, part, term, ev)
+		if err == nil {
+			return nil
+		}
+		if now, ok := c.parts.Holds(part); ok && now == term {
+			return err
+		}
+	}
+	for {
+		err := c.forward(ctx, part, ev)
+		if err == nil {
+			c.Apply(ev)
+			c.clearPending(ev.Program)
+			return nil
+		}
+		if e := verdict.From(err); e.Reason == verdict.ReasonWrongHead {
+			return e
+		}
+		select {
+		case <-time.After(forwardPause):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
--- a/internal/program/turn.go
+++ b/internal/program/turn.go
@@ -59,6 +59,10 @@
 	if refused != nil {
 		return nil, nil, refused
 	}
+	if c.draining() {
+		return nil, nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, retryNotDurable,
+			"this instance is shutting down")
+	}
 	if !c.acquire(s.Program) {
 		return nil, nil, verdict.Refuse(http.StatusConflict, verdict.ReasonTurnInProgress, retryBusy,
 			"another call of this program is under way")
@@ -178,7 +182,7 @@
 	if err := failpoint.Hit("program.commit.before"); err != nil {
 		return "", verdict.Fail(http.StatusServiceUnavailable, verdict.ReasonNotDurable, "%v", err)
 	}
-	if err := t.c.record(ctx, t.part, t.term, ev); err != nil {
+	if err := t.c.recordOrForward(ctx, t.part, t.term, ev); err != nil {
 		e := *verdict.From(err)
 		e.Verdict = verdict.MayHaveRun
 		return "", &e
@@ -198,5 +202,5 @@
 		TurnAbandoned: &programv1.TurnAbandoned{StartedId: t.StartedID, SpentTokens: spent},
 	}}
 	// On failure the event stays pending, and the tokens stay reserved, which is the safe side of the budget.
-	_ = t.c.record(ctx, t.part, t.term, ev)
+	_ = t.c.recordOrForward(ctx, t.part, t.term, ev)
 }
