Test the whole path through separate processes in two data centres

Ruled out: readiness as soon as the log was read (the first call met parts without a holder: 503); it now waits until every part of the cell had one. The first calls after a whole start meet token holders that count everything as spent (429), so the test waits until each account gets through once.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,9 @@
 	"github.com/berylpond/berylpond/internal/settings"
 )
 
+// idlePlatform bounds the idle connections kept to the platform.
+const idlePlatform = 16
+
 // platformTimeout bounds one request to the platform.
 const platformTimeout = 2 * time.Second
 
@@ -67,8 +71,10 @@
 
 	draining          atomic.Bool
 	platformReachable atomic.Bool
-	drainOnce         sync.Once
-	drainAsked        chan struct{}
+	// joined is set once every part of the cell had a holder.
+	joined     atomic.Bool
+	drainOnce  sync.Once
+	drainAsked chan struct{}
 }
 
 // New builds an instance and binds its addresses. It serves nothing before Run.
@@ -77,13 +83,19 @@
 		return nil, err
 	}
 	invariant.PanicOnViolation(s.Faults.PanicOnViolation)
-	d := &Daemon{set: s, started: time.Now(), pool: peer.NewPool(), registry: prometheus.NewRegistry(),
+	d := &Daemon{set: s, started: time.Now(), registry: prometheus.NewRegistry(),
 		drainAsked: make(chan struct{})}
 	if err := d.bind(); err != nil {
 		return nil, err
 	}
+	from := d.source()
+	d.pool = peer.NewPool(from)
 	d.table = member.NewTable(d.self())
-	d.platform = platform.New(s.Platform.Log, platform.WithInstancesURL(s.Platform.Instances), platform.WithTimeout(platformTimeout))
+	d.platform = platform.New(s.Platform.Log, platform.WithInstancesURL(s.Platform.Instances), platform.WithTimeout(platformTimeout),
+		platform.WithHTTPClient(&http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: platformTimeout, LocalAddr: localAddr(from)}).DialContext,
+			MaxIdleConnsPerHost: idlePlatform,
+		}}))
 	d.build()
 	d.register()
 	return d, nil
@@ -100,6 +112,23 @@
 	return nil
 }
 
+// source is the address that the instance's connections leave from: that of its peers' listener, unless it listens on
+// all addresses.
+func (d *Daemon) source() net.IP {
+	a, ok := d.peers.Addr().(*net.TCPAddr)
+	if !ok || a.IP.IsUnspecified() {
+		return nil
+	}
+	return a.IP
+}
+
+func localAddr(ip net.IP) net.Addr {
+	if ip == nil {
+		return nil
+	}
+	return &net.TCPAddr{IP: ip}
+}
+
 func (d *Daemon) self() member.Instance {
 	in := member.Instance{
 		ID: d.set.Instance.ID, DataCentre: d.set.Instance.DataCentre, Slot: d.set.Instance.Slot,
@@ -146,7 +175,7 @@
 	d.backends = backends.New(self.DataCentre)
 	d.executor = executor.New(executor.Deps{
 		Snapshot: d.config.Snapshot, Programs: d.programs, Keeper: d.keeper,
-		Client: engine.New(engine.Timeouts{FirstToken: time.Duration(t.FirstToken), Progress: time.Duration(t.Progress)}),
+		Client: engine.New(engine.Timeouts{FirstToken: time.Duration(t.FirstToken), Progress: time.Duration(t.Progress)}, d.source()),
 		Claims: d.cell, Intents: d.journal.index, Log: d.journal.intents, Backends: d.backends,
 	})
 	d.router = router.New(d.table, d.parts, d.pool, d.executor, d.programs, d.dataCentresOf)
@@ -200,7 +229,8 @@
 	failed := make(chan error, 2)
 	go func() { failed <- d.frontend.Serve(d.callers) }()
 	go func() { failed <- d.grpc.Serve(d.peers) }()
-	klog.InfoS("Serving", "callers", d.CallerAddr(), "peers", d.PeerAddr(), "data_centre", d.set.Instance.DataCentre)
+	klog.InfoS("Serving", "callers", d.CallerAddr(), "peers", d.PeerAddr(), "bound_peers", d.peers.Addr().String(),
+		"data_centre", d.set.Instance.DataCentre)
 	select {
 	case err := <-failed:
 		return err
@@ -270,10 +300,23 @@
 		return errors.New("no configuration yet")
 	case !d.ledger.Ready():
 		return errors.New("not caught up with the log yet")
+	case !d.joined.Load() && !d.partsHeld():
+		return errors.New("not every part of the cell has a holder yet")
 	}
+	// A cell that loses its majority later still serves what needs no holder.
+	d.joined.Store(true)
 	return nil
 }
 
+func (d *Daemon) partsHeld() bool {
+	for part := range d.parts.Parts() {
+		if _, ok := d.parts.Holder(part); !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // Drain begins a graceful shutdown; Run returns at its end.
 func (d *Daemon) Drain() { d.drainOnce.Do(func() { close(d.drainAsked) }) }
 
--- a/internal/dev/site.go
+++ b/internal/dev/site.go
@@ -246,7 +246,7 @@
 
   # a service call that must run at most once: send it twice
   curl -si $BP/effects/refund -H "Authorization: Bearer $KEY" -H "Idempotency-Key: refund-1" \
-    -H "Content-Type: application/json" -d '{"effect_key":"till-7"}'
+    -H "Content-Type: application/json" -d '{"key":"till-7"}'
 
   # what an operator sees
   go run ./cmd/berylctl --instance %s status
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -51,13 +51,17 @@
 	timeouts Timeouts
 }
 
-// New returns a client with the given timeouts.
-func New(t Timeouts) *Client {
+// New returns a client with the given timeouts. Connections leave from the given address; nil lets the system choose.
+func New(t Timeouts, from net.IP) *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if from != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: from}
+	}
 	return &Client{
 		timeouts: t,
 		http: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+				DialContext:         dialer.DialContext,
 				MaxIdleConnsPerHost: maxIdlePerBackend,
 				IdleConnTimeout:     time.Minute,
 				DisableCompression:  true,
--- a/internal/frontend/problem.go
+++ b/internal/frontend/problem.go
@@ -3,6 +3,7 @@
 package frontend
 
 import (
+	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -60,8 +61,11 @@
 	if e.RetryAfter > 0 {
 		c.Response().Header().Set("Retry-After", retryAfterSeconds(e.RetryAfter))
 	}
-	c.Response().Header().Set(echo.HeaderContentType, contentTypeProblem)
-	if err := c.JSON(e.Status, NewProblem(e, id)); err != nil {
+	body, err := json.Marshal(NewProblem(e, id))
+	if err == nil {
+		err = c.Blob(e.Status, contentTypeProblem, body)
+	}
+	if err != nil {
 		klog.V(1).InfoS("Problem could not be sent", "request", id, "err", err)
 	}
 }
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -32,6 +33,8 @@
 
 // Pool keeps one connection to each instance. It is safe for concurrent use.
 type Pool struct {
+	dialer net.Dialer
+
 	mu    sync.Mutex
 	conns map[string]*pooled
 	now   func() time.Time
@@ -42,8 +45,14 @@
 	used time.Time
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{conns: map[string]*pooled{}, now: time.Now} }
+// NewPool returns an empty pool. Connections leave from the given address; nil lets the system choose.
+func NewPool(from net.IP) *Pool {
+	p := &Pool{conns: map[string]*pooled{}, now: time.Now}
+	if from != nil {
+		p.dialer.LocalAddr = &net.TCPAddr{IP: from}
+	}
+	return p
+}
 
 // Conn returns the connection to addr and opens it if needed. It does not wait for the connection to be ready.
 func (p *Pool) Conn(addr string) (grpc.ClientConnInterface, error) { return p.get(addr) }
@@ -58,7 +67,7 @@
 		c.used = p.now()
 		return c.conn, nil
 	}
-	conn, err := grpc.NewClient("passthrough:///"+addr, dialOptions()...)
+	conn, err := grpc.NewClient("passthrough:///"+addr, p.dialOptions()...)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connecting to %s", addr)
 	}
@@ -66,13 +75,16 @@
 	return conn, nil
 }
 
-func dialOptions() []grpc.DialOption {
+func (p *Pool) dialOptions() []grpc.DialOption {
 	reconnect := backoff.DefaultConfig
 	reconnect.BaseDelay = 100 * time.Millisecond
 	reconnect.MaxDelay = maxReconnect
 	return []grpc.DialOption{
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableServiceConfig(),
+		grpc.WithContextDialer(func(ctx context.Context, addr string) (net.Conn, error) {
+			return p.dialer.DialContext(ctx, "tcp", addr)
+		}),
 		grpc.WithDisableRetry(),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: time.Second}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
--- /dev/null
+++ b/test/e2e/site_test.go
@@ -0,0 +1,476 @@
+// Package e2e tests whole sites of separate processes.
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	configv1 "github.com/berylpond/berylpond/api/config/v1"
+	"github.com/berylpond/berylpond/internal/document"
+	"github.com/berylpond/berylpond/internal/settings"
+)
+
+// Timings of test sites. They are short so that tests are; the targets in the tests come from the brief.
+const (
+	testLease     = time.Second
+	testMargin    = 100 * time.Millisecond
+	testHeartbeat = 200 * time.Millisecond
+	testWindow    = 3 * time.Second
+	startTimeout  = 30 * time.Second
+)
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "berylpond-e2e")
+	if err != nil {
+		panic(err)
+	}
+	binaries = dir
+	build := exec.Command("go", "build", "-o", dir, "../../cmd/berylpondd", "../../cmd/berylfakes")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one running program.
+type process struct {
+	t    *testing.T
+	name string
+	cmd  *exec.Cmd
+	out  *lockedBuffer
+	done chan struct{}
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// startProcess runs a binary; the test's end kills it. Its log is shown when the test fails.
+func startProcess(t *testing.T, name string, stdout io.Writer, binary string, args ...string) *process {
+	t.Helper()
+	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binaries, binary), args...), out: &lockedBuffer{}, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = stdout, p.out
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		t.Fatalf("%s: %v", name, err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	t.Cleanup(func() {
+		p.kill()
+		if t.Failed() {
+			lines := strings.Split(p.out.String(), "\n")
+			t.Logf("log of %s:\n%s", name, strings.Join(lines[max(0, len(lines)-40):], "\n"))
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGKILL)
+	<-p.done
+}
+
+// stop asks for a graceful shutdown and waits for its end.
+func (p *process) stop(within time.Duration) {
+	p.t.Helper()
+	p.signal(syscall.SIGTERM)
+	select {
+	case <-p.done:
+	case <-time.After(within):
+		p.t.Errorf("%s did not shut down within %s", p.name, within)
+	}
+}
+
+// fake is a running stand-in.
+type fake struct {
+	*process
+	addr string
+}
+
+func startFake(t *testing.T, role string, args ...string) fake {
+	t.Helper()
+	r, w, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := startProcess(t, role, w, "berylfakes", append([]string{role}, args...)...)
+	w.Close()
+	var ready struct {
+		Address string `json:"address"`
+	}
+	if err := json.NewDecoder(bufio.NewReader(r)).Decode(&ready); err != nil {
+		t.Fatalf("%s did not start: %v\n%s", role, err, p.out)
+	}
+	return fake{process: p, addr: ready.Address}
+}
+
+// fault sets a fault of a stand-in.
+func (f fake) fault(mode string, spec map[string]any) {
+	f.t.Helper()
+	if spec == nil {
+		spec = map[string]any{}
+	}
+	spec["mode"] = mode
+	f.call(http.MethodPut, "/fault", spec, nil)
+}
+
+func (f fake) heal() { f.call(http.MethodDelete, "/fault", nil, nil) }
+
+func (f fake) call(method, path string, in, out any) {
+	f.t.Helper()
+	var body io.Reader
+	if in != nil {
+		b, _ := json.Marshal(in)
+		body = bytes.NewReader(b)
+	}
+	req, err := http.NewRequest(method, "http://"+f.addr+path, body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatalf("%s %s: %v", f.name, path, err)
+	}
+	defer resp.Body.Close()
+	if out != nil {
+		if err := json.NewDecoder(resp.Body).Decode(out); err != nil {
+			f.t.Fatalf("%s %s: %v", f.name, path, err)
+		}
+	}
+}
+
+// instance is one daemon with its settings and the relay before its peers' port.
+type instance struct {
+	*process
+	id, dc, ip string
+	slot       int
+	callers    string
+	relay      *relay
+	platform   *relay
+	set        settings.Settings
+}
+
+// dcSpec describes one data centre of a site.
+type dcSpec struct {
+	name    string
+	slots   int
+	engines int
+}
+
+// site is a running site.
+type site struct {
+	t          *testing.T
+	dcs        []dcSpec
+	log, list  fake
+	engines    map[string][]fake
+	service    map[string]fake
+	instances  []*instance
+	logRelays  map[string]*relay
+	listRelays map[string]*relay
+	keys       map[string]string
+	version    uint64
+	doc        siteDoc
+}
+
+// siteDoc is what tests vary in the team's document.
+type siteDoc struct {
+	accounts []accountDoc
+}
+
+type accountDoc struct {
+	name  string
+	rate  float64
+	burst int
+}
+
+const testTeam = "kiosk"
+
+// siteOption changes a site before it starts.
+type siteOption func(*site)
+
+func withAccounts(a ...accountDoc) siteOption { return func(s *site) { s.doc.accounts = a } }
+
+// startSite starts stand-ins and daemons, applies the document and waits until every instance is ready.
+func startSite(t *testing.T, dcs []dcSpec, opts ...siteOption) *site {
+	t.Helper()
+	s := &site{
+		t: t, dcs: dcs, engines: map[string][]fake{}, service: map[string]fake{}, keys: map[string]string{},
+		logRelays: map[string]*relay{}, listRelays: map[string]*relay{},
+		doc: siteDoc{accounts: []accountDoc{{"big", 200, 400}, {"small", 50, 100}}},
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	s.log = startFake(t, "log")
+	s.list = startFake(t, "instances")
+	for i, dc := range dcs {
+		for range dc.engines {
+			s.engines[dc.name] = append(s.engines[dc.name], startFake(t, "engine", "--time-scale", "20"))
+		}
+		s.service[dc.name] = startFake(t, "service")
+		s.logRelays[dc.name] = newRelay(t, "127.0.0.1")
+		s.logRelays[dc.name].target = s.log.addr
+		s.listRelays[dc.name] = newRelay(t, "127.0.0.1")
+		s.listRelays[dc.name].target = s.list.addr
+		for slot := range dc.slots {
+			s.instances = append(s.instances, s.newInstance(i, dc, slot))
+		}
+	}
+	for _, in := range s.instances {
+		s.startInstance(in)
+	}
+	s.apply()
+	for _, in := range s.instances {
+		s.awaitReady(in)
+	}
+	s.watchKeys()
+	s.warm()
+	return s
+}
+
+// warm waits until every account gets calls through at every instance: a holder of tokens that starts without its
+// predecessor's state counts them as spent.
+func (s *site) warm() {
+	s.t.Helper()
+	for _, a := range s.doc.accounts {
+		for _, in := range s.instances {
+			s.await("a call of "+a.name+" at "+in.id, startTimeout, func() bool {
+				return s.caller(a.name).chat(in, "warm", 1, false).whole
+			})
+		}
+	}
+}
+
+func (s *site) newInstance(dcIndex int, dc dcSpec, slot int) *instance {
+	ip := fmt.Sprintf("127.0.%d.%d", dcIndex+1, slot+1)
+	in := &instance{id: fmt.Sprintf("%s-%d", dc.name, slot), dc: dc.name, ip: ip, slot: slot, relay: newRelay(s.t, ip)}
+	set := settings.Default()
+	set.Instance = settings.Instance{ID: in.id, DataCentre: dc.name, Slot: slot, CellSlots: dc.slots}
+	for _, d := range s.dcs {
+		set.Instance.DataCentres = append(set.Instance.DataCentres, d.name)
+	}
+	set.Timing.Lease, set.Timing.Margin = settings.Duration(testLease), settings.Duration(testMargin)
+	set.Timing.Heartbeat, set.Timing.ClaimWindow = settings.Duration(testHeartbeat), settings.Duration(testWindow)
+	set.Timing.FirstToken, set.Timing.Progress = settings.Duration(3*time.Second), settings.Duration(time.Second)
+	set.Timing.Shutdown = settings.Duration(10 * time.Second)
+	set.Platform = settings.Platform{Log: "http://" + s.logRelays[dc.name].addr(), Instances: "http://" + s.listRelays[dc.name].addr()}
+	set.Listen = settings.Listen{Callers: ip + ":0", Peers: ip + ":0", AdvertisePeers: in.relay.addr()}
+	set.Faults.PanicOnViolation = true
+	set.Log.Verbosity = 1
+	in.set = set
+	return in
+}
+
+// startInstance starts the daemon, or a new incarnation of it.
+func (s *site) startInstance(in *instance) {
+	s.t.Helper()
+	raw, err := toml.Marshal(in.set)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	path := filepath.Join(s.t.TempDir(), in.id+".toml")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		s.t.Fatal(err)
+	}
+	in.process = startProcess(s.t, in.id, io.Discard, "berylpondd", "run", "--settings", path)
+	s.await("serving addresses of "+in.id, startTimeout, func() bool { return s.readAddresses(in) })
+	s.list.call(http.MethodPut, "/v1/instances/"+in.id, map[string]string{
+		"id": in.id, "kind": "entry", "data_centre": in.dc, "address": in.relay.addr(), "state": "live",
+	}, nil)
+}
+
+// readAddresses finds the bound addresses in the daemon's log.
+func (s *site) readAddresses(in *instance) bool {
+	for _, line := range strings.Split(in.out.String(), "\n") {
+		var l struct {
+			Msg     string `json:"msg"`
+			Callers string `json:"callers"`
+			Bound   string `json:"bound_peers"`
+		}
+		if json.Unmarshal([]byte(line), &l) == nil && l.Msg == "Serving" {
+			in.callers = l.Callers
+			in.relay.mu.Lock()
+			in.relay.target = l.Bound
+			in.relay.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
+func (s *site) instance(id string) *instance {
+	s.t.Helper()
+	for _, in := range s.instances {
+		if in.id == id {
+			return in
+		}
+	}
+	s.t.Fatalf("no instance %q", id)
+	return nil
+}
+
+// await fails the test unless ok becomes true in time.
+func (s *site) await(what string, within time.Duration, ok func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	s.t.Fatalf("%s: not within %s", what, within)
+}
+
+func (s *site) awaitReady(in *instance) {
+	s.t.Helper()
+	s.await(in.id+" to be ready", startTimeout, func() bool {
+		resp, err := http.Get("http://" + in.callers + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+// document renders the team's document; a key is made once for each account.
+func (s *site) document() []byte {
+	var b strings.Builder
+	var names []string
+	for _, d := range s.dcs {
+		names = append(names, fmt.Sprintf("%q", d.name))
+	}
+	fmt.Fprintf(&b, "team = %q\ndata_centres = [%s]\n", testTeam, strings.Join(names, ", "))
+	for _, a := range s.doc.accounts {
+		if s.keys[a.name] == "" {
+			key, _, err := document.NewKey()
+			if err != nil {
+				s.t.Fatal(err)
+			}
+			s.keys[a.name] = key
+		}
+		k, err := document.HashKey(s.keys[a.name])
+		if err != nil {
+			s.t.Fatal(err)
+		}
+		fmt.Fprintf(&b, "[[account]]\nname = %q\nrate = \"%g/s\"\nburst = %d\nkeys = [{ id = %q, salt = %q, hash = %q }]\n",
+			a.name, a.rate, a.burst, k.ID, k.Salt, k.Hash)
+	}
+	b.WriteString("[[model]]\nname = \"small\"\n")
+	for _, d := range s.dcs {
+		fmt.Fprintf(&b, "[[model.pool]]\ndata_centre = %q\nbackends = [", d.name)
+		for _, e := range s.engines[d.name] {
+			fmt.Fprintf(&b, "%q, ", e.addr)
+		}
+		b.WriteString("]\n")
+	}
+	b.WriteString("[[service]]\nname = \"effects\"\n")
+	for _, d := range s.dcs {
+		fmt.Fprintf(&b, "[[service.pool]]\ndata_centre = %q\nbackends = [%q]\n", d.name, s.service[d.name].addr)
+	}
+	b.WriteString("[[route]]\npath = \"/effects/{name}\"\nmethod = \"POST\"\nservice = \"effects\"\nrepeatable = false\ntimeout = \"2s\"\n")
+	return []byte(b.String())
+}
+
+func (s *site) adminConn(in *instance) *grpc.ClientConn {
+	s.t.Helper()
+	conn, err := grpc.NewClient("passthrough:///"+in.relay.target, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// apply publishes the document over the version last applied.
+func (s *site) apply() {
+	s.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	admin := configv1.NewAdminClient(s.adminConn(s.instances[0]))
+	var err error
+	for ctx.Err() == nil {
+		var reply *configv1.ApplyResponse
+		reply, err = admin.Apply(ctx, &configv1.ApplyRequest{Team: testTeam, BaseVersion: s.version, Document: s.document(), Author: "test"})
+		if err == nil {
+			s.version = reply.Version
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	s.t.Fatalf("apply: %v", err)
+}
+
+// withdraw withdraws an account's key at one instance.
+func (s *site) withdraw(in *instance, account string) {
+	s.t.Helper()
+	id, ok := document.KeyID(s.keys[account])
+	if !ok {
+		s.t.Fatal("key has no id")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if _, err := configv1.NewAdminClient(s.adminConn(in)).Withdraw(ctx, &configv1.WithdrawRequest{Team: testTeam, KeyId: id}); err != nil {
+		s.t.Fatalf("withdraw: %v", err)
+	}
+}
+
+// cutDataCentres cuts or heals the connections between two data centres, in both directions.
+func (s *site) cutDataCentres(a, b string, on bool) {
+	for _, x := range s.instances {
+		for _, y := range s.instances {
+			if (x.dc == a && y.dc == b) || (x.dc == b && y.dc == a) {
+				x.relay.setCut(y.ip, on)
+			}
+		}
+	}
+}
+
+// cutPlatform cuts or heals a data centre's way to the platform.
+func (s *site) cutPlatform(dc string, on bool) {
+	for _, in := range s.instances {
+		if in.dc == dc {
+			s.logRelays[dc].setCut(in.ip, on)
+			s.listRelays[dc].setCut(in.ip, on)
+		}
+	}
+}
