Test the cell in virtual time and over loopback; mend a livelock of two takers

Cause: with two slots left of three, both tried for the stopped slot's part one heartbeat apart, split the votes and waited the same time again; TestHolderStops failed with 'not within 5s: slot 2 takes part 1'. Attempts of different rank now start three heartbeats apart and a failed one does not wait for the whole promise again. A claim now says whether it is still Valid right before dispatch: after a pause of a claim window the voters may have been replaced.

--- /dev/null
+++ b/internal/cell/bench_test.go
@@ -0,0 +1,90 @@
+package cell
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// benchCell is a cell whose heartbeats are sent by the benchmark only.
+func benchCell(b *testing.B, slots int) *testCell {
+	cfg := testConfig(slots)
+	cfg.Lease, cfg.Heartbeat = 500*time.Millisecond, time.Minute
+	c := newTestCell(b, cfg)
+	start := time.Now()
+	for time.Since(start) < cfg.Lease+2*cfg.Margin {
+		c.beatAll()
+	}
+	for i := range c.slots {
+		if !c.holds(i, i)() {
+			b.Fatalf("slot %d does not hold its part", i)
+		}
+	}
+	return c
+}
+
+func (c *testCell) beatAll() {
+	for _, s := range c.slots {
+		s.beat().Wait()
+	}
+}
+
+// report gives CPU time and TCP payload bytes, in both directions, per operation.
+func (c *testCell) report(b *testing.B, ops int, run func()) {
+	b.ReportAllocs()
+	before, bytes := cpuTime(), c.bytes.Load()
+	run()
+	b.ReportMetric(float64((cpuTime()-before).Microseconds())/float64(ops), "cpu-us/op")
+	b.ReportMetric(float64(c.bytes.Load()-bytes)/float64(ops), "tcp-B/op")
+}
+
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkHeartbeat measures one heartbeat of one slot, with the work that it causes at the other slots.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, slots := range []int{3, 5, 7} {
+		b.Run(fmt.Sprint("slots=", slots), func(b *testing.B) {
+			c := benchCell(b, slots)
+			b.ResetTimer()
+			c.report(b, b.N, func() {
+				for i := range b.N {
+					c.slots[i%slots].beat().Wait()
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkClaim measures a claim, its outcome and the heartbeats of its executor that carry them, one for 100 claims.
+func BenchmarkClaim(b *testing.B) {
+	for _, slots := range []int{3, 5, 7} {
+		b.Run(fmt.Sprint("slots=", slots), func(b *testing.B) {
+			c := benchCell(b, slots)
+			b.ResetTimer()
+			c.report(b, b.N, func() {
+				for i := range b.N {
+					c.claimOnce(b, i)
+					if i%100 == 0 {
+						c.beatAll()
+					}
+				}
+			})
+		})
+	}
+}
+
+func (c *testCell) claimOnce(b *testing.B, i int) {
+	ctx := context.Background()
+	cl, err := c.slots[0].Claim(ctx, fmt.Sprintf("giza-0190f7a2-5b6c-7d8e-9f00-%012d", i))
+	if err != nil {
+		b.Fatal(err)
+	}
+	cl.Settle(ctx, []byte("turn-0123456789abcdef"))
+	cl.Durable()
+}
--- a/internal/cell/claims.go
+++ b/internal/cell/claims.go
@@ -12,6 +12,9 @@
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
+// driftShare is the part of the claim window that is kept for the drift between two clocks.
+const driftShare = 10
+
 // DuplicateError says that the id is claimed by another attempt, or may be.
 type DuplicateError struct {
 	// Settled is set when the outcome is known to the cell.
@@ -50,11 +53,17 @@
 	id      string
 	issued  time.Time
 	attempt uint64
-	fresh   time.Time
+	sent    time.Time
+}
+
+// Valid reports whether the request may still be sent to a backend server. It has to be asked right before: after a
+// pause of about the claim window the voters may have been replaced and have granted the id again.
+func (c *Claim) Valid() bool {
+	return time.Since(c.sent) < c.c.cfg.ClaimWindow-c.c.cfg.ClaimWindow/driftShare
 }
 
 // FreshUntil is the time until which the intent has to be durable in the log where voters use CaughtUp.
-func (c *Claim) FreshUntil() time.Time { return c.fresh }
+func (c *Claim) FreshUntil() time.Time { return c.sent.Add(c.c.cfg.Lease) }
 
 // Claim asks the cell for the right to run the request. The error is a *DuplicateError, or a *verdict.Error with
 // ReasonClaimUnavailable: this attempt has no claim, its votes are withdrawn as far as their voters can be reached, and
@@ -103,7 +112,7 @@
 		return nil, c.unavailable("no majority of the cell answers")
 	}
 	c.attempt++
-	return &Claim{c: c, id: id, issued: issued, attempt: c.attempt, fresh: now.Add(c.cfg.Lease)}, nil
+	return &Claim{c: c, id: id, issued: issued, attempt: c.attempt, sent: now}, nil
 }
 
 // collect asks all voters, and withdraws the attempt unless it won.
@@ -116,7 +125,7 @@
 		cl.Withdraw(ctx)
 		return c.unavailable("%v", err)
 	}
-	if decision == claim.Won {
+	if decision == claim.Won && time.Now().Before(cl.FreshUntil()) {
 		return nil
 	}
 	cl.Withdraw(ctx)
--- /dev/null
+++ b/internal/lease/lease_test.go
@@ -0,0 +1,312 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+func config(slots int) Config {
+	return Config{Slots: slots, Lease: 2 * time.Second, Margin: 200 * time.Millisecond, Heartbeat: 500 * time.Millisecond}
+}
+
+// node is one slot of the simulated cell, with its own drifting clock.
+type node struct {
+	acceptor    *Acceptor
+	proposer    *Proposer
+	incarnation uint64
+	rate        float64
+	offset      time.Duration
+	nextTick    time.Duration
+	pausedUntil time.Duration
+}
+
+// packet is a round on its way to an acceptor, or an answer on its way back.
+type packet struct {
+	at       time.Duration
+	from, to int
+	sender   uint64 // incarnation of the proposer
+	round    Round
+	answers  []State
+	offers   []int
+}
+
+// network runs a cell in virtual time with loss, duplication, delay, reordering, restarts and pauses.
+type network struct {
+	t                         *rapid.T
+	cfg                       Config
+	rnd                       *rand.Rand
+	now                       time.Duration
+	nodes                     []*node
+	packets                   []packet
+	loss, dup, restart, pause float64
+	delay                     time.Duration
+	cut                       []bool
+	lastOwner                 []Grant
+	holdings                  int
+}
+
+var epoch = time.UnixMilli(1_700_000_000_000)
+
+func (n *network) clock(i int) time.Time {
+	nd := n.nodes[i]
+	return epoch.Add(nd.offset + time.Duration(float64(n.now)*nd.rate))
+}
+
+func newNetwork(t *rapid.T) *network {
+	slots := rapid.IntRange(1, 5).Draw(t, "slots")
+	n := &network{
+		t: t, cfg: config(slots),
+		rnd:     rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))),
+		loss:    float64(rapid.IntRange(0, 40).Draw(t, "loss")) / 100,
+		dup:     float64(rapid.IntRange(0, 30).Draw(t, "dup")) / 100,
+		restart: float64(rapid.IntRange(0, 30).Draw(t, "restart")) / 1000,
+		pause:   float64(rapid.IntRange(0, 30).Draw(t, "pause")) / 1000,
+		delay:   time.Duration(rapid.IntRange(1, 3000).Draw(t, "delay")) * time.Millisecond,
+		cut:     make([]bool, slots*slots), lastOwner: make([]Grant, slots),
+	}
+	for i := range slots {
+		n.nodes = append(n.nodes, &node{rate: 0.98 + 0.04*n.rnd.Float64(), offset: time.Duration(n.rnd.IntN(200)) * time.Millisecond})
+		n.start(i)
+	}
+	return n
+}
+
+func (n *network) start(i int) {
+	nd := n.nodes[i]
+	nd.incarnation++
+	nd.acceptor = NewAcceptor(n.cfg, n.clock(i))
+	nd.proposer = NewProposer(n.cfg, Owner{Slot: i, Incarnation: nd.incarnation})
+	nd.pausedUntil = 0
+}
+
+func (n *network) send(p packet) {
+	copies := 1
+	if n.rnd.Float64() < n.dup {
+		copies = 2
+	}
+	for range copies {
+		if p.from != p.to && (n.cut[p.from*n.cfg.Slots+p.to] || n.rnd.Float64() < n.loss) {
+			continue
+		}
+		p.at = n.now
+		if p.from != p.to {
+			delay := n.delay
+			if n.rnd.IntN(4) > 0 {
+				delay /= 50
+			}
+			p.at += time.Duration(n.rnd.Int64N(int64(delay) + 1))
+		}
+		n.packets = append(n.packets, p)
+	}
+}
+
+func (n *network) tick(i int, offers []int) {
+	nd := n.nodes[i]
+	r := nd.proposer.Tick(n.clock(i), nd.acceptor)
+	for to := range n.nodes {
+		n.send(packet{from: i, to: to, sender: nd.incarnation, round: r, offers: offers})
+	}
+}
+
+func (n *network) deliver(p packet) {
+	nd := n.nodes[p.to]
+	now := n.clock(p.to)
+	if p.answers != nil {
+		if p.sender == nd.incarnation {
+			nd.proposer.Alive(p.round.SentAt, p.from)
+			for _, st := range p.answers {
+				nd.proposer.Answer(now, p.round.SentAt, p.from, asked(p.round, st.Part), st)
+			}
+		}
+		return
+	}
+	for _, g := range p.round.Release {
+		nd.acceptor.Release(g)
+	}
+	answers := make([]State, 0, n.cfg.Slots)
+	for part := range n.cfg.Slots {
+		if g := asked(p.round, part); g.Term != 0 {
+			answers = append(answers, nd.acceptor.Acquire(now, g))
+		} else {
+			answers = append(answers, nd.acceptor.State(now, part))
+		}
+	}
+	var handed []int
+	for _, part := range p.round.Wanted {
+		if nd.proposer.HandOver(now, part, p.from) {
+			handed = append(handed, part)
+		}
+	}
+	for _, part := range p.offers {
+		if part == p.to {
+			nd.proposer.Offer(now, part)
+		}
+	}
+	n.send(packet{from: p.to, to: p.from, sender: p.sender, round: p.round, answers: answers})
+	if handed != nil {
+		n.tick(p.to, handed)
+	}
+}
+
+func asked(r Round, part int) Grant {
+	for _, g := range r.Acquire {
+		if g.Part == part {
+			return g
+		}
+	}
+	return Grant{}
+}
+
+func (n *network) step() {
+	n.now += 50 * time.Millisecond
+	if n.rnd.IntN(40) == 0 {
+		n.cut[n.rnd.IntN(len(n.cut))] = n.rnd.IntN(2) == 0
+	}
+	for i, nd := range n.nodes {
+		if n.rnd.Float64() < n.restart {
+			n.start(i)
+		} else if n.rnd.Float64() < n.pause {
+			nd.pausedUntil = n.now + time.Duration(n.rnd.IntN(5000))*time.Millisecond
+		}
+	}
+	due := n.packets
+	n.packets = nil
+	for _, k := range n.rnd.Perm(len(due)) {
+		if p := due[k]; p.at > n.now || n.nodes[p.to].pausedUntil > n.now {
+			n.packets = append(n.packets, p)
+		} else {
+			n.deliver(p)
+		}
+	}
+	for i, nd := range n.nodes {
+		if nd.pausedUntil <= n.now && nd.nextTick <= n.now {
+			nd.nextTick = n.now + n.cfg.Heartbeat
+			n.tick(i, nil)
+		}
+	}
+	n.check()
+}
+
+// check asserts that no part has two holders at this instant, paused ones included, and that terms rise.
+func (n *network) check() {
+	for part := range n.cfg.Slots {
+		var holders []Grant
+		for i, nd := range n.nodes {
+			if g, _, ok := nd.proposer.Holds(n.clock(i), part); ok {
+				holders = append(holders, g)
+			}
+		}
+		if len(holders) > 1 {
+			n.t.Fatalf("part %d has two holders at %v: %+v", part, n.now, holders)
+		}
+		if len(holders) == 1 && holders[0] != n.lastOwner[part] {
+			n.changeHolder(part, holders[0])
+		}
+	}
+}
+
+func (n *network) changeHolder(part int, g Grant) {
+	if last := n.lastOwner[part]; g.Term <= last.Term {
+		n.t.Fatalf("part %d: term of %+v does not exceed that of %+v", part, g, last)
+	}
+	n.lastOwner[part] = g
+	n.holdings++
+}
+
+func TestNeverTwoHolders(t *testing.T) {
+	holdings := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t)
+		for range 1200 {
+			n.step()
+		}
+		holdings += n.holdings
+	})
+	t.Logf("%d holdings", holdings)
+	is.New(t).True(holdings > 100) // the runs have to reach the state that they check
+}
+
+func TestEveryHomeHoldsItsPartWithoutFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t)
+		n.loss, n.dup, n.restart, n.pause, n.delay = 0, 0, 0, 0, 50*time.Millisecond
+		for n.now < 5*time.Second {
+			n.step()
+			clear(n.cut)
+		}
+		for i, nd := range n.nodes {
+			if held := nd.proposer.Held(n.clock(i)); len(held) != 1 || held[0] != i {
+				t.Fatalf("slot %d of %d holds %v", i, n.cfg.Slots, held)
+			}
+		}
+	})
+}
+
+func TestAcceptor(t *testing.T) {
+	is := is.New(t)
+	cfg := config(3)
+	start := epoch
+	a := NewAcceptor(cfg, start)
+	first := Grant{Part: 0, Owner: Owner{Slot: 0, Incarnation: 1}, Term: 8, Attempt: 1}
+	second := Grant{Part: 0, Owner: Owner{Slot: 0, Incarnation: 1}, Term: 16, Attempt: 2}
+	is.True(!a.Acquire(start.Add(cfg.Promise()-1), first).Granted) // abstains
+	now := start.Add(cfg.Promise())
+	is.True(a.Acquire(now, first).Granted)
+	is.True(!a.Acquire(now, second).Granted) // one grant at a time
+	a.Release(first)
+	is.True(!a.Acquire(now, first).Granted) // a late request of a released grant
+	is.True(a.Acquire(now, second).Granted)
+	a.Release(first) // a late release of attempt 1
+	is.True(a.State(now, 0).Held)
+	is.Equal(a.State(now, 0).Term, second.Term)
+	end := now.Add(cfg.Promise())
+	is.True(a.State(end.Add(-1), 0).Held)
+	is.True(!a.State(end, 0).Held)
+	low := Grant{Part: 0, Owner: Owner{Slot: 1, Incarnation: 1}, Term: 9, Attempt: 1}
+	is.True(!a.Acquire(end, low).Granted) // terms rise
+}
+
+func TestHolderNoticesAPause(t *testing.T) {
+	is := is.New(t)
+	cfg := config(1)
+	a, p := NewAcceptor(cfg, epoch), NewProposer(cfg, Owner{Incarnation: 1})
+	now := epoch.Add(cfg.Promise())
+	r := p.Tick(now, a)
+	is.Equal(len(r.Acquire), 1)
+	p.Answer(now, r.SentAt, 0, r.Acquire[0], a.Acquire(now, r.Acquire[0]))
+	_, until, ok := p.Holds(now, 0)
+	is.True(ok)
+	is.Equal(until, now.Add(cfg.Lease))
+	_, _, ok = p.Holds(now.Add(cfg.Lease), 0)
+	is.True(!ok)
+	next := p.Tick(now.Add(cfg.Lease), a)
+	is.Equal(next.Release, []Grant{r.Acquire[0]})
+}
+
+func TestAnotherSlotTakesOver(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t)
+		if n.cfg.Slots < 3 {
+			t.Skip("no majority without the home slot")
+		}
+		n.loss, n.dup, n.restart, n.pause, n.delay = 0, 0, 0, 0, 50*time.Millisecond
+		lost := rapid.IntRange(0, n.cfg.Slots-1).Draw(t, "lost")
+		run := func(until time.Duration) {
+			for n.now < until {
+				n.step()
+				clear(n.cut)
+			}
+		}
+		run(5 * time.Second)
+		n.nodes[lost].pausedUntil = time.Hour
+		run(n.now + n.cfg.Promise() + 3*n.cfg.Heartbeat)
+		heir := (lost + 1) % n.cfg.Slots
+		if _, _, ok := n.nodes[heir].proposer.Holds(n.clock(heir), lost); !ok {
+			t.Fatalf("slot %d of %d does not hold part %d", heir, n.cfg.Slots, lost)
+		}
+	})
+}
--- a/internal/lease/proposer.go
+++ b/internal/lease/proposer.go
@@ -8,6 +8,9 @@
 // slotBits is the number of low bits of a term that hold the slot of its owner.
 const slotBits = 3
 
+// attemptBeats is the number of heartbeats after which an attempt without a majority is given up.
+const attemptBeats = 2
+
 // offerValid is the number of heartbeats for which an offered part may be acquired without waiting.
 const offerValid = 4
 
@@ -31,7 +34,10 @@
 	maxTerm uint64
 	retryAt time.Time
 	offered time.Time
-	reports [MaxSlots]report
+	// contending is set after an attempt that fell short while no other holder was seen: the next one waits only for
+	// retryAt, so that two slots that shared the votes do not meet again.
+	contending bool
+	reports    [MaxSlots]report
 }
 
 type report struct {
@@ -70,15 +76,16 @@
 	return r
 }
 
-// expire gives up an attempt that fell short for two heartbeats, and a holding that has run out.
+// expire gives up an attempt that fell short, and a holding that has run out.
 func (p *Proposer) expire(now time.Time, part int) {
 	s := &p.parts[part]
 	if !s.active || p.holds(now, s) {
 		return
 	}
-	if s.held || now.Sub(s.started) >= 2*p.cfg.Heartbeat {
+	if s.held || now.Sub(s.started) >= attemptBeats*p.cfg.Heartbeat {
+		s.contending = !s.held
 		p.release(part)
-		s.retryAt = now.Add(time.Duration(p.rank(part)+1) * p.cfg.Heartbeat)
+		s.retryAt = now.Add(p.stagger(p.rank(part)))
 	}
 }
 
@@ -87,21 +94,27 @@
 	return (p.self.Slot - part + p.cfg.Slots) % p.cfg.Slots
 }
 
+// stagger keeps the attempts of slots of different rank apart.
+func (p *Proposer) stagger(rank int) time.Duration {
+	return time.Duration(rank*(attemptBeats+1)) * p.cfg.Heartbeat
+}
+
 func (p *Proposer) mayTry(now time.Time, part int, local *Acceptor, r *Round) bool {
 	s := &p.parts[part]
 	if p.leaving || local.Abstaining(now) || now.Before(s.retryAt) || !p.Standing(now) {
 		return false
 	}
 	if _, other := p.Holder(now, part); other {
+		s.contending = false
 		if p.rank(part) == 0 {
 			r.Wanted = append(r.Wanted, part)
 		}
 		return false
 	}
-	if p.rank(part) == 0 || now.Before(s.offered) {
+	if p.rank(part) == 0 || s.contending || now.Before(s.offered) {
 		return true
 	}
-	wait := p.cfg.Promise() + time.Duration(p.rank(part)-1)*p.cfg.Heartbeat
+	wait := p.cfg.Promise() + p.stagger(p.rank(part)-1)
 	return now.Sub(local.Renewed(part)) >= wait
 }
 
