Let the log be one more voter of cells of even size

Cause: a cell of 2 needs both slots, so one crash stops it. Choice: the log has no clock and its records expire, so each writer judges only its own records: a record that asks for a grant names an offset before which every grant of the part was released or silent for a promise, and counts if no other grant was asked for since. Ruled out: one acceptor state replayed by all readers, because readers that start after the expiry of a record disagree with older ones. A vote counts if every earlier vote of its id was withdrawn before it. The log is asked only for what the slots do not keep up, so a whole cell appends nothing (checked in virtual time).

--- a/internal/cell/beat.go
+++ b/internal/cell/beat.go
@@ -47,7 +47,13 @@
 			requests[slot] = c.request(slot, round, offers)
 		}
 	}
+	askExtra := c.extra != nil && !c.extraBusy
+	c.extraBusy = c.extraBusy || askExtra
+	need := c.proposer.NeedsExtra(now, round)
 	c.mu.Unlock()
+	if askExtra {
+		sent.Go(func() { c.exchangeExtra(round, need) })
+	}
 	for slot, req := range requests[:c.cfg.Slots] {
 		if req != nil {
 			sent.Go(func() { c.exchange(slot, round, req) })
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -104,11 +104,15 @@
 }
 
 // newTestCell starts a cell whose voters have caught up.
-func newTestCell(tb testing.TB, cfg Config) *testCell {
+func newTestCell(tb testing.TB, cfg Config, opts ...func(slot int) Option) *testCell {
 	invariant.PanicOnViolation(true)
 	c := &testCell{tb: tb, cfg: cfg, slots: make([]*testSlot, cfg.Slots)}
 	for i := range c.slots {
-		c.start(i, cfg.Incarnation)
+		var options []Option
+		for _, o := range opts {
+			options = append(options, o(i))
+		}
+		c.start(i, cfg.Incarnation, options...)
 	}
 	tb.Cleanup(func() {
 		for _, s := range c.slots {
--- a/internal/cell/claims.go
+++ b/internal/cell/claims.go
@@ -54,6 +54,8 @@
 	issued  time.Time
 	attempt uint64
 	sent    time.Time
+	// askedExtra is written before Claim returns and only read afterwards.
+	askedExtra bool
 }
 
 // Valid reports whether the request may still be sent to a backend server. It has to be asked right before: after a
@@ -142,27 +144,48 @@
 	return c.unavailable("too few voters granted the claim")
 }
 
-// poll returns as soon as the decision is sure, or ctx ends.
+// poll returns as soon as the decision is sure, or ctx ends. The extra voter is asked when a slot gave no vote, or
+// when the slots take long.
 func (c *Controller) poll(ctx context.Context, cl *Claim) (claim.Decision, *claim.Answer) {
-	answers := make(chan claim.Answer, c.cfg.Slots)
+	answers := make(chan claim.Answer, c.cfg.Slots+1)
 	for slot := range c.cfg.Slots {
 		go func() { answers <- cl.vote(ctx, slot) }()
 	}
-	tally := claim.NewTally(c.cfg.Slots)
-	for range c.cfg.Slots {
+	hedge := time.NewTimer(c.cfg.Heartbeat / 2)
+	defer hedge.Stop()
+	tally := claim.NewTally(c.voters())
+	pending := c.cfg.Slots
+	for pending > 0 {
+		needExtra := false
 		select {
 		case a := <-answers:
+			pending--
 			tally.Add(a)
+			needExtra = a.Result == 0 || a.Result == claim.Abstaining
+		case <-hedge.C:
+			needExtra = true
 		case <-ctx.Done():
 			return tally.Decide()
 		}
 		if decision, settled := tally.Decide(); decision == claim.Won || settled != nil {
 			return decision, settled
 		}
+		if needExtra && c.extra != nil && !cl.askedExtra {
+			cl.askedExtra = true
+			pending++
+			go func() { answers <- cl.voteExtra(ctx) }()
+		}
 	}
 	return tally.Decide()
 }
 
+func (c *Controller) voters() int {
+	if c.extra != nil {
+		return c.cfg.Slots + 1
+	}
+	return c.cfg.Slots
+}
+
 // vote asks one voter. The answer is zero when there was none. Votes go on after the claim is won, so that later
 // failures of voters are borne.
 func (c *Claim) vote(ctx context.Context, slot int) claim.Answer {
@@ -205,6 +228,9 @@
 			sent.Go(func() { c.withdrawAt(ctx, slot, n) })
 		}
 	}
+	if c.askedExtra {
+		sent.Go(func() { c.withdrawExtra(ctx) })
+	}
 	sent.Wait()
 }
 
--- a/internal/cell/controller.go
+++ b/internal/cell/controller.go
@@ -85,6 +85,16 @@
 	return func(c *Controller) { c.predecessor = incarnation }
 }
 
+// WithExtraVoter adds one more voter to a cell of even size, so that half of its slots and the voter are a majority.
+// Every slot of the cell has to have it, or none. A cell of odd size ignores it.
+func WithExtraVoter(v ExtraVoter) Option {
+	return func(c *Controller) {
+		if c.cfg.Slots%2 == 0 {
+			c.extra = v
+		}
+	}
+}
+
 // Controller is one slot of a cell. It is safe for concurrent use.
 type Controller struct {
 	cfg         Config
@@ -93,6 +103,7 @@
 	self        lease.Owner
 	issueTime   func(id string) (time.Time, bool)
 	predecessor uint64
+	extra       ExtraVoter // nil if there is none
 	metrics     *metrics
 	kick        chan struct{}
 	changed     chan struct{}
@@ -107,15 +118,16 @@
 	peers    [lease.MaxSlots]peerQueue
 	offers   []*cellv1.Offer
 	kept     map[lease.Owner]keptTable
-	held     []int
-	onChange []func([]int)
+	// extraBusy is set while a round waits for the extra voter.
+	extraBusy bool
+	held      []int
+	onChange  []func([]int)
 }
 
 // New returns a Controller whose abstention begins now. Run must be started soon after.
 func New(cfg Config, table *member.Table, dial Dialer, opts ...Option) *Controller {
 	cfg = cfg.withDefaults()
 	now := time.Now()
-	lc := cfg.leaseConfig()
 	c := &Controller{
 		cfg: cfg, table: table, dial: dial,
 		self:      lease.Owner{Slot: cfg.Slot, Incarnation: cfg.Incarnation},
@@ -123,14 +135,16 @@
 		metrics:   newMetrics(),
 		kick:      make(chan struct{}, 1),
 		changed:   make(chan struct{}, 1),
-		acceptor:  lease.NewAcceptor(lc, now),
-		voter:     claim.NewVoter(now, cfg.ClaimWindow, lc.Promise()),
 		kept:      map[lease.Owner]keptTable{},
 	}
-	c.proposer = lease.NewProposer(lc, c.self)
 	for _, o := range opts {
 		o(c)
 	}
+	lc := cfg.leaseConfig()
+	lc.ExtraVoter = c.extra != nil
+	c.acceptor = lease.NewAcceptor(lc, now)
+	c.proposer = lease.NewProposer(lc, c.self)
+	c.voter = claim.NewVoter(now, cfg.ClaimWindow, lc.Promise())
 	return c
 }
 
--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -18,7 +18,7 @@
 }
 
 func grantFrom(o lease.Owner, g *cellv1.Grant) lease.Grant {
-	return lease.Grant{Part: int(g.Part), Owner: o, Term: g.Term, Attempt: g.Attempt}
+	return lease.Grant{Part: int(g.GetPart()), Owner: o, Term: g.GetTerm(), Attempt: g.GetAttempt()}
 }
 
 func stateProto(s lease.State) *cellv1.PartState {
--- /dev/null
+++ b/internal/cell/logvoter.go
@@ -0,0 +1,226 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	cellv1 "github.com/berylpond/berylpond/api/cell/v1"
+	"github.com/berylpond/berylpond/internal/claim"
+	"github.com/berylpond/berylpond/internal/lease"
+)
+
+const (
+	// logReadMax is the number of records of one read.
+	logReadMax = 1000
+	// logReadWait is the time for which a read waits for the own record.
+	logReadWait = 100 * time.Millisecond
+)
+
+// Record is one record of a stream.
+type Record struct {
+	Offset int64
+	Data   []byte
+}
+
+// Log is an append-only log service. It has to keep the records of a cell for the claim window.
+type Log interface {
+	// Append returns the offset of the first record.
+	Append(ctx context.Context, stream string, records [][]byte) (int64, error)
+	// Read returns records from the given offset, the oldest offset kept, and the offset after the newest record.
+	Read(ctx context.Context, stream string, from int64, max int, wait time.Duration) (first, end int64, recs []Record, err error)
+}
+
+// LogVoter is the ExtraVoter on the stream "cell/<data centre>" of a log. It appends only when it is asked for a grant
+// or a vote, that is while slots of the cell are missing.
+type LogVoter struct {
+	log    Log
+	stream string
+	self   lease.Owner
+	slots  int
+	turn   chan struct{} // holds one token: its receiver owns the fields below
+
+	sequence uint64
+	next     int64
+	acceptor *lease.LogAcceptor
+	voter    *claim.LogVoter
+	// own is what the log made of the last own record; it is nil until that was read back.
+	own *ownRecord
+}
+
+type ownRecord struct {
+	granted [lease.MaxSlots]bool
+	vote    claim.Answer
+}
+
+// NewLogVoter returns the voter of the slot in cfg.
+func NewLogVoter(cfg Config, log Log) *LogVoter {
+	cfg = cfg.withDefaults()
+	lc := cfg.leaseConfig()
+	lc.ExtraVoter = true
+	self := lease.Owner{Slot: cfg.Slot, Incarnation: cfg.Incarnation}
+	v := &LogVoter{
+		log: log, stream: "cell/" + cfg.DataCentre, self: self, slots: cfg.Slots, turn: make(chan struct{}, 1),
+		acceptor: lease.NewLogAcceptor(lc, self), voter: claim.NewLogVoter(time.Now(), cfg.ClaimWindow),
+	}
+	v.turn <- struct{}{}
+	return v
+}
+
+// lock waits for the turn.
+func (v *LogVoter) lock(ctx context.Context) error {
+	select {
+	case <-v.turn:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (v *LogVoter) unlock() { v.turn <- struct{}{} }
+
+// Exchange implements ExtraVoter.
+func (v *LogVoter) Exchange(ctx context.Context, acquire, release []lease.Grant) ([]lease.State, error) {
+	if err := v.lock(ctx); err != nil {
+		return nil, err
+	}
+	defer v.unlock()
+	if err := v.catchUp(ctx); err != nil {
+		return nil, err
+	}
+	rec := &cellv1.LogRecord{}
+	for _, g := range acquire {
+		if from, ok := v.acceptor.Ask(time.Now(), g); ok {
+			rec.Acquire = append(rec.Acquire, &cellv1.LogAcquire{Grant: grantProto(g), QuietFrom: from})
+		}
+	}
+	for _, g := range release {
+		if v.acceptor.Asked(g) {
+			rec.Release = append(rec.Release, grantProto(g))
+		}
+	}
+	var granted [lease.MaxSlots]bool
+	if len(rec.Acquire)+len(rec.Release) > 0 {
+		own, err := v.write(ctx, rec)
+		if err != nil {
+			return nil, err
+		}
+		granted = own.granted
+	}
+	states := make([]lease.State, 0, v.slots)
+	for part := range v.slots {
+		states = append(states, v.acceptor.State(time.Now(), part, granted[part]))
+	}
+	return states, nil
+}
+
+// Vote implements ExtraVoter.
+func (v *LogVoter) Vote(ctx context.Context, id string, issued time.Time, ex claim.Executor) (claim.Answer, error) {
+	if err := v.lock(ctx); err != nil {
+		return claim.Answer{}, err
+	}
+	defer v.unlock()
+	if err := v.catchUp(ctx); err != nil {
+		return claim.Answer{}, err
+	}
+	if a, ok := v.voter.Lookup(time.Now(), id, issued); ok {
+		return a, nil
+	}
+	vote := &cellv1.LogVote{Id: id, Attempt: ex.Attempt, IssuedUnixMs: issued.UnixMilli()}
+	own, err := v.write(ctx, &cellv1.LogRecord{Vote: []*cellv1.LogVote{vote}})
+	if err != nil {
+		return claim.Answer{}, err
+	}
+	return own.vote, nil
+}
+
+// Withdraw implements ExtraVoter.
+func (v *LogVoter) Withdraw(ctx context.Context, id string, ex claim.Executor) error {
+	if err := v.lock(ctx); err != nil {
+		return err
+	}
+	defer v.unlock()
+	_, err := v.write(ctx, &cellv1.LogRecord{Withdraw: []*cellv1.LogVote{{Id: id, Attempt: ex.Attempt}}})
+	return err
+}
+
+// write appends a record and reads the log until it comes back. The turn is held.
+func (v *LogVoter) write(ctx context.Context, rec *cellv1.LogRecord) (*ownRecord, error) {
+	v.sequence++
+	v.own = nil
+	rec.Sender, rec.Sequence = ownerProto(v.self), v.sequence
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		return nil, errors.Wrap(err, "marshal log record")
+	}
+	if _, err := v.log.Append(ctx, v.stream, [][]byte{data}); err != nil {
+		return nil, errors.Wrap(err, "append to the cell's stream")
+	}
+	for v.own == nil {
+		if _, err := v.read(ctx, logReadWait); err != nil {
+			return nil, err
+		}
+	}
+	return v.own, nil
+}
+
+// catchUp reads to the end of the log. The turn is held.
+func (v *LogVoter) catchUp(ctx context.Context) error {
+	v.voter.Sweep(time.Now())
+	for {
+		if end, err := v.read(ctx, 0); err != nil || v.next >= end {
+			return err
+		}
+	}
+}
+
+// read applies the next records and returns the end of the log. The turn is held.
+func (v *LogVoter) read(ctx context.Context, wait time.Duration) (end int64, err error) {
+	if err := ctx.Err(); err != nil {
+		return 0, err
+	}
+	first, end, recs, err := v.log.Read(ctx, v.stream, v.next, logReadMax, wait)
+	if err != nil {
+		return 0, errors.Wrap(err, "read the cell's stream")
+	}
+	v.next = max(v.next, first)
+	now := time.Now()
+	for _, r := range recs {
+		if r.Offset < v.next {
+			continue
+		}
+		v.next = r.Offset + 1
+		v.apply(now, r)
+	}
+	v.acceptor.Read(v.next)
+	return end, nil
+}
+
+// apply gives one record to the state machines; a record that can't be read counts for nothing. The turn is held.
+func (v *LogVoter) apply(now time.Time, r Record) {
+	var rec cellv1.LogRecord
+	if proto.Unmarshal(r.Data, &rec) != nil {
+		return
+	}
+	sender := ownerFrom(rec.Sender)
+	var own ownRecord
+	for _, g := range rec.Release {
+		v.acceptor.Release(grantFrom(sender, g))
+	}
+	for _, a := range rec.Acquire {
+		if g := grantFrom(sender, a.Grant); g.Part < v.slots {
+			own.granted[g.Part] = v.acceptor.Acquire(now, r.Offset, g)
+		}
+	}
+	for _, w := range rec.Withdraw {
+		v.voter.Withdraw(w.Id, executor(sender, w.Attempt))
+	}
+	for _, b := range rec.Vote {
+		own.vote = v.voter.Vote(now, b.Id, time.UnixMilli(b.IssuedUnixMs), executor(sender, b.Attempt))
+	}
+	if sender == v.self && rec.Sequence == v.sequence && v.own == nil {
+		v.own = &own
+	}
+}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -130,6 +130,12 @@
 	answer   *Answer
 }
 
+// reader is one slot's view of the log.
+type reader struct {
+	voter *LogVoter
+	next  int
+}
+
 type cluster struct {
 	t        *rapid.T
 	rnd      *rand.Rand
@@ -137,6 +143,9 @@
 	voters   []*Voter
 	attempts []*attempt
 	messages []message
+	extra    bool
+	log      []message
+	readers  []*reader
 	winners  map[string]Executor
 	won      int
 }
@@ -149,16 +158,43 @@
 	}
 }
 
+func (c *cluster) size() int {
+	if c.extra {
+		return len(c.voters) + 1
+	}
+	return len(c.voters)
+}
+
 func (c *cluster) begin() {
 	a := &attempt{
 		ex: Executor{Slot: c.rnd.IntN(len(c.voters)), Incarnation: 1, Attempt: uint64(len(c.attempts) + 1)},
 		id: fmt.Sprint(c.now.Unix()/1000*10 + int64(c.rnd.IntN(3))), issued: c.now.Truncate(1000 * time.Second),
-		tally: NewTally(len(c.voters)), counted: map[int]bool{},
+		tally: NewTally(c.size()), counted: map[int]bool{},
 	}
 	c.attempts = append(c.attempts, a)
 	for v := range c.voters {
 		c.send(message{a: a, voter: v})
 	}
+	if _, known := c.readers[a.ex.Slot].voter.Lookup(c.now, a.id, a.issued); c.extra && !known {
+		c.send(message{a: a, voter: len(c.voters)})
+	}
+}
+
+// read gives the next records to one slot, which judges its own.
+func (c *cluster) read(slot int) {
+	r := c.readers[slot]
+	for ; r.next < len(c.log) && c.rnd.IntN(4) > 0; r.next++ {
+		m := c.log[r.next]
+		if m.withdraw {
+			r.voter.Withdraw(m.a.id, m.a.ex)
+			continue
+		}
+		answer := r.voter.Vote(c.now, m.a.id, m.a.issued, m.a.ex)
+		if m.a.ex.Slot == slot {
+			c.deliver(message{a: m.a, voter: m.voter, answer: &answer})
+		}
+	}
+	r.voter.Sweep(c.now)
 }
 
 // finish ends an attempt that has not won: it withdraws everywhere.
@@ -167,6 +203,9 @@
 	for v := range c.voters {
 		c.send(message{a: a, voter: v, withdraw: true})
 	}
+	if c.extra {
+		c.send(message{a: a, voter: len(c.voters), withdraw: true})
+	}
 }
 
 func (c *cluster) deliver(m message) {
@@ -181,6 +220,8 @@
 		if a.tally.Won() {
 			c.win(a)
 		}
+	case m.voter == len(c.voters):
+		c.log = append(c.log, m)
 	case m.withdraw:
 		c.voters[m.voter].Withdraw(c.now, a.id, a.issued, a.ex)
 	default:
@@ -205,6 +246,10 @@
 		successor.Import(c.now, table)
 	}
 	c.voters[v] = successor
+	for _, a := range c.attempts {
+		a.done = a.done || a.ex.Slot == v // its executor has died
+	}
+	c.readers[v] = &reader{voter: NewLogVoter(c.now, window)}
 }
 
 func (c *cluster) step() {
@@ -220,6 +265,9 @@
 			c.finish(a)
 		}
 	}
+	if c.extra {
+		c.read(c.rnd.IntN(len(c.voters)))
+	}
 	for range 1 + c.rnd.IntN(12) {
 		if len(c.messages) == 0 {
 			return
@@ -236,9 +284,11 @@
 	won := 0
 	rapid.Check(t, func(t *rapid.T) {
 		c := &cluster{t: t, now: epoch, rnd: rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed"))), winners: map[string]Executor{}}
-		for range rapid.SampledFrom([]int{2, 3, 5, 7}).Draw(t, "voters") {
+		for range rapid.SampledFrom([]int{2, 3, 4, 5, 7}).Draw(t, "voters") {
 			c.voters = append(c.voters, working(c.now))
+			c.readers = append(c.readers, &reader{voter: NewLogVoter(c.now, window)})
 		}
+		c.extra = len(c.voters)%2 == 0
 		for range 1000 {
 			c.step()
 		}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -11,10 +11,15 @@
 // MaxSlots is the largest number of slots, and of parts, of a cell.
 const MaxSlots = 8
 
+// maxVoters counts the extra voter as well.
+const maxVoters = MaxSlots + 1
+
 // Config holds the durations and the size of a cell.
 type Config struct {
 	// Slots is the number of slots and of parts.
 	Slots int
+	// ExtraVoter is set when one more voter, at the index Slots, counts for a cell of even size.
+	ExtraVoter bool
 	// Lease is L, the time for which a grant counts.
 	Lease time.Duration
 	// Margin covers the drift between two clocks over Lease.
@@ -26,8 +31,16 @@
 // Promise is the time for which an acceptor supports a grant.
 func (c Config) Promise() time.Duration { return c.Lease + c.Margin }
 
-// Majority is the number of slots that decide.
-func (c Config) Majority() int { return c.Slots/2 + 1 }
+// Voters is the number of voters: the slots, and the extra voter if there is one.
+func (c Config) Voters() int {
+	if c.ExtraVoter {
+		return c.Slots + 1
+	}
+	return c.Slots
+}
+
+// Majority is the number of voters that decide.
+func (c Config) Majority() int { return c.Voters()/2 + 1 }
 
 // Owner is one process in one slot.
 type Owner struct {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -21,6 +21,9 @@
 	rate        float64
 	offset      time.Duration
 	nextTick    time.Duration
+	reader      *LogAcceptor
+	read        int
+	pending     *logRecord
 	pausedUntil time.Duration
 }
 
@@ -34,6 +37,15 @@
 	offers   []int
 }
 
+// logRecord lands in the log at a later time than it was sent, or never.
+type logRecord struct {
+	at      time.Duration
+	round   Round
+	acquire []Grant
+	from    []int64
+	release []Grant
+}
+
 // network runs a cell in virtual time with loss, duplication, delay, reordering, restarts and pauses.
 type network struct {
 	t                         *rapid.T
@@ -44,9 +56,10 @@
 	packets                   []packet
 	loss, dup, restart, pause float64
 	delay                     time.Duration
+	log, landing              []*logRecord
 	cut                       []bool
 	lastOwner                 []Grant
-	holdings                  int
+	holdings, logGrants       int
 }
 
 var epoch = time.UnixMilli(1_700_000_000_000)
@@ -68,6 +81,7 @@
 		delay:   time.Duration(rapid.IntRange(1, 3000).Draw(t, "delay")) * time.Millisecond,
 		cut:     make([]bool, slots*slots), lastOwner: make([]Grant, slots),
 	}
+	n.cfg.ExtraVoter = slots%2 == 0 && rapid.Bool().Draw(t, "extra")
 	for i := range slots {
 		n.nodes = append(n.nodes, &node{rate: 0.98 + 0.04*n.rnd.Float64(), offset: time.Duration(n.rnd.IntN(200)) * time.Millisecond})
 		n.start(i)
@@ -81,6 +95,7 @@
 	nd.acceptor = NewAcceptor(n.cfg, n.clock(i))
 	nd.proposer = NewProposer(n.cfg, Owner{Slot: i, Incarnation: nd.incarnation})
 	nd.pausedUntil = 0
+	nd.reader, nd.read, nd.pending = NewLogAcceptor(n.cfg, Owner{Slot: i, Incarnation: nd.incarnation}), 0, nil
 }
 
 func (n *network) send(p packet) {
@@ -110,6 +125,71 @@
 	for to := range n.nodes {
 		n.send(packet{from: i, to: to, sender: nd.incarnation, round: r, offers: offers})
 	}
+	if n.cfg.ExtraVoter {
+		n.tickLog(i, r)
+	}
+}
+
+// tickLog reads the log to its end and sends a record that asks for the grants in need.
+func (n *network) tickLog(i int, r Round) {
+	nd := n.nodes[i]
+	n.readLog(i)
+	rec := &logRecord{round: r, at: n.now}
+	for _, g := range nd.proposer.NeedsExtra(n.clock(i), r) {
+		if from, ok := nd.reader.Ask(n.clock(i), g); ok {
+			rec.acquire, rec.from = append(rec.acquire, g), append(rec.from, from)
+		}
+	}
+	for _, g := range r.Release {
+		if nd.reader.Asked(g) {
+			rec.release = append(rec.release, g)
+		}
+	}
+	nd.pending = rec
+	for range 1 + n.rnd.IntN(8)/7 {
+		if n.rnd.Float64() >= n.loss {
+			late := *rec
+			if n.rnd.IntN(3) == 0 {
+				late.at += time.Duration(n.rnd.Int64N(int64(n.delay) + 1))
+			}
+			late.round.SentAt = rec.round.SentAt
+			n.landing = append(n.landing, &late)
+		}
+	}
+}
+
+// readLog applies new records and judges the own pending one.
+func (n *network) readLog(i int) {
+	nd := n.nodes[i]
+	now := n.clock(i)
+	for ; nd.read < len(n.log); nd.read++ {
+		rec := n.log[nd.read]
+		for _, g := range rec.release {
+			nd.reader.Release(g)
+		}
+		own := nd.pending != nil && len(rec.acquire) > 0 && rec.acquire[0].Owner == nd.proposer.self && rec.round.SentAt.Equal(nd.pending.round.SentAt)
+		for _, g := range rec.acquire {
+			granted := nd.reader.Acquire(now, int64(nd.read), g)
+			if own {
+				n.logGrants += map[bool]int{true: 1}[granted]
+				nd.proposer.Answer(now, rec.round.SentAt, n.cfg.Slots, g, nd.reader.State(now, g.Part, granted))
+			}
+		}
+	}
+	nd.reader.Read(int64(nd.read))
+}
+
+// land appends what has arrived at the log.
+func (n *network) land() {
+	rest := n.landing[:0]
+	for _, rec := range n.landing {
+		if rec.at > n.now {
+			rest = append(rest, rec)
+		} else {
+			n.log = append(n.log, rec)
+		}
+	}
+	n.landing = rest
 }
 
 func (n *network) deliver(p packet) {
@@ -182,7 +262,12 @@
 			n.deliver(p)
 		}
 	}
+	n.land()
 	for i, nd := range n.nodes {
+		if n.cfg.ExtraVoter && nd.pausedUntil <= n.now && n.rnd.IntN(2) == 0 {
+			nd.proposer.Alive(n.clock(i), n.cfg.Slots)
+			n.readLog(i)
+		}
 		if nd.pausedUntil <= n.now && nd.nextTick <= n.now {
 			nd.nextTick = n.now + n.cfg.Heartbeat
 			n.tick(i, nil)
@@ -218,16 +303,17 @@
 }
 
 func TestNeverTwoHolders(t *testing.T) {
-	holdings := 0
+	holdings, logGrants := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(t)
 		for range 1200 {
 			n.step()
 		}
 		holdings += n.holdings
+		logGrants += n.logGrants
 	})
-	t.Logf("%d holdings", holdings)
-	is.New(t).True(holdings > 100) // the runs have to reach the state that they check
+	t.Logf("%d holdings, %d grants by the log", holdings, logGrants)
+	is.New(t).True(holdings > 100 && logGrants > 100) // the runs have to reach the state that they check
 }
 
 func TestEveryHomeHoldsItsPartWithoutFaults(t *testing.T) {
@@ -243,6 +329,11 @@
 				t.Fatalf("slot %d of %d holds %v", i, n.cfg.Slots, held)
 			}
 		}
+		for _, rec := range n.log {
+			if len(rec.acquire) > 0 {
+				t.Fatalf("a whole cell asked the log: %+v", rec)
+			}
+		}
 	})
 }
 
--- a/internal/lease/proposer.go
+++ b/internal/lease/proposer.go
@@ -20,7 +20,7 @@
 	self     Owner
 	attempt  uint64
 	leaving  bool
-	standing [MaxSlots]time.Time
+	standing [maxVoters]time.Time
 	parts    []proposedPart
 	releases []Grant
 }
@@ -30,14 +30,14 @@
 	grant   Grant
 	started time.Time
 	held    bool
-	until   [MaxSlots]time.Time
+	until   [maxVoters]time.Time
 	maxTerm uint64
 	retryAt time.Time
 	offered time.Time
 	// contending is set after an attempt that fell short while no other holder was seen: the next one waits only for
 	// retryAt, so that two slots that shared the votes do not meet again.
 	contending bool
-	reports    [MaxSlots]report
+	reports    [maxVoters]report
 }
 
 type report struct {
@@ -125,13 +125,13 @@
 	s.maxTerm = counter<<slotBits | uint64(p.self.Slot)
 	s.grant = Grant{Part: part, Owner: p.self, Term: s.maxTerm, Attempt: p.attempt}
 	s.active, s.held, s.started = true, false, now
-	s.until = [MaxSlots]time.Time{}
+	s.until = [maxVoters]time.Time{}
 }
 
 // Answer takes in the answer of the acceptor at slot to the round that was sent at sentAt, and to the grant asked
 // there. asked is the zero Grant when the round asked nothing for the part.
 func (p *Proposer) Answer(now, sentAt time.Time, slot int, asked Grant, st State) {
-	if slot < 0 || slot >= p.cfg.Slots || st.Part < 0 || st.Part >= len(p.parts) {
+	if slot < 0 || slot >= p.cfg.Voters() || st.Part < 0 || st.Part >= len(p.parts) {
 		return
 	}
 	s := &p.parts[st.Part]
@@ -148,9 +148,33 @@
 	s.held = s.held || p.holds(now, s)
 }
 
+// NeedsExtra returns the grants of a round that the slots alone will not keep up for another half of the lease.
+// The slots have one round for a new attempt before the extra voter is asked.
+func (p *Proposer) NeedsExtra(now time.Time, r Round) []Grant {
+	var need []Grant
+	for _, g := range r.Acquire {
+		s := &p.parts[g.Part]
+		if s.active && s.grant == g && s.started.Before(now) && p.granting(now.Add(p.cfg.Lease/2), s) < p.cfg.Majority() {
+			need = append(need, g)
+		}
+	}
+	return need
+}
+
+// granting counts the slots whose grants last beyond the given time.
+func (p *Proposer) granting(at time.Time, s *proposedPart) int {
+	n := 0
+	for _, until := range s.until[:p.cfg.Slots] {
+		if until.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
 // Alive notes that the slot answered a message that was sent at sentAt.
 func (p *Proposer) Alive(sentAt time.Time, slot int) {
-	if slot < 0 || slot >= p.cfg.Slots {
+	if slot < 0 || slot >= p.cfg.Voters() {
 		return
 	}
 	if until := sentAt.Add(p.cfg.Lease); until.After(p.standing[slot]) {
@@ -186,8 +210,8 @@
 }
 
 // majorityUntil is the latest time until which a majority of the slots grants.
-func (p *Proposer) majorityUntil(until [MaxSlots]time.Time) time.Time {
-	s := until[:p.cfg.Slots]
+func (p *Proposer) majorityUntil(until [maxVoters]time.Time) time.Time {
+	s := until[:p.cfg.Voters()]
 	slices.SortFunc(s, func(a, b time.Time) int { return b.Compare(a) })
 	return s[p.cfg.Majority()-1]
 }
@@ -196,7 +220,7 @@
 func (p *Proposer) Holder(now time.Time, part int) (Owner, bool) {
 	var best report
 	bestCount := 0
-	for _, r := range p.parts[part].reports[:p.cfg.Slots] {
+	for _, r := range p.parts[part].reports[:p.cfg.Voters()] {
 		if !r.fresh(now, p.cfg) || r.state.Holder == p.self {
 			continue
 		}
@@ -213,7 +237,7 @@
 
 func (p *Proposer) count(now time.Time, part int, o Owner) int {
 	n := 0
-	for _, r := range p.parts[part].reports[:p.cfg.Slots] {
+	for _, r := range p.parts[part].reports[:p.cfg.Voters()] {
 		if r.fresh(now, p.cfg) && r.state.Holder == o {
 			n++
 		}
@@ -228,7 +252,7 @@
 	}
 	s := &p.parts[part]
 	s.offered = now.Add(offerValid * p.cfg.Heartbeat)
-	s.reports = [MaxSlots]report{}
+	s.reports = [maxVoters]report{}
 	s.retryAt = time.Time{}
 }
 
@@ -259,7 +283,7 @@
 	s := &p.parts[part]
 	p.releases = append(p.releases, s.grant)
 	s.active, s.held = false, false
-	s.until = [MaxSlots]time.Time{}
+	s.until = [maxVoters]time.Time{}
 }
 
 // Held returns the held parts in ascending order.
