--- a/internal/cell/claims.go
+++ b/internal/cell/claims.go
@@ -12,6 +12,9 @@
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
+// driftShare is the part of the claim window that is kept for the drift between two clocks.
+const driftShare = 10
+
 // DuplicateError says that the id is claimed by another attempt, or may be.
 type DuplicateError struct {
 	// Settled is set when the outcome is known to the cell.
@@ -50,11 +53,19 @@
 	id      string
 	issued  time.Time
 	attempt uint64
-	fresh   time.Time
+	sent    time.Time
+	// askedExtra is written before Claim returns and only read afterwards.
+	askedExtra bool
+}
+
+// Valid reports whether the request may still be sent to a backend server. It has to be asked right before: after a
+// pause of about the claim window the voters may have been replaced and have granted the id again.
+func (c *Claim) Valid() bool {
+	return time.Since(c.sent) < c.c.cfg.ClaimWindow-c.c.cfg.ClaimWindow/driftShare
 }
 
 // FreshUntil is the time until which the intent has to be durable in the log where voters use CaughtUp.
-func (c *Claim) FreshUntil() time.Time { return c.fresh }
+func (c *Claim) FreshUntil() time.Time { return c.sent.Add(c.c.cfg.Lease) }
 
 // Claim asks the cell for the right to run the request. The error is a *DuplicateError, or a *verdict.Error with
 // ReasonClaimUnavailable: this attempt has no claim, its votes are withdrawn as far as their voters can be reached, and
@@ -103,7 +114,7 @@
 		return nil, c.unavailable("no majority of the cell answers")
 	}
 	c.attempt++
-	return &Claim{c: c, id: id, issued: issued, attempt: c.attempt, fresh: now.Add(c.cfg.Lease)}, nil
+	return &Claim{c: c, id: id, issued: issued, attempt: c.attempt, sent: now}, nil
 }
 
 // collect asks all voters, and withdraws the attempt unless it won.
@@ -116,7 +127,7 @@
 		cl.Withdraw(ctx)
 		return c.unavailable("%v", err)
 	}
-	if decision == claim.Won {
+	if decision == claim.Won && time.Now().Before(cl.FreshUntil()) {
 		return nil
 	}
 	cl.Withdraw(ctx)
@@ -133,27 +144,48 @@
 	return c.unavailable("too few voters granted the claim")
 }
 
-// poll returns as soon as the decision is sure, or ctx ends.
+// poll returns as soon as the decision is sure, or ctx ends. The extra voter is asked when a slot gave no vote, or
+// when the slots take long.
 func (c *Controller) poll(ctx context.Context, cl *Claim) (claim.Decision, *claim.Answer) {
-	answers := make(chan claim.Answer, c.cfg.Slots)
+	answers := make(chan claim.Answer, c.cfg.Slots+1)
 	for slot := range c.cfg.Slots {
 		go func() { answers <- cl.vote(ctx, slot) }()
 	}
-	tally := claim.NewTally(c.cfg.Slots)
-	for range c.cfg.Slots {
+	hedge := time.NewTimer(c.cfg.Heartbeat / 2)
+	defer hedge.Stop()
+	tally := claim.NewTally(c.voters())
+	pending := c.cfg.Slots
+	for pending > 0 {
+		needExtra := false
 		select {
 		case a := <-answers:
+			pending--
 			tally.Add(a)
+			needExtra = a.Result == 0 || a.Result == claim.Abstaining
+		case <-hedge.C:
+			needExtra = true
 		case <-ctx.Done():
 			return tally.Decide()
 		}
 		if decision, settled := tally.Decide(); decision == claim.Won || settled != nil {
 			return decision, settled
 		}
+		if needExtra && c.extra != nil && !cl.askedExtra {
+			cl.askedExtra = true
+			pending++
+			go func() { answers <- cl.voteExtra(ctx) }()
+		}
 	}
 	return tally.Decide()
 }
 
+func (c *Controller) voters() int {
+	if c.extra != nil {
+		return c.cfg.Slots + 1
+	}
+	return c.cfg.Slots
+}
+
 // vote asks one voter. The answer is zero when there was none. Votes go on after the claim is won, so that later
 // failures of voters are borne.
 func (c *Claim) vote(ctx context.Context, slot int) claim.Answer {
@@ -196,6 +228,9 @@
 			sent.Go(func() { c.withdrawAt(ctx, slot, n) })
 		}
 	}
+	if c.askedExtra {
+		sent.Go(func() { c.withdrawExtra(ctx) })
+	}
 	sent.Wait()
 }
 
--- a/internal/lease/proposer.go
+++ b/internal/lease/proposer.go
@@ -8,6 +8,9 @@
 // slotBits is the number of low bits of a term that hold the slot of its owner.
 const slotBits = 3
 
+// attemptBeats is the number of heartbeats after which an attempt without a majority is given up.
+const attemptBeats = 2
+
 // offerValid is the number of heartbeats for which an offered part may be acquired without waiting.
 const offerValid = 4
 
@@ -17,7 +20,7 @@
 	self     Owner
 	attempt  uint64
 	leaving  bool
-	standing [MaxSlots]time.Time
+	standing [maxVoters]time.Time
 	parts    []proposedPart
 	releases []Grant
 }
@@ -27,11 +30,14 @@
 	grant   Grant
 	started time.Time
 	held    bool
-	until   [MaxSlots]time.Time
+	until   [maxVoters]time.Time
 	maxTerm uint64
 	retryAt time.Time
 	offered time.Time
-	reports [MaxSlots]report
+	// contending is set after an attempt that fell short while no other holder was seen: the next one waits only for
+	// retryAt, so that two slots that shared the votes do not meet again.
+	contending bool
+	reports    [maxVoters]report
 }
 
 type report struct {
@@ -70,15 +76,16 @@
 	return r
 }
 
-// expire gives up an attempt that fell short for two heartbeats, and a holding that has run out.
+// expire gives up an attempt that fell short, and a holding that has run out.
 func (p *Proposer) expire(now time.Time, part int) {
 	s := &p.parts[part]
 	if !s.active || p.holds(now, s) {
 		return
 	}
-	if s.held || now.Sub(s.started) >= 2*p.cfg.Heartbeat {
+	if s.held || now.Sub(s.started) >= attemptBeats*p.cfg.Heartbeat {
+		s.contending = !s.held
 		p.release(part)
-		s.retryAt = now.Add(time.Duration(p.rank(part)+1) * p.cfg.Heartbeat)
+		s.retryAt = now.Add(p.stagger(p.rank(part)))
 	}
 }
 
@@ -87,21 +94,27 @@
 	return (p.self.Slot - part + p.cfg.Slots) % p.cfg.Slots
 }
 
+// stagger keeps the attempts of slots of different rank apart.
+func (p *Proposer) stagger(rank int) time.Duration {
+	return time.Duration(rank*(attemptBeats+1)) * p.cfg.Heartbeat
+}
+
 func (p *Proposer) mayTry(now time.Time, part int, local *Acceptor, r *Round) bool {
 	s := &p.parts[part]
 	if p.leaving || local.Abstaining(now) || now.Before(s.retryAt) || !p.Standing(now) {
 		return false
 	}
 	if _, other := p.Holder(now, part); other {
+		s.contending = false
 		if p.rank(part) == 0 {
 			r.Wanted = append(r.Wanted, part)
 		}
 		return false
 	}
-	if p.rank(part) == 0 || now.Before(s.offered) {
+	if p.rank(part) == 0 || s.contending || now.Before(s.offered) {
 		return true
 	}
-	wait := p.cfg.Promise() + time.Duration(p.rank(part)-1)*p.cfg.Heartbeat
+	wait := p.cfg.Promise() + p.stagger(p.rank(part)-1)
 	return now.Sub(local.Renewed(part)) >= wait
 }
 
@@ -112,13 +125,13 @@
 	s.maxTerm = counter<<slotBits | uint64(p.self.Slot)
 	s.grant = Grant{Part: part, Owner: p.self, Term: s.maxTerm, Attempt: p.attempt}
 	s.active, s.held, s.started = true, false, now
-	s.until = [MaxSlots]time.Time{}
+	s.until = [maxVoters]time.Time{}
 }
 
 // Answer takes in the answer of the acceptor at slot to the round that was sent at sentAt, and to the grant asked
 // there. asked is the zero Grant when the round asked nothing for the part.
 func (p *Proposer) Answer(now, sentAt time.Time, slot int, asked Grant, st State) {
-	if slot < 0 || slot >= p.cfg.Slots || st.Part < 0 || st.Part >= len(p.parts) {
+	if slot < 0 || slot >= p.cfg.Voters() || st.Part < 0 || st.Part >= len(p.parts) {
 		return
 	}
 	s := &p.parts[st.Part]
@@ -135,9 +148,33 @@
 	s.held = s.held || p.holds(now, s)
 }
 
+// NeedsExtra returns the grants of a round that the slots alone will not keep up for another half of the lease.
+// The slots have one round for a new attempt before the extra voter is asked.
+func (p *Proposer) NeedsExtra(now time.Time, r Round) []Grant {
+	var need []Grant
+	for _, g := range r.Acquire {
+		s := &p.parts[g.Part]
+		if s.active && s.grant == g && s.started.Before(now) && p.granting(now.Add(p.cfg.Lease/2), s) < p.cfg.Majority() {
+			need = append(need, g)
+		}
+	}
+	return need
+}
+
+// granting counts the slots whose grants last beyond the given time.
+func (p *Proposer) granting(at time.Time, s *proposedPart) int {
+	n := 0
+	for _, until := range s.until[:p.cfg.Slots] {
+		if until.After(at) {
+			n++
+		}
+	}
+	return n
+}
+
 // Alive notes that the slot answered a message that was sent at sentAt.
 func (p *Proposer) Alive(sentAt time.Time, slot int) {
-	if slot < 0 || slot >= p.cfg.Slots {
+	if slot < 0 || slot >= p.cfg.Voters() {
 		return
 	}
 	if until := sentAt.Add(p.cfg.Lease); until.After(p.standing[slot]) {
@@ -173,8 +210,8 @@
 }
 
 // majorityUntil is the latest time until which a majority of the slots grants.
-func (p *Proposer) majorityUntil(until [MaxSlots]time.Time) time.Time {
-	s := until[:p.cfg.Slots]
+func (p *Proposer) majorityUntil(until [maxVoters]time.Time) time.Time {
+	s := until[:p.cfg.Voters()]
 	slices.SortFunc(s, func(a, b time.Time) int { return b.Compare(a) })
 	return s[p.cfg.Majority()-1]
 }
@@ -183,7 +220,7 @@
 func (p *Proposer) Holder(now time.Time, part int) (Owner, bool) {
 	var best report
 	bestCount := 0
-	for _, r := range p.parts[part].reports[:p.cfg.Slots] {
+	for _, r := range p.parts[part].reports[:p.cfg.Voters()] {
 		if !r.fresh(now, p.cfg) || r.state.Holder == p.self {
 			continue
 		}
@@ -200,7 +237,7 @@
 
 func (p *Proposer) count(now time.Time, part int, o Owner) int {
 	n := 0
-	for _, r := range p.parts[part].reports[:p.cfg.Slots] {
+	for _, r := range p.parts[part].reports[:p.cfg.Voters()] {
 		if r.fresh(now, p.cfg) && r.state.Holder == o {
 			n++
 		}
@@ -215,7 +252,7 @@
 	}
 	s := &p.parts[part]
 	s.offered = now.Add(offerValid * p.cfg.Heartbeat)
-	s.reports = [MaxSlots]report{}
+	s.reports = [maxVoters]report{}
 	s.retryAt = time.Time{}
 }
 
@@ -246,7 +283,7 @@
 	s := &p.parts[part]
 	p.releases = append(p.releases, s.grant)
 	s.active, s.held = false, false
-	s.until = [MaxSlots]time.Time{}
+	s.until = [maxVoters]time.Time{}
 }
 
 // Held returns the held parts in ascending order.
