Test the reader rule and merge against a reference reader

Cause: the rule decides which of two racing edits counts; every reader has to come to the same answer, also one that starts in the middle.

What the tests showed: an instance that learned of a version from a peer before it read the log could not tell an operator what became of an edit in between. States now carry the recent versions, and outcomes are recalled from them.

--- a/internal/config/admin.go
+++ b/internal/config/admin.go
@@ -40,9 +40,7 @@
 func (a adminServer) History(_ context.Context, req *configv1.HistoryRequest) (*configv1.HistoryResponse, error) {
 	out := &configv1.HistoryResponse{}
 	for _, v := range a.c.History(req.Team) {
-		out.Versions = append(out.Versions, &configv1.VersionInfo{
-			Version: v.Version, Author: v.Author, AtUnixMs: v.At.UnixMilli(), EditId: v.EditID, Bytes: uint64(v.Bytes),
-		})
+		out.Versions = append(out.Versions, versionMessage(v))
 	}
 	return out, nil
 }
--- a/internal/config/merge.go
+++ b/internal/config/merge.go
@@ -94,6 +94,7 @@
 		out.AtUnixMs = 0
 		return out
 	}
+	t.addRecent(out, peerVersion)
 	base, ok := t.bases[peerVersion]
 	if !ok {
 		out.Document = t.doc
@@ -104,6 +105,31 @@
 	return out
 }
 
+// sentVersions is the largest number of past versions that are told at once.
+const sentVersions = 16
+
+// addRecent tells of the versions after peerVersion.
+func (t *team) addRecent(out *configv1.TeamState, peerVersion uint64) {
+	recent := t.history
+	out.RecentFrom = max(t.historyFrom, peerVersion+1)
+	for len(recent) > 0 && recent[0].Version <= peerVersion {
+		recent = recent[1:]
+	}
+	if n := len(recent) - sentVersions; n > 0 {
+		recent = recent[n:]
+		out.RecentFrom = recent[0].Version
+	}
+	for _, v := range recent {
+		out.Recent = append(out.Recent, versionMessage(v))
+	}
+}
+
+func versionMessage(v VersionInfo) *configv1.VersionInfo {
+	return &configv1.VersionInfo{
+		Version: v.Version, Author: v.Author, AtUnixMs: v.At.UnixMilli(), EditId: v.EditID, Bytes: uint64(v.Bytes),
+	}
+}
+
 // asOf returns the offset before which all log records are accounted for in the team's state.
 func (s *State) asOf(t *team) uint64 {
 	if !t.exact {
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -69,9 +69,13 @@
 	// held waits until the team becomes exact.
 	held []heldEdit
 
-	history  []VersionInfo
-	bases    map[uint64][]byte
-	outcomes []outcomeRecord
+	// history holds every accepted version from historyFrom on, oldest first.
+	history     []VersionInfo
+	historyFrom uint64
+	// bases are the documents of the last versions that this instance held.
+	bases     map[uint64][]byte
+	baseOrder []uint64
+	outcomes  []outcomeRecord
 
 	withdrawn map[string]int64
 	// buckets hold the exclusive-or of the hashes of the withdrawn key ids that fall into each.
@@ -170,6 +174,7 @@
 // judge decides whether an edit counts. The team is exact.
 func (s *State) judge(t *team, offset uint64, e *configv1.Edit) {
 	if offset < t.asOf {
+		t.recall(offset, e)
 		return
 	}
 	t.asOf = offset + 1
@@ -182,7 +187,26 @@
 		return
 	}
 	t.remember(e.EditId, Outcome{Accepted: true, Version: offset + 1, Author: e.Author})
-	s.advance(t, doc, VersionInfo{Version: offset + 1, Author: e.Author, At: time.UnixMilli(e.AtUnixMs), EditID: e.EditId})
+	info := VersionInfo{
+		Version: offset + 1, Author: e.Author, At: time.UnixMilli(e.AtUnixMs), EditID: e.EditId, Bytes: len(doc),
+	}
+	t.history = append(t.history, info)
+	s.advance(t, doc, info)
+}
+
+// recall finds the outcome of an edit that is accounted for already, by way of a peer or a copy. It stays unknown if the
+// history does not reach back to it.
+func (t *team) recall(offset uint64, e *configv1.Edit) {
+	if _, known := t.outcome(e.EditId); known || offset+1 < t.historyFrom {
+		return
+	}
+	for _, v := range t.history {
+		if v.EditID == e.EditId {
+			t.remember(e.EditId, Outcome{Accepted: true, Version: v.Version, Author: v.Author})
+			return
+		}
+	}
+	t.remember(e.EditId, Outcome{Version: t.version, Author: t.info.Author})
 }
 
 // resultOf returns the document that an edit of the current version leads to.
@@ -201,15 +225,16 @@
 	s.touch(t)
 	t.version = info.Version
 	t.doc = doc
-	info.Bytes = len(doc)
 	t.info = info
 	t.bases[info.Version] = doc
-	t.history = append(t.history, info)
-	if n := len(t.history); n > keptDocuments {
-		delete(t.bases, t.history[n-1-keptDocuments].Version)
+	t.baseOrder = append(t.baseOrder, info.Version)
+	if len(t.baseOrder) > keptDocuments {
+		delete(t.bases, t.baseOrder[0])
+		t.baseOrder = t.baseOrder[1:]
 	}
-	if len(t.history) > keptVersions {
-		t.history = slices.Delete(t.history, 0, 1)
+	if n := len(t.history) - keptVersions; n > 0 {
+		t.historyFrom = t.history[n].Version
+		t.history = slices.Delete(t.history, 0, n)
 	}
 }
 
@@ -264,10 +289,10 @@
 		return false
 	}
 	if in.Version > t.version {
+		t.extendHistory(in)
 		s.advance(t, doc, VersionInfo{
-			Version: in.Version, Author: in.Author, At: time.UnixMilli(in.AtUnixMs), EditID: in.EditId,
+			Version: in.Version, Author: in.Author, At: time.UnixMilli(in.AtUnixMs), EditID: in.EditId, Bytes: len(doc),
 		})
-		t.remember(in.EditId, Outcome{Accepted: true, Version: in.Version, Author: in.Author})
 		// Until a sender that is exact says so, the records up to its version are all that is known.
 		t.exact = false
 	}
@@ -275,6 +300,23 @@
 	return true
 }
 
+// extendHistory adds the versions after t.version that a peer or a copy tells of. Where they do not join on to what is
+// known, what came before is forgotten.
+func (t *team) extendHistory(in *configv1.TeamState) {
+	if in.RecentFrom > t.version+1 {
+		t.history = nil
+		t.historyFrom = in.RecentFrom
+	}
+	for _, v := range in.Recent {
+		if v.Version > t.version {
+			t.history = append(t.history, VersionInfo{
+				Version: v.Version, Author: v.Author, At: time.UnixMilli(v.AtUnixMs), EditID: v.EditId, Bytes: int(v.Bytes),
+			})
+		}
+		t.remember(v.EditId, Outcome{Accepted: true, Version: v.Version, Author: v.Author})
+	}
+}
+
 func (t *team) documentOf(in *configv1.TeamState) ([]byte, bool) {
 	if in.Splice == nil {
 		return in.Document, in.Version == 0 || len(in.Document) > 0
--- /dev/null
+++ b/internal/config/state_test.go
@@ -0,0 +1,295 @@
+package config
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	configv1 "github.com/berylpond/berylpond/api/config/v1"
+	"github.com/berylpond/berylpond/internal/invariant"
+)
+
+func editRecord(team string, base uint64, id, doc string) *configv1.Record {
+	return &configv1.Record{Kind: &configv1.Record_Edit{Edit: &configv1.Edit{
+		Team: team, BaseVersion: base, EditId: id, Author: "author of " + id, Document: []byte(doc),
+	}}}
+}
+
+func withdrawalRecord(team, key string) *configv1.Record {
+	return &configv1.Record{Kind: &configv1.Record_Withdrawal{
+		Withdrawal: &configv1.KeyWithdrawal{Team: team, KeyId: key, AtUnixMs: 1},
+	}}
+}
+
+// fleet is a log and the states that read it at their own pace. State 0 has read everything at all times and is the
+// reference.
+type fleet struct {
+	records []*configv1.Record
+	first   int
+	states  []*State
+	// floor is the lowest version that each state may still show, by team.
+	floor []map[string]uint64
+	// late holds records that writers may append at any later time, more than once.
+	late []*configv1.Record
+	// accepted is every document that ever counted, by version.
+	accepted map[uint64]string
+	// winners counts accepted edits by team and base version, and counted holds their ids.
+	winners   map[string]int
+	counted   map[string]bool
+	withdrawn map[string]bool
+	edits     int
+}
+
+var fleetTeams = []string{"nile", "tsuru"}
+
+func newFleet(n int) *fleet {
+	f := &fleet{accepted: map[uint64]string{}, winners: map[string]int{}, counted: map[string]bool{}, withdrawn: map[string]bool{}}
+	for range n {
+		f.states = append(f.states, nil)
+		f.floor = append(f.floor, nil)
+	}
+	for i := range n {
+		f.restart(i)
+	}
+	return f
+}
+
+func (f *fleet) restart(i int) {
+	f.states[i] = NewState()
+	f.floor[i] = map[string]uint64{}
+}
+
+func (f *fleet) append(r *configv1.Record) {
+	f.records = append(f.records, proto.Clone(r).(*configv1.Record))
+	ref := f.states[0]
+	before := map[string]uint64{}
+	for _, name := range fleetTeams {
+		_, before[name] = ref.Document(name)
+	}
+	f.read(0, len(f.records))
+	for _, name := range fleetTeams {
+		doc, v := ref.Document(name)
+		if v != before[name] {
+			f.accepted[v] = string(doc)
+			f.winners[fmt.Sprint(name, r.GetEdit().GetBaseVersion())]++
+			f.counted[r.GetEdit().GetEditId()] = true
+		}
+	}
+}
+
+// read lets a state read up to n more records.
+func (f *fleet) read(i, n int) {
+	s := f.states[i]
+	s.Start(uint64(f.first))
+	for ; n > 0 && int(s.Next()) < len(f.records); n-- {
+		at := max(int(s.Next()), f.first)
+		s.Apply(uint64(at), f.records[at])
+	}
+	if int(s.Next()) == len(f.records) {
+		s.Settle()
+	}
+}
+
+// reconcile lets two states exchange what the other lacks, in both directions.
+func (f *fleet) reconcile(i, j int) {
+	a, b := f.states[i], f.states[j]
+	if a.Root() == b.Root() {
+		return
+	}
+	b.Merge(a.Delta(b.Digest()))
+	a.Merge(b.Delta(a.Digest()))
+}
+
+// expire drops records of which copies stand in the rest of the log.
+func (f *fleet) expire(choose func(first, last int) int) {
+	keep := len(f.records)
+	for _, name := range fleetTeams {
+		c := f.states[0].Copy(name)
+		if c == nil {
+			continue
+		}
+		keep = min(keep, int(c.GetCopy().State.AsOf))
+		f.append(c)
+	}
+	if keep > f.first {
+		f.first = choose(f.first, keep)
+	}
+}
+
+func (f *fleet) check(t *rapid.T) {
+	for i, s := range f.states {
+		for _, name := range fleetTeams {
+			doc, v := s.Document(name)
+			if v < f.floor[i][name] {
+				t.Fatalf("state %d: version of %s fell from %d to %d", i, name, f.floor[i][name], v)
+			}
+			f.floor[i][name] = v
+			if want, ok := f.accepted[v]; v > 0 && (!ok || want != string(doc)) {
+				t.Fatalf("state %d: version %d of %s is %q, accepted was %q", i, v, name, doc, want)
+			}
+		}
+	}
+	for i, s := range f.states {
+		for n := 1; n <= f.edits; n++ {
+			f.checkOutcome(t, i, s, fmt.Sprint("edit-", n))
+		}
+	}
+	for base, n := range f.winners {
+		if n != 1 {
+			t.Fatalf("%d edits won over base %s", n, base)
+		}
+	}
+}
+
+// checkOutcome checks that an operator is never told the wrong outcome.
+func (f *fleet) checkOutcome(t *rapid.T, i int, s *State, edit string) {
+	for _, name := range fleetTeams {
+		if out, ok := s.Outcome(name, edit); ok && out.Accepted != f.counted[edit] {
+			t.Fatalf("state %d reports accepted=%v for %s of %s", i, out.Accepted, edit, name)
+		}
+	}
+}
+
+func TestReadersConvergeWhateverHappens(t *testing.T) {
+	invariant.PanicOnViolation(true)
+	defer invariant.PanicOnViolation(false)
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(4)
+		state := func(t *rapid.T) int { return rapid.IntRange(1, len(f.states)-1).Draw(t, "state") }
+		team := func(t *rapid.T) string { return rapid.SampledFrom(fleetTeams).Draw(t, "team") }
+		someLate := func(t *rapid.T) *configv1.Record {
+			if len(f.late) == 0 {
+				t.Skip("nothing is late")
+			}
+			return f.late[rapid.IntRange(0, len(f.late)-1).Draw(t, "late")]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"edit": func(t *rapid.T) {
+				i, name := state(t), team(t)
+				doc, base := f.states[i].Document(name)
+				f.edits++
+				text := fmt.Sprintf("document %d of %s", f.edits, name)
+				r := editRecord(name, base, fmt.Sprint("edit-", f.edits), text)
+				if base > 0 && rapid.Bool().Draw(t, "splice") {
+					r.GetEdit().Document, r.GetEdit().Splice = nil, makeSplice(doc, []byte(text))
+				}
+				f.late = append(f.late, r)
+				if rapid.Bool().Draw(t, "now") {
+					f.append(r)
+				}
+			},
+			"late": func(t *rapid.T) { f.append(someLate(t)) },
+			"read": func(t *rapid.T) { f.read(state(t), rapid.IntRange(1, 4).Draw(t, "records")) },
+			"expire": func(t *rapid.T) {
+				f.expire(func(first, last int) int { return rapid.IntRange(first, last).Draw(t, "first") })
+			},
+			"copy": func(t *rapid.T) {
+				if c := f.states[state(t)].Copy(team(t)); c != nil {
+					f.late = append(f.late, proto.Clone(c).(*configv1.Record))
+				}
+			},
+			"restart":   func(t *rapid.T) { f.restart(state(t)) },
+			"reconcile": func(t *rapid.T) { f.reconcile(state(t), state(t)) },
+			"withdraw": func(t *rapid.T) {
+				key := fmt.Sprint("key-", rapid.IntRange(1, 40).Draw(t, "key"))
+				name := team(t)
+				f.withdrawn[name+key] = true
+				f.states[state(t)].Withdraw(&configv1.KeyWithdrawal{Team: name, KeyId: key, AtUnixMs: 1})
+				f.late = append(f.late, withdrawalRecord(name, key))
+				f.append(withdrawalRecord(name, key))
+			},
+			"": f.check,
+		})
+		for i := range f.states {
+			f.read(i, len(f.records))
+		}
+		for range 2 {
+			for i := range f.states {
+				f.reconcile(0, i)
+			}
+		}
+		f.check(t)
+		for i, s := range f.states {
+			if s.Root() != f.states[0].Root() {
+				t.Fatalf("state %d did not converge: %v, want %v", i, s.Digest(), f.states[0].Digest())
+			}
+			for _, name := range fleetTeams {
+				for key := range f.states[0].Withdrawn(name) {
+					if !s.Withdrawn(name)[key] {
+						t.Fatalf("state %d: key %s came back", i, key)
+					}
+				}
+			}
+		}
+	})
+}
+
+func TestFirstEditOfABaseWins(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	s.Start(0)
+	s.Apply(0, editRecord("t", 0, "a", "A"))
+	s.Apply(1, editRecord("t", 0, "b", "B"))
+	s.Apply(2, editRecord("t", 0, "a", "A")) // a retried append
+	doc, v := s.Document("t")
+	is.Equal(string(doc), "A")
+	is.Equal(v, uint64(1))
+	out, ok := s.Outcome("t", "b")
+	is.True(ok)
+	is.Equal(out, Outcome{Version: 1, Author: "author of a"})
+	out, _ = s.Outcome("t", "a")
+	is.True(out.Accepted)
+}
+
+func TestCopyDoesNotBeatALaterEdit(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	s.Start(0)
+	s.Apply(0, editRecord("t", 0, "a", "A"))
+	old := s.Copy("t")
+	s.Apply(1, editRecord("t", 1, "b", "B"))
+	s.Apply(2, old)
+	doc, v := s.Document("t")
+	is.Equal(string(doc), "B")
+	is.Equal(v, uint64(2))
+}
+
+// A reader that begins after the winner of a base expired must not let the loser win.
+func TestReaderFromTheMiddleDoesNotAcceptALostEdit(t *testing.T) {
+	is := is.New(t)
+	full := NewState()
+	full.Start(0)
+	full.Apply(0, editRecord("t", 0, "a", "A"))
+	stale := full.Copy("t") // exact up to offset 1 only
+	full.Apply(1, editRecord("t", 1, "winner", "W"))
+	full.Apply(2, editRecord("t", 1, "loser", "L"))
+	full.Apply(3, stale)
+
+	late := NewState()
+	late.Start(2)
+	late.Apply(2, editRecord("t", 1, "loser", "L"))
+	late.Apply(3, stale)
+	_, v := late.Document("t")
+	is.Equal(v, uint64(1)) // the copy is a lower bound
+	late.Merge(full.Delta(late.Digest()))
+	doc, v := late.Document("t")
+	is.Equal(string(doc), "W")
+	is.Equal(v, uint64(2))
+	is.Equal(late.Root(), full.Root())
+}
+
+func TestDrainsMerge(t *testing.T) {
+	is := is.New(t)
+	a, b := NewState(), NewState()
+	a.Drain("10.0.0.1:80", true)
+	b.Merge(a.Delta(b.Digest()))
+	is.True(b.Drained()["10.0.0.1:80"])
+	b.Drain("10.0.0.1:80", false)
+	a.Drain("10.0.0.1:80", true) // already on: nothing to do
+	a.Merge(b.Delta(a.Digest()))
+	is.Equal(len(a.Drained()), 0)
+	is.Equal(a.Root(), b.Root())
+}
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -199,6 +199,9 @@
 		return false
 	}
 	want, got := strings.Split(r.Path, "/"), strings.Split(path, "/")
+	if slices.Contains(got, "..") || slices.Contains(got, ".") {
+		return false // A backend server might resolve these to another route's path.
+	}
 	for i, seg := range want {
 		if seg == "*" && i == len(want)-1 {
 			return len(got) > i
