Ask for the lease at every decision of a keeper and bound its streams

Cause: a process paused past its lease would go on granting queued calls until the next tick; an owner that reports every chunk would send a message each; a silent connection would keep a goroutine for each permit that has ended. Ruled out: checking the lease at Admit only, which is the known failing of a check at acquisition. After: checked under the lock of each decision; progress passed on at most every 250 ms; the end of a permit waited for 2 s at most.

--- a/internal/keeper/admit.go
+++ b/internal/keeper/admit.go
@@ -82,7 +82,7 @@
 	if c.keeps(g) {
 		return c.admitIn(ctx, g.kept, call, "local")
 	}
-	holder, ok := c.parts.Holder(g.part)
+	holder, ok := c.parts.Holder(g.part())
 	if !ok {
 		return nil, errUnreachable
 	}
--- a/internal/keeper/controller.go
+++ b/internal/keeper/controller.go
@@ -36,16 +36,24 @@
 
 type groupKey struct{ team, model string }
 
+func (k groupKey) less(o groupKey) bool {
+	if k.team != o.team {
+		return k.team < o.team
+	}
+	return k.model < o.model
+}
+
 // engineGroup is one group of engines with its two schedulers: kept grants as the group's keeper, degraded grants
 // a small share while the keeper cannot be reached.
 type engineGroup struct {
 	key      groupKey
-	part     int
 	kept     *runner
 	degraded *runner
 
-	mu    sync.RWMutex
-	specs []framework.EngineSpec // guarded by mu
+	mu         sync.RWMutex
+	specs      []framework.EngineSpec // guarded by mu
+	parts      int                    // guarded by mu: number of parts that partNumber is one of
+	partNumber int                    // guarded by mu
 }
 
 // Option changes a Controller.
@@ -125,14 +133,28 @@
 	s.Objective = objective
 	local := s
 	local.ConcurrencyShare = 1 / float64(max(2, c.parts.Parts()))
-	return &engineGroup{
-		key:      key,
-		part:     partOf(key, c.cfg.DataCentre, c.parts.Parts()),
-		kept:     newRunner(s, c.metrics, c.now),
-		degraded: newRunner(local, c.metrics, c.now),
+	g := &engineGroup{key: key}
+	g.setPart(c.cfg.DataCentre, c.parts.Parts())
+	g.kept = newRunner(s, c.metrics, c.now, func() bool { return c.keeps(g) })
+	g.degraded = newRunner(local, c.metrics, c.now, nil)
+	return g
+}
+
+// setPart finds the group's part again when the number of parts has changed.
+func (g *engineGroup) setPart(dc string, parts int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.parts != parts {
+		g.parts, g.partNumber = parts, partOf(g.key, dc, parts)
 	}
 }
 
+func (g *engineGroup) part() int {
+	g.mu.RLock()
+	defer g.mu.RUnlock()
+	return g.partNumber
+}
+
 // partOf returns the part with the highest hash for the group.
 func partOf(key groupKey, dc string, parts int) int {
 	best, bestHash := 0, uint64(0)
@@ -185,12 +207,12 @@
 	for _, g := range c.groups {
 		out = append(out, g)
 	}
-	sort.Slice(out, func(a, b int) bool { return out[a].part < out[b].part })
+	sort.Slice(out, func(a, b int) bool { return out[a].key.less(out[b].key) })
 	return out
 }
 
 func (c *Controller) keeps(g *engineGroup) bool {
-	_, ok := c.parts.Holds(g.part)
+	_, ok := c.parts.Holds(g.part())
 	return ok
 }
 
--- a/internal/keeper/controller_test.go
+++ b/internal/keeper/controller_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -305,3 +307,78 @@
 	is.Equal(verdict.From(err).Reason, verdict.ReasonUnknownModel)
 	is.Equal(verdict.From(err).Verdict, verdict.NotRun)
 }
+
+func TestEndedProgramIsFreedOnTheEngine(t *testing.T) {
+	v := newSite(t, smallSettings())
+	v.keeper(&v.in[1])
+	v.engine.mu.Lock()
+	v.engine.keys["p-gone"] = 100
+	v.engine.mu.Unlock()
+	v.ctrl[0].ProgramEnded("p-gone")
+	eventually(t, "the prefix is freed", func() bool {
+		v.engine.mu.Lock()
+		defer v.engine.mu.Unlock()
+		return len(v.engine.keys) == 0
+	})
+}
+
+func TestRetryKeepsTheVerdictOfTheFirstAttempt(t *testing.T) {
+	is := is.New(t)
+	v := newSite(t, smallSettings())
+	v.keeper(&v.in[1])
+	call := testCall("1")
+	call.Avoid, call.Prior = []string{v.engine.addr}, verdict.MayHaveRun
+	_, err := v.ctrl[0].Admit(t.Context(), call)
+	is.Equal(verdict.From(err).Reason, verdict.ReasonBackendFailed)
+	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+}
+
+// TestPermitsAreConservedUnderBrokenStreams breaks a third of the streams, cancels a third of the waits and changes
+// the keeper meanwhile. At the end nothing is in flight and nothing waits.
+func TestPermitsAreConservedUnderBrokenStreams(t *testing.T) {
+	v := newSite(t, smallSettings())
+	v.keeper(&v.in[1])
+	r := rand.New(rand.NewSource(1))
+	var wg sync.WaitGroup
+	for i := range 150 {
+		breaks, gives, from := r.Intn(3) == 0, r.Intn(3) == 0, r.Intn(2)
+		wg.Go(func() {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			if gives {
+				time.AfterFunc(time.Duration(i%20)*time.Millisecond, cancel)
+			}
+			p, err := v.ctrl[from].Admit(ctx, testCall(strconv.Itoa(i)))
+			if err != nil {
+				return
+			}
+			p.Progress()
+			time.Sleep(time.Millisecond)
+			if h, ok := p.holder.(*remoteHolder); ok && breaks {
+				h.cancel()
+				return
+			}
+			p.Done(Outcome{Kind: framework.OK, PromptTokens: 100, CompletionTokens: 10})
+		})
+		if i == 75 {
+			v.keeper(&v.in[0])
+		}
+	}
+	wg.Wait()
+	eventually(t, "all permits are freed", func() bool {
+		n := 0
+		for _, c := range v.ctrl {
+			for _, g := range c.allGroups() {
+				for _, r := range g.runners() {
+					r.mu.Lock()
+					n += len(r.waiters) + len(r.granted) + r.group.Queued()
+					for _, st := range r.group.Status(time.Now()) {
+						n += st.InFlight
+					}
+					r.mu.Unlock()
+				}
+			}
+		}
+		return n == 0
+	})
+}
--- a/internal/keeper/permit.go
+++ b/internal/keeper/permit.go
@@ -2,6 +2,8 @@
 
 import (
 	"sync"
+	"sync/atomic"
+	"time"
 
 	keeperv1 "github.com/berylpond/berylpond/api/keeper/v1"
 	"github.com/berylpond/berylpond/internal/scheduler/framework"
@@ -16,16 +18,31 @@
 
 	holder permitHolder
 	once   sync.Once
+	// progressed is when progress was last passed on, in Unix nanoseconds.
+	progressed atomic.Int64
 }
 
+// progressInterval is the shortest pause between two signs of progress that are passed on.
+const progressInterval = 250 * time.Millisecond
+
+// doneTimeout bounds the wait for the keeper to end a permit's stream.
+const doneTimeout = 2 * time.Second
+
 // permitHolder is where the permit was granted.
 type permitHolder interface {
 	progress()
 	done(o framework.Outcome)
 }
 
-// Progress says that the engine has sent something. The first call marks the first token.
-func (p *Permit) Progress() { p.holder.progress() }
+// Progress says that the engine has sent something. The first call marks the first token. It is cheap enough to be
+// called for every chunk.
+func (p *Permit) Progress() {
+	now, last := time.Now().UnixNano(), p.progressed.Load()
+	if now-last < int64(progressInterval) || !p.progressed.CompareAndSwap(last, now) {
+		return
+	}
+	p.holder.progress()
+}
 
 // Done frees the permit.
 func (p *Permit) Done(o Outcome) {
@@ -65,8 +82,10 @@
 	}
 	_ = h.stream.CloseSend()
 	// The keeper ends the stream when it has read Done; waiting for it must not delay the caller.
+	timer := time.AfterFunc(doneTimeout, h.cancel)
 	go func() {
 		defer h.cancel()
+		defer timer.Stop()
 		_, _ = h.stream.Recv()
 	}()
 }
--- a/internal/keeper/poll.go
+++ b/internal/keeper/poll.go
@@ -63,6 +63,7 @@
 // tick lets time pass in each group, and drops the queue of a group that this instance does not keep any more.
 func (c *Controller) tick(ctx context.Context) {
 	for _, g := range c.allGroups() {
+		g.setPart(c.cfg.DataCentre, c.parts.Parts())
 		if c.keeps(g) {
 			g.kept.tick()
 			c.release(ctx, g)
--- a/internal/keeper/release.go
+++ b/internal/keeper/release.go
@@ -16,7 +16,7 @@
 	c.endHere(program)
 	addresses := map[string]bool{}
 	for _, g := range c.allGroups() {
-		if holder, ok := c.parts.Holder(g.part); ok && holder.ID != c.table.Self().ID {
+		if holder, ok := c.parts.Holder(g.part()); ok && holder.ID != c.table.Self().ID {
 			addresses[holder.PeerAddr] = true
 		}
 	}
--- a/internal/keeper/runner.go
+++ b/internal/keeper/runner.go
@@ -20,6 +20,9 @@
 type runner struct {
 	metrics *metrics
 	now     func() time.Time
+	// holds reports whether this instance may decide for the group now. It is asked at every decision, since the
+	// process may have been paused for any time. Nil means always.
+	holds func() bool
 
 	mu      sync.Mutex
 	group   *scheduler.Group         // guarded by mu
@@ -28,8 +31,9 @@
 	after   map[string]uint64        // guarded by mu: next cache event to read, by engine
 }
 
-func newRunner(s framework.Settings, m *metrics, now func() time.Time) *runner {
+func newRunner(s framework.Settings, m *metrics, now func() time.Time, holds func() bool) *runner {
 	return &runner{
+		holds:   holds,
 		metrics: m,
 		now:     now,
 		group:   scheduler.New(s),
@@ -106,7 +110,11 @@
 func (r *runner) drop() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.now()
+	r.dropAll(r.now())
+}
+
+// dropAll is called with mu held.
+func (r *runner) dropAll(now time.Time) {
 	for id, ch := range r.waiters {
 		r.group.Cancel(now, id)
 		ch <- answer{}
@@ -125,6 +133,10 @@
 
 // decide is called with mu held.
 func (r *runner) decide(now time.Time) {
+	if r.holds != nil && !r.holds() {
+		r.dropAll(now)
+		return
+	}
 	d := r.group.Decide(now)
 	for i := range d.Grants {
 		r.grant(&d.Grants[i])
