--- a/internal/scheduler/placement/placement.go
+++ b/internal/scheduler/placement/placement.go
@@ -14,7 +14,7 @@
 const stayMargin = 0.2
 
 // spreadWeight is the cost of a full engine, in mean call times, since calls slow each other down in a batch.
-const spreadWeight = 0.5
+const spreadWeight = 0.2
 
 // Choice is the engine chosen for a call.
 type Choice struct {
