Count the cost of a rebuilt prefix for the rest of the batch too

Cause: a call that computes its prefix again delays itself and takes the engine from others. Conclusion: kept; it helps when engines are full.

--- a/internal/scheduler/placement/placement.go
+++ b/internal/scheduler/placement/placement.go
@@ -13,6 +13,9 @@
 // over small differences.
 const stayMargin = 0.2
 
+// rebuildWeight counts the time to compute a prefix again twice: the call waits for it, and so do others of the batch.
+const rebuildWeight = 2
+
 // spreadWeight is the cost of a full engine, in mean call times, since calls slow each other down in a batch.
 const spreadWeight = 0.2
 
@@ -78,7 +81,7 @@
 	if p.settings.Affinity {
 		k.cached = x.Cached(e.Address, c.Program, c.PrefixTokens)
 		o := p.settings.Objective
-		weight := (1 + stayMargin) * (0.5 + 0.5*o.Share(o.WastedCache))
+		weight := rebuildWeight * (1 + stayMargin) * (0.5 + 0.5*o.Share(o.WastedCache))
 		k.rebuild = time.Duration(weight * float64(e.Prefill(float64(c.PrefixTokens-k.cached))))
 	}
 	load := e.Occupancy(now) / float64(e.Limit())
