--- a/internal/scheduler/cache/retention.go
+++ b/internal/scheduler/cache/retention.go
@@ -10,8 +10,8 @@
 const (
 	// leasePauses is the length of a lease in mean pauses of the program.
 	leasePauses = 4
-	// minLease bounds leases from below.
-	minLease = 2 * time.Second
+	// maxLeases bounds a lease, in units of the setting.
+	maxLeases = 4
 	// sweepInterval is the pause between two looks at all leases.
 	sweepInterval = 250 * time.Millisecond
 	// repeatOrder is the pause before the release of a prefix that is still held is ordered again.
@@ -108,13 +108,11 @@
 	return now.Sub(p.lastUse) > x.lease(p)
 }
 
-// lease is how long a program's prefix is kept without use.
+// lease is how long a program's prefix is kept without use. Idle memory costs nothing, so a lease is generous; what
+// displaces others is released under pressure.
 func (x *Index) lease(p *program) time.Duration {
-	if p.pause == 0 {
-		return x.settings.LeaseTime
-	}
 	l := time.Duration(leasePauses * p.pause * float64(time.Second))
-	return min(4*x.settings.LeaseTime, max(minLease, l))
+	return min(maxLeases*x.settings.LeaseTime, max(x.settings.LeaseTime, l))
 }
 
 // worth is the rate at which the prefix is expected to be used, per second: uses per token of memory held, times the
