--- a/internal/scheduler/main_test.go
+++ b/internal/scheduler/main_test.go
@@ -7,7 +7,10 @@
 	"github.com/berylpond/berylpond/internal/invariant"
 )
 
-var ablation = flag.Bool("ablation", false, "run the ablations of the policy")
+var (
+	ablation   = flag.Bool("ablation", false, "run the ablations of the policy")
+	ablationKV = flag.Int64("ablation-kv", 0, "tokens of cache of an engine in the ablations; 0 means the default")
+)
 
 func TestMain(m *testing.M) {
 	flag.Parse()
--- a/internal/scheduler/policy_test.go
+++ b/internal/scheduler/policy_test.go
@@ -114,6 +114,6 @@
 	} {
 		s := framework.Defaults(framework.Berylpond)
 		part.off(&s)
-		t.Logf("%-17s %v", part.name, measure(s, simLoad{load: 0.85}))
+		t.Logf("%-17s %v", part.name, measure(s, simLoad{load: 0.85, kv: *ablationKV}))
 	}
 }
--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -30,6 +30,7 @@
 	aggressor  float64       // factor on the rate of account 7
 	objective  framework.Objective
 	longPrompt float64 // factor on new tokens of a turn
+	kv         int64   // tokens of cache of an engine; 0 means simKV
 }
 
 type simResult struct {
@@ -64,6 +65,7 @@
 
 type simEngine struct {
 	addr    string
+	kv      int64
 	running int
 	queue   []func()
 	cache   map[string]int64
@@ -72,7 +74,7 @@
 
 func (e *simEngine) store(now time.Time, key string, tokens int64) {
 	e.cache[key], e.used[key] = tokens, now
-	for e.held() > simKV {
+	for e.held() > e.kv {
 		oldest := ""
 		for k := range e.cache {
 			if oldest == "" || e.used[k].Before(e.used[oldest]) || (e.used[k].Equal(e.used[oldest]) && k < oldest) {
@@ -124,6 +126,9 @@
 
 func runSim(s framework.Settings, l simLoad) simResult {
 	s.Objective = l.objective
+	if l.kv == 0 {
+		l.kv = simKV
+	}
 	v := &sim{
 		l: l, now: time.Unix(0, 0), g: New(s), engines: map[string]*simEngine{},
 		waiting: map[string]*simProgram{}, rand: rand.New(rand.NewSource(l.seed)), lat: map[string][]float64{},
@@ -132,7 +137,7 @@
 	for i := range simEngines {
 		a := fmt.Sprintf("e%d", i)
 		specs = append(specs, framework.EngineSpec{Address: a})
-		v.engines[a] = &simEngine{addr: a, cache: map[string]int64{}, used: map[string]time.Time{}}
+		v.engines[a] = &simEngine{addr: a, kv: l.kv, cache: map[string]int64{}, used: map[string]time.Time{}}
 	}
 	v.g.SetEngines(v.now, specs)
 	v.arrivals()
@@ -278,7 +283,7 @@
 // tick sends load reports, which lag by one interval, and applies release orders.
 func (v *sim) tick() {
 	for a, e := range v.engines {
-		report := framework.Load{Running: e.running, Waiting: len(e.queue), KVUsedTokens: e.held(), KVCapacityTokens: simKV}
+		report := framework.Load{Running: e.running, Waiting: len(e.queue), KVUsedTokens: e.held(), KVCapacityTokens: e.kv}
 		v.at(simReportEvery, func() { v.g.ObserveLoad(v.now, a, report) })
 	}
 	for _, r := range v.g.Releases(v.now) {
