--- a/test/e2e/relay_test.go
+++ b/test/e2e/relay_test.go
@@ -18,7 +18,7 @@
 }
 
 // newRelay listens on a free port of the given IP and passes connections on to target.
-func newRelay(t *testing.T, ip string) *relay {
+func newRelay(t testing.TB, ip string) *relay {
 	t.Helper()
 	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	if err != nil {
@@ -127,4 +127,3 @@
 		delete(r.cut, source)
 	}
 }
-
--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -56,7 +56,7 @@
 
 // process is one running program.
 type process struct {
-	t    *testing.T
+	t    testing.TB
 	name string
 	cmd  *exec.Cmd
 	out  *lockedBuffer
@@ -81,7 +81,7 @@
 }
 
 // startProcess runs a binary; the test's end kills it. Its log is shown when the test fails.
-func startProcess(t *testing.T, name string, stdout io.Writer, binary string, args ...string) *process {
+func startProcess(t testing.TB, name string, stdout io.Writer, binary string, args ...string) *process {
 	t.Helper()
 	p := &process{t: t, name: name, cmd: exec.Command(filepath.Join(binaries, binary), args...), out: &lockedBuffer{}, done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = stdout, p.out
@@ -127,7 +127,7 @@
 	addr string
 }
 
-func startFake(t *testing.T, role string, args ...string) fake {
+func startFake(t testing.TB, role string, args ...string) fake {
 	t.Helper()
 	r, w, err := os.Pipe()
 	if err != nil {
@@ -199,7 +199,7 @@
 
 // site is a running site.
 type site struct {
-	t          *testing.T
+	t          testing.TB
 	dcs        []dcSpec
 	log, list  fake
 	engines    map[string][]fake
@@ -231,7 +231,7 @@
 func withAccounts(a ...accountDoc) siteOption { return func(s *site) { s.doc.accounts = a } }
 
 // startSite starts stand-ins and daemons, applies the document and waits until every instance is ready.
-func startSite(t *testing.T, dcs []dcSpec, opts ...siteOption) *site {
+func startSite(t testing.TB, dcs []dcSpec, opts ...siteOption) *site {
 	t.Helper()
 	s := &site{
 		t: t, dcs: dcs, engines: map[string][]fake{}, service: map[string]fake{}, keys: map[string]string{},
