--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -12,6 +12,7 @@
 func benchCell(b *testing.B, slots int) *testCell {
 	cfg := testConfig(slots)
 	cfg.Lease, cfg.Heartbeat = 500*time.Millisecond, time.Minute
+	cfg.Incarnation = uint64(time.Now().UnixMilli())
 	c := newTestCell(b, cfg)
 	start := time.Now()
 	for time.Since(start) < cfg.Lease+2*cfg.Margin {
--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -21,14 +21,21 @@
 	return lease.Grant{Part: int(g.GetPart()), Owner: o, Term: g.GetTerm(), Attempt: g.GetAttempt()}
 }
 
+// stateProto leaves the highest term out where it is the holder's.
 func stateProto(s lease.State) *cellv1.PartState {
 	p := &cellv1.PartState{Part: uint32(s.Part), Granted: s.Granted, MaxTerm: s.MaxTerm}
 	if s.Held {
 		p.Holder, p.Term = ownerProto(s.Holder), s.Term
 	}
+	if p.MaxTerm == p.Term {
+		p.MaxTerm = 0
+	}
 	return p
 }
 
 func stateFrom(p *cellv1.PartState) lease.State {
-	return lease.State{Part: int(p.Part), Granted: p.Granted, Held: p.Holder != nil, Holder: ownerFrom(p.Holder), Term: p.Term, MaxTerm: p.MaxTerm}
+	return lease.State{
+		Part: int(p.Part), Granted: p.Granted, Held: p.Holder != nil, Holder: ownerFrom(p.Holder),
+		Term: p.Term, MaxTerm: max(p.MaxTerm, p.Term),
+	}
 }
