Keep a withdrawal after an outcome from freeing the claim

Cause: Withdraw after Settle freed the votes of slots that had not yet heard the outcome, so that another slot won the id. A withdrawn claim is not Valid, an outcome after a withdrawal violates an invariant, and CaughtUp refuses a time in the future; the tests no longer pass one.

--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -22,6 +22,9 @@
 		if !c.holds(i, i)() {
 			b.Fatalf("slot %d does not hold its part", i)
 		}
+		if !c.slots[i].CaughtUp(time.Now()) {
+			b.Fatalf("slot %d does not vote", i)
+		}
 	}
 	return c
 }
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -103,7 +103,7 @@
 	}
 }
 
-// newTestCell starts a cell whose voters have caught up.
+// newTestCell starts a cell whose voters abstain.
 func newTestCell(tb testing.TB, cfg Config, opts ...func(slot int) Option) *testCell {
 	invariant.PanicOnViolation(true)
 	c := &testCell{tb: tb, cfg: cfg, slots: make([]*testSlot, cfg.Slots)}
@@ -119,9 +119,6 @@
 			s.kill()
 		}
 	})
-	for _, s := range c.slots {
-		s.CaughtUp(time.Now().Add(cfg.Lease + cfg.Margin))
-	}
 	return c
 }
 
@@ -180,9 +177,11 @@
 	}
 }
 
+// settleIn waits until every slot holds its part and votes.
 func (c *testCell) settleIn() {
 	for i := range c.slots {
 		c.eventually("each slot holds its part", c.holds(i, i))
+		c.eventually("each slot votes", func() bool { return c.slots[i].CaughtUp(time.Now()) })
 	}
 }
 
@@ -261,6 +260,9 @@
 	is.NoErr(err)
 	is.True(cl.Valid())
 	cl.Settle(ctx, []byte("ref"))
+	cl.Withdraw(ctx) // nothing after Settle, also before the other slots heard of it
+	_, err = c.slots[1].Claim(ctx, "settled")
+	is.Equal(verdict.From(err).Reason, verdict.ReasonDuplicate)
 	cl.Durable()
 	c.eventually("other slots hear the outcome", func() bool {
 		_, err := c.slots[2].Claim(ctx, "settled")
@@ -270,10 +272,21 @@
 	cl, err = c.slots[0].Claim(ctx, "withdrawn")
 	is.NoErr(err)
 	cl.Withdraw(ctx)
+	is.True(!cl.Valid())
 	_, err = c.slots[1].Claim(ctx, "withdrawn")
 	is.NoErr(err)
 }
 
+func TestVotersAbstainAfterTheirStart(t *testing.T) {
+	is := is.New(t)
+	c := newTestCell(t, testConfig(3))
+	c.eventually("standing", c.slots[0].Standing)
+	is.True(!c.slots[0].CaughtUp(time.Now().Add(time.Hour))) // no log was read in the future
+	_, err := c.slots[0].Claim(context.Background(), "a")
+	is.Equal(verdict.From(err).Reason, verdict.ReasonClaimUnavailable)
+	is.Equal(verdict.From(err).Verdict, verdict.NotRun)
+}
+
 func TestNoMajority(t *testing.T) {
 	is := is.New(t)
 	c := newTestCell(t, testConfig(3))
--- a/internal/cell/claims.go
+++ b/internal/cell/claims.go
@@ -9,6 +9,7 @@
 	cellv1 "github.com/berylpond/berylpond/api/cell/v1"
 	"github.com/berylpond/berylpond/internal/claim"
 	"github.com/berylpond/berylpond/internal/failpoint"
+	"github.com/berylpond/berylpond/internal/invariant"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -56,12 +57,16 @@
 	sent    time.Time
 	// askedExtra is written before Claim returns and only read afterwards.
 	askedExtra bool
+	// withdrawn and settled are guarded by the Controller's mutex; at most one of them is set.
+	withdrawn, settled bool
 }
 
 // Valid reports whether the request may still be sent to a backend server. It has to be asked right before: after a
 // pause of about the claim window the voters may have been replaced and have granted the id again.
 func (c *Claim) Valid() bool {
-	return time.Since(c.sent) < c.c.cfg.ClaimWindow-c.c.cfg.ClaimWindow/driftShare
+	c.c.mu.Lock()
+	defer c.c.mu.Unlock()
+	return !c.withdrawn && time.Since(c.sent) < c.c.cfg.ClaimWindow-c.c.cfg.ClaimWindow/driftShare
 }
 
 // FreshUntil is the time until which the intent has to be durable in the log where voters use CaughtUp.
@@ -211,9 +216,10 @@
 }
 
 // Withdraw gives the claim up. Nothing may have been sent to a backend server. A voter that can't be reached is told
-// again with the heartbeats; until then it grants the id to nobody.
+// again with the heartbeats; until then it grants the id to nobody. After Settle it does nothing, so that it may be
+// deferred.
 func (c *Claim) Withdraw(ctx context.Context) {
-	if failpoint.Hit("claim.withdraw.before") != nil {
+	if !c.giveUp() || failpoint.Hit("claim.withdraw.before") != nil {
 		return
 	}
 	n := c.note(cellv1.Note_KIND_WITHDRAW, nil)
@@ -234,6 +240,17 @@
 	sent.Wait()
 }
 
+// giveUp reports whether the claim is to be withdrawn now.
+func (c *Claim) giveUp() bool {
+	c.c.mu.Lock()
+	defer c.c.mu.Unlock()
+	if c.settled || c.withdrawn {
+		return false
+	}
+	c.withdrawn = true
+	return true
+}
+
 func (c *Claim) withdrawAt(ctx context.Context, slot int, n *cellv1.Note) {
 	client, err := c.c.client(slot)
 	if err == nil {
@@ -252,10 +269,14 @@
 }
 
 // Settle records the outcome; an empty one says that the outcome is unknown. Other voters hear it with the next
-// heartbeat.
+// heartbeat. It may be called again when an unknown outcome becomes known, and never after Withdraw.
 func (c *Claim) Settle(_ context.Context, outcome []byte) {
 	c.c.mu.Lock()
 	defer c.c.mu.Unlock()
+	if !invariant.Check(!c.withdrawn, "cell_no_outcome_after_withdrawal", "id", c.id) {
+		return
+	}
+	c.settled = true
 	c.c.settle(time.Now(), c.id, c.issued, executor(c.c.self, c.attempt), outcome)
 	c.c.enqueue(c.note(cellv1.Note_KIND_SETTLE, outcome))
 }
--- a/internal/cell/leave.go
+++ b/internal/cell/leave.go
@@ -192,12 +192,12 @@
 
 // CaughtUp ends the voter's abstention after the log was read up to an end that was taken at readAt, and every intent
 // found there is known to the caller, who looks there before it claims. It is refused within lease and margin of the
-// start. It is safe only where every executor dispatches after its intent was durable, by Claim.FreshUntil; where
+// start, or if readAt is in the future. It is safe only where every executor dispatches after its intent was durable, by Claim.FreshUntil; where
 // executors may dispatch while the log is away, it must not be called.
 func (c *Controller) CaughtUp(readAt time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.leaving && c.voter.CaughtUp(readAt)
+	return !c.leaving && !readAt.After(time.Now()) && c.voter.CaughtUp(readAt)
 }
 
 // MarkDurable notes that the intent of an id was read from the log, whoever claimed it.
