Do not let small calls pass a long one for ever

Cause: a call that asks for more free memory than an engine ever shows was passed by every smaller one until it was refused. Test seen failing before (passed by 40 small calls). Ruled out: reserving an engine for the long call, which leaves it idle meanwhile; after two mean call times the call goes to the engine's own queue instead.

--- a/internal/scheduler/group.go
+++ b/internal/scheduler/group.go
@@ -126,7 +126,8 @@
 	if !it.HeldSince.IsZero() {
 		held = now.Sub(it.HeldSince)
 	}
-	choice, ok := g.placer.Place(now, &it.Call, g.engines, g.index, held)
+	request := placement.Request{Call: &it.Call, Held: held, Waited: now.Sub(it.Enqueued)}
+	choice, ok := g.placer.Place(now, request, g.engines, g.index)
 	if !ok || choice.Hold {
 		if ok && it.HeldSince.IsZero() {
 			it.HeldSince = now
--- a/internal/scheduler/group_test.go
+++ b/internal/scheduler/group_test.go
@@ -176,6 +176,28 @@
 	is.Equal(len(g.Decide(epoch.Add(5*time.Second)).Grants), 1) // the report has decayed
 }
 
+func TestLongCallIsNotPassedForEver(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(1, nil)
+	g.ObserveLoad(epoch, "e0", framework.Load{KVCapacityTokens: 1000})
+	grantOne(t, g, epoch, call("s0", "a"))
+	long := call("long", "a")
+	long.NewTokens = 950
+	is.Equal(g.Submit(epoch, long), nil)
+	now := epoch
+	for i := range 40 {
+		is.Equal(g.Submit(now, call(fmt.Sprint("s", i+1), "a")), nil)
+		for _, gr := range g.Decide(now).Grants {
+			if gr.CallID == "long" {
+				return
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+		g.Done(now, fmt.Sprint("s", i), framework.Outcome{Kind: framework.OK, PromptTokens: 100, CompletionTokens: 10})
+	}
+	t.Fatal("the long call was passed by 40 small ones")
+}
+
 // TestPermitsAreConserved drives a group with random calls, ends, faults, reports and drains. Invariants inside the
 // scheduler panic; what is granted, waiting and ended must add up.
 func TestPermitsAreConserved(t *testing.T) {
--- a/internal/scheduler/placement/placement.go
+++ b/internal/scheduler/placement/placement.go
@@ -36,12 +36,33 @@
 // New returns a placer. The settings may change later.
 func New(s *framework.Settings) *Placer { return &Placer{settings: s} }
 
+// Request is a call that asks for an engine.
+type Request struct {
+	Call *framework.Call
+	// Held is how long the call was already held back for an engine with its prefix.
+	Held time.Duration
+	// Waited is how long the call has been queued.
+	Waited time.Duration
+}
+
+// memoryPatience times an engine's mean call time is how long a call waits for an engine with enough free memory.
+// After that it goes to the engine's own queue, or small calls would pass it for ever.
+const memoryPatience = 2
+
+// tokens is the memory that the engine has to have free for the request.
+func (r Request) tokens(e *engines.Engine) int64 {
+	if r.Waited > memoryPatience*e.CallTime() {
+		return 0
+	}
+	return r.Call.PromptTokens() + r.Call.ExpectedOutput
+}
+
 // Place chooses among engines. It returns false when none can take the call now, and none is worth waiting for.
-// Held is how long the call was already held back for an engine with its prefix.
-func (p *Placer) Place(now time.Time, c *framework.Call, all []*engines.Engine, x *cache.Index, held time.Duration) (Choice, bool) {
+func (p *Placer) Place(now time.Time, r Request, all []*engines.Engine, x *cache.Index) (Choice, bool) {
+	c := r.Call
 	avoid := avoided(now, c, all)
 	if !p.settings.LeastWait {
-		return p.next(now, c, all, avoid)
+		return p.next(now, r, all, avoid)
 	}
 	var free, any candidate
 	for i := range all {
@@ -49,11 +70,11 @@
 		if !e.Usable(now) || avoid[e.Address] {
 			continue
 		}
-		k := p.rate(now, c, e, x)
+		k := p.rate(now, r, e, x)
 		if any.engine == nil || k.total < any.total {
 			any = k
 		}
-		if e.Free(now, c.PromptTokens()+c.ExpectedOutput) && (free.engine == nil || k.total < free.total) {
+		if e.Free(now, r.tokens(e)) && (free.engine == nil || k.total < free.total) {
 			free = k
 		}
 	}
@@ -62,7 +83,7 @@
 		return Choice{Hold: any.engine != nil}, false
 	}
 	// Waiting costs no more than it can save: after as long as the prefix takes to compute, the call goes anywhere.
-	if any.engine != free.engine && held < free.rebuild-any.rebuild {
+	if any.engine != free.engine && r.Held < free.rebuild-any.rebuild {
 		return Choice{Engine: any.engine, Hold: true}, true
 	}
 	return Choice{Engine: free.engine, Cached: free.cached}, true
@@ -76,7 +97,8 @@
 }
 
 // rate computes the expected cost of a call on an engine, in time.
-func (p *Placer) rate(now time.Time, c *framework.Call, e *engines.Engine, x *cache.Index) candidate {
+func (p *Placer) rate(now time.Time, r Request, e *engines.Engine, x *cache.Index) candidate {
+	c := r.Call
 	k := candidate{engine: e}
 	if p.settings.Affinity {
 		k.cached = x.Cached(e.Address, c.Program, c.PrefixTokens)
@@ -86,16 +108,16 @@
 	}
 	load := e.Occupancy(now) / float64(e.Limit())
 	spread := time.Duration(spreadWeight * load * float64(e.CallTime()))
-	k.total = e.Wait(now, c.PromptTokens()+c.ExpectedOutput) + spread + k.rebuild
+	k.total = e.Wait(now, r.tokens(e)) + spread + k.rebuild
 	return k
 }
 
 // next takes engines in turns.
-func (p *Placer) next(now time.Time, c *framework.Call, all []*engines.Engine, avoid map[string]bool) (Choice, bool) {
+func (p *Placer) next(now time.Time, r Request, all []*engines.Engine, avoid map[string]bool) (Choice, bool) {
 	for range all {
 		e := all[p.turn%len(all)]
 		p.turn++
-		if e.Usable(now) && !avoid[e.Address] && e.Free(now, c.PromptTokens()+c.ExpectedOutput) {
+		if e.Usable(now) && !avoid[e.Address] && e.Free(now, r.tokens(e)) {
 			return Choice{Engine: e}, true
 		}
 	}
