--- a/internal/scheduler/sim_test.go
+++ b/internal/scheduler/sim_test.go
@@ -67,7 +67,8 @@
 	addr    string
 	kv      int64
 	running int
-	queue   []func()
+	active  int64 // tokens of the running calls
+	queue   []simQueued
 	cache   map[string]int64
 	used    map[string]time.Time
 }
@@ -85,6 +86,25 @@
 	}
 }
 
+type simQueued struct {
+	tokens int64
+	start  func()
+}
+
+// fits reports whether a call of that many tokens can join the batch: running calls need their memory.
+func (e *simEngine) fits(tokens int64) bool {
+	return e.running < simBatch && (e.running == 0 || e.active+tokens <= e.kv)
+}
+
+// admit starts queued calls in order, as long as they fit.
+func (e *simEngine) admit() {
+	for len(e.queue) > 0 && e.fits(e.queue[0].tokens) {
+		next := e.queue[0]
+		e.queue = e.queue[1:]
+		next.start()
+	}
+}
+
 func (e *simEngine) held() (sum int64) {
 	for _, n := range e.cache {
 		sum += n
@@ -230,17 +250,19 @@
 		p := v.waiting[g.CallID]
 		delete(v.waiting, g.CallID)
 		e := v.engines[g.Engine]
-		start := func() { v.start(e, p, g.CallID) }
-		if e.running < simBatch {
-			start()
-		} else {
-			e.queue = append(e.queue, start)
+		t := p.turns[p.turn]
+		tokens := p.prefix + t.fresh + t.out
+		if t.subAgent {
+			tokens += p.subPrefix - p.prefix
 		}
+		e.queue = append(e.queue, simQueued{tokens, func() { v.start(e, p, g.CallID, tokens) }})
+		e.admit()
 	}
 }
 
-func (v *sim) start(e *simEngine, p *simProgram, id string) {
+func (v *sim) start(e *simEngine, p *simProgram, id string, tokens int64) {
 	e.running++
+	e.active += tokens
 	t, key, prefix := p.turns[p.turn], p.name, &p.prefix
 	if t.subAgent {
 		key, prefix = p.name+"/s", &p.subPrefix
@@ -254,15 +276,12 @@
 	v.at(secondsOf(first), func() { v.g.Progress(v.now, id) })
 	v.at(secondsOf(first+rest), func() {
 		e.running--
+		e.active -= tokens
 		prompt := *prefix + t.fresh
 		*prefix = prompt + t.out
 		e.store(v.now, key, *prefix)
 		v.g.Done(v.now, id, framework.Outcome{Kind: framework.OK, PromptTokens: prompt, CachedTokens: cached, CompletionTokens: t.out})
-		if len(e.queue) > 0 {
-			next := e.queue[0]
-			e.queue = e.queue[1:]
-			next()
-		}
+		e.admit()
 		v.finish(p, t)
 		v.decide()
 	})
