Test controllers against a fake log and network

Cause: races, lost answers, a log that is away and late starters meet in the controller, not in the state.

After: five racing operators get one winner and four conflicts that name it; lost append answers are read back and counted once; a new instance is configured by peers while the log is away; withdrawals and drains spread without the log and reach it later.

Conclusion: the controller keeps the promises with in-process peers; real connections are not part of this test.

--- /dev/null
+++ b/internal/config/controller_test.go
@@ -0,0 +1,355 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
+
+	configv1 "github.com/berylpond/berylpond/api/config/v1"
+	"github.com/berylpond/berylpond/internal/document"
+	"github.com/berylpond/berylpond/internal/failpoint"
+	"github.com/berylpond/berylpond/internal/invariant"
+	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+var errAway = errors.New("the log is away")
+
+// fakeLog is a log in memory.
+type fakeLog struct {
+	mu      sync.Mutex
+	records [][]byte
+	grown   chan struct{}
+	away    atomic.Bool
+	// losing is the number of appends that take effect and whose answer is lost.
+	losing atomic.Int64
+}
+
+func newFakeLog() *fakeLog { return &fakeLog{grown: make(chan struct{})} }
+
+func (l *fakeLog) Append(_ context.Context, _ string, records [][]byte) (int64, error) {
+	if l.away.Load() {
+		return 0, errAway
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := int64(len(l.records))
+	l.records = append(l.records, records...)
+	close(l.grown)
+	l.grown = make(chan struct{})
+	if l.losing.Add(-1) >= 0 {
+		return 0, errors.New("answer lost")
+	}
+	return first, nil
+}
+
+func (l *fakeLog) Read(ctx context.Context, _ string, from int64, max int, wait time.Duration) (Page, error) {
+	if l.away.Load() {
+		return Page{}, errAway
+	}
+	l.mu.Lock()
+	grown := l.grown
+	empty := from >= int64(len(l.records))
+	l.mu.Unlock()
+	if empty && wait > 0 {
+		select {
+		case <-grown:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	page := Page{End: int64(len(l.records))}
+	for o := from; o < page.End && len(page.Records) < max; o++ {
+		page.Records = append(page.Records, Record{Offset: o, Data: l.records[o]})
+	}
+	return page, nil
+}
+
+// network joins controllers by direct calls. It counts messages and their bytes.
+type network struct {
+	mu    sync.Mutex
+	nodes map[string]*Controller
+	cut   map[string]bool
+	calls atomic.Int64
+	bytes atomic.Int64
+}
+
+func newNetwork() *network {
+	return &network{nodes: map[string]*Controller{}, cut: map[string]bool{}}
+}
+
+type networkDialer struct {
+	n    *network
+	from string
+}
+
+func (d networkDialer) Conn(addr string) (grpc.ClientConnInterface, error) {
+	return networkConn{n: d.n, from: d.from, to: addr}, nil
+}
+
+type networkConn struct {
+	n        *network
+	from, to string
+}
+
+func (c networkConn) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, errors.ErrUnsupported
+}
+
+func (c networkConn) Invoke(ctx context.Context, method string, args, reply any, _ ...grpc.CallOption) error {
+	c.n.mu.Lock()
+	node := c.n.nodes[c.to]
+	cut := c.n.cut[c.to] || c.n.cut[c.from]
+	c.n.mu.Unlock()
+	if cut || node == nil {
+		return errors.New("unreachable")
+	}
+	var resp proto.Message
+	var err error
+	switch method {
+	case configv1.Peer_Push_FullMethodName:
+		resp, err = peerServer{c: node}.Push(ctx, proto.Clone(args.(proto.Message)).(*configv1.PushRequest))
+	case configv1.Peer_Reconcile_FullMethodName:
+		resp, err = peerServer{c: node}.Reconcile(ctx, proto.Clone(args.(proto.Message)).(*configv1.ReconcileRequest))
+	}
+	if err != nil {
+		return err
+	}
+	proto.Merge(reply.(proto.Message), resp)
+	c.n.calls.Add(1)
+	c.n.bytes.Add(int64(proto.Size(args.(proto.Message)) + proto.Size(resp)))
+	return nil
+}
+
+// newSite returns n controllers that know each other.
+func newSite(n int, log Log, cfg Config) (*network, []*Controller) {
+	net := newNetwork()
+	var all []member.Instance
+	for i := range n {
+		id := fmt.Sprint("giza-", i)
+		all = append(all, member.Instance{ID: id, DataCentre: "giza", Slot: i, PeerAddr: id, Incarnation: 1})
+	}
+	var out []*Controller
+	for _, self := range all {
+		table := member.NewTable(self)
+		for _, in := range all {
+			table.Merge(in)
+		}
+		c := New(cfg, table, networkDialer{n: net, from: self.PeerAddr}, log)
+		net.nodes[self.PeerAddr] = c
+		out = append(out, c)
+	}
+	return net, out
+}
+
+func run(t *testing.T, cs ...*Controller) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, c := range cs {
+		wg.Go(func() { _ = c.Run(ctx) })
+	}
+	t.Cleanup(func() { cancel(); wg.Wait() })
+}
+
+func fast() Config {
+	return Config{ReconcileEvery: 10 * time.Millisecond, SlowPoll: 50 * time.Millisecond, LogWait: 50 * time.Millisecond,
+		ApplyTimeout: 5 * time.Second}
+}
+
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(8 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("not reached: %s", what)
+}
+
+func everywhere(cs []*Controller, cond func(*Snapshot) bool) func() bool {
+	return func() bool {
+		for _, c := range cs {
+			if s := c.Snapshot(); s == nil || !cond(s) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func exampleDocument(t testing.TB) []byte {
+	data, err := os.ReadFile("../../examples/nile-current.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+const nile = "nile-current"
+
+func TestOneOfTwoRacingOperatorsWins(t *testing.T) {
+	is := is.New(t)
+	invariant.PanicOnViolation(true)
+	defer invariant.PanicOnViolation(false)
+	_, cs := newSite(5, newFakeLog(), fast())
+	run(t, cs...)
+	doc := exampleDocument(t)
+	errs := make([]error, len(cs))
+	versions := make([]uint64, len(cs))
+	var wg sync.WaitGroup
+	for i, c := range cs {
+		wg.Go(func() {
+			versions[i], errs[i] = c.Apply(context.Background(), nile, 0, append(doc, "# "+fmt.Sprint(i)+"\n"...), fmt.Sprint("op", i))
+		})
+	}
+	wg.Wait()
+	winner := -1
+	for i, err := range errs {
+		if err == nil {
+			is.Equal(winner, -1) // only one wins
+			winner = i
+		}
+	}
+	is.True(winner >= 0)
+	for i, err := range errs {
+		var conflict *ConflictError
+		if i != winner {
+			is.True(errors.As(err, &conflict))
+			is.Equal(conflict.Author, fmt.Sprint("op", winner))
+			is.Equal(conflict.Version, versions[winner])
+			is.Equal(verdict.From(err).Reason, verdict.ReasonVersionConflict)
+		}
+	}
+	eventually(t, "one version everywhere", everywhere(cs, func(s *Snapshot) bool { return s.Version(nile) == versions[winner] }))
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	_, cs := newSite(3, log, fast())
+	run(t, cs...)
+	doc := exampleDocument(t)
+	log.losing.Store(2)
+	v, err := cs[0].Apply(context.Background(), nile, 0, doc, "op")
+	is.NoErr(err)
+	is.Equal(len(cs[0].History(nile)), 1) // applied once, however often it stands in the log
+	failpoint.Enable(failpointApplyAfter, failpoint.Action{Kind: "error"})
+	defer failpoint.Disable(failpointApplyAfter)
+	v2, err := cs[1].Apply(context.Background(), nile, v, append(doc, '\n'), "op")
+	is.NoErr(err)
+	is.True(v2 > v)
+	eventually(t, "second version everywhere", everywhere(cs, func(s *Snapshot) bool { return s.Version(nile) == v2 }))
+}
+
+func TestApplyWithoutLogMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	log.away.Store(true)
+	cfg := fast()
+	cfg.ApplyTimeout = 50 * time.Millisecond
+	_, cs := newSite(1, log, cfg)
+	run(t, cs...)
+	_, err := cs[0].Apply(context.Background(), nile, 0, exampleDocument(t), "op")
+	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+	is.Equal(verdict.From(err).Reason, verdict.ReasonPlatformAway)
+	_, err = cs[0].Apply(context.Background(), nile, 0, []byte("team = 1"), "op")
+	var ps document.Problems
+	is.True(errors.As(err, &ps))
+}
+
+func TestStartAndWithdrawWhileTheLogIsAway(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	_, cs := newSite(4, log, fast())
+	run(t, cs[:3]...)
+	key, hashed, err := document.NewKey()
+	is.NoErr(err)
+	doc := append(exampleDocument(t), fmt.Sprintf("\n[[account]]\nname=\"new\"\nrate=1\nkeys=[{id=%q,salt=%q,hash=%q}]\n",
+		hashed.ID, hashed.Salt, hashed.Hash)...)
+	_, err = cs[0].Apply(context.Background(), nile, 0, doc, "op")
+	is.NoErr(err)
+	eventually(t, "document everywhere", everywhere(cs[:3], func(s *Snapshot) bool { return s.KeyValid(nile, hashed.ID) }))
+	acc, refusal := cs[2].Snapshot().Authenticate("Bearer " + key)
+	is.True(refusal == nil)
+	is.Equal(acc.Name, "new")
+
+	log.away.Store(true)
+	run(t, cs[3]) // a new instance takes its configuration from the others
+	eventually(t, "new instance is configured", everywhere(cs, func(s *Snapshot) bool { return s.KeyValid(nile, hashed.ID) }))
+	is.NoErr(cs[3].Withdraw(context.Background(), nile, hashed.ID))
+	is.NoErr(cs[1].DrainBackend(context.Background(), "10.0.0.1:80", true))
+	eventually(t, "withdrawn and drained everywhere", everywhere(cs, func(s *Snapshot) bool {
+		return !s.KeyValid(nile, hashed.ID) && s.Drained("10.0.0.1:80")
+	}))
+	_, refusal = cs[0].Snapshot().Authenticate("Bearer " + key)
+	is.Equal(refusal.Reason, verdict.ReasonKeyWithdrawn)
+
+	log.away.Store(false)
+	eventually(t, "withdrawal is on the log", func() bool {
+		late := NewState()
+		page, _ := log.Read(context.Background(), Stream, 0, 100, 0)
+		for _, r := range page.Records {
+			late.Apply(uint64(r.Offset), cs[0].decode(r))
+		}
+		return late.Withdrawn(nile)[hashed.ID] && late.Drained()["10.0.0.1:80"]
+	})
+}
+
+func TestLiveStateIsRefreshed(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	cfg := fast()
+	cfg.RefreshEvery = 50 * time.Millisecond
+	_, cs := newSite(3, log, cfg)
+	run(t, cs...)
+	v, err := cs[0].Apply(context.Background(), nile, 0, exampleDocument(t), "op")
+	is.NoErr(err)
+	eventually(t, "a copy stands in the log", func() bool {
+		page, _ := log.Read(context.Background(), Stream, 0, 100, 0)
+		for _, r := range page.Records {
+			if st := cs[0].decode(r).GetCopy().GetState(); st.GetVersion() == v && st.Exact {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+func TestListenersSeeRisingVersions(t *testing.T) {
+	is := is.New(t)
+	_, cs := newSite(2, newFakeLog(), fast())
+	var mu sync.Mutex
+	var seen []uint64
+	cs[1].OnChange(func(s *Snapshot) {
+		mu.Lock()
+		defer mu.Unlock()
+		seen = append(seen, s.Version(nile))
+	})
+	run(t, cs...)
+	doc := exampleDocument(t)
+	var v uint64
+	for range 5 {
+		var err error
+		doc = append(doc, '\n')
+		v, err = cs[0].Apply(context.Background(), nile, v, doc, "op")
+		is.NoErr(err)
+	}
+	eventually(t, "last version", everywhere(cs, func(s *Snapshot) bool { return s.Version(nile) == v }))
+	mu.Lock()
+	defer mu.Unlock()
+	for i := 1; i < len(seen); i++ {
+		is.True(seen[i-1] <= seen[i])
+	}
+}
