--- a/internal/cell/bench_test.go
+++ b/internal/cell/bench_test.go
@@ -12,6 +12,7 @@
 func benchCell(b *testing.B, slots int) *testCell {
 	cfg := testConfig(slots)
 	cfg.Lease, cfg.Heartbeat = 500*time.Millisecond, time.Minute
+	cfg.Incarnation = uint64(time.Now().UnixMilli())
 	c := newTestCell(b, cfg)
 	start := time.Now()
 	for time.Since(start) < cfg.Lease+2*cfg.Margin {
@@ -21,6 +22,9 @@
 		if !c.holds(i, i)() {
 			b.Fatalf("slot %d does not hold its part", i)
 		}
+		if !c.slots[i].CaughtUp(time.Now()) {
+			b.Fatalf("slot %d does not vote", i)
+		}
 	}
 	return c
 }
