--- /dev/null
+++ b/internal/load/report/bucket.go
@@ -0,0 +1,31 @@
+// Package report gathers what callers saw and works out the figures of a run.
+package report
+
+import "time"
+
+// Bucket is a token bucket that a caller keeps of its own account, to tell refusals within rate from those above it.
+// It is not safe for concurrent use.
+type Bucket struct {
+	rate, burst float64
+	tokens      float64
+	at          time.Time
+}
+
+// NewBucket returns a full bucket. rate is in tokens per second.
+func NewBucket(rate float64, burst int, now time.Time) *Bucket {
+	return &Bucket{rate: rate, burst: float64(burst), tokens: float64(burst), at: now}
+}
+
+// Take takes one token for a call that is sent now. It reports whether the call is within rate.
+func (b *Bucket) Take(now time.Time) bool {
+	b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.at).Seconds())
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Return gives back the token of a call that was refused.
+func (b *Bucket) Return() { b.tokens = min(b.burst, b.tokens+1) }
--- /dev/null
+++ b/internal/load/report/figures.go
@@ -0,0 +1,156 @@
+package report
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	maxLatencyMicros = int64(time.Hour / time.Microsecond)
+	histogramDigits  = 3
+)
+
+// Quantiles of a time, in milliseconds.
+type Quantiles struct {
+	P50 float64 `json:"p50_ms"`
+	P95 float64 `json:"p95_ms"`
+	P99 float64 `json:"p99_ms"`
+}
+
+// Figures are those of one account or of all together.
+type Figures struct {
+	Account  string `json:"account"`
+	Programs int    `json:"programs"`
+	// Failed are the programs that did not finish before their deadline; Latency counts them at their deadline.
+	Failed     int            `json:"failed"`
+	FailedBy   map[string]int `json:"failed_by_reason,omitempty"`
+	Latency    Quantiles      `json:"program_latency"`
+	FirstToken Quantiles      `json:"first_token"`
+	Calls      int            `json:"calls"`
+	// WastedCache is the share of prompt tokens that were computed although an engine had held them before.
+	WastedCache float64 `json:"wasted_cache"`
+	// Refusals counts calls that ended without having run, by reason; Failures those that may have run.
+	Refusals map[string]int `json:"refusals,omitempty"`
+	Failures map[string]int `json:"failures,omitempty"`
+	// RefusedWithinRate counts refusals of calls that were within the account's rate and burst.
+	RefusedWithinRate int `json:"refused_within_rate"`
+	// Goodput is the programs that finished in time, per second.
+	Goodput float64 `json:"goodput"`
+	// Tokens of answers per second.
+	OutputRate float64 `json:"output_tokens_per_second"`
+}
+
+// RefusedWithinRateShare returns RefusedWithinRate over Calls.
+func (f *Figures) RefusedWithinRateShare() float64 {
+	if f.Calls == 0 {
+		return 0
+	}
+	return float64(f.RefusedWithinRate) / float64(f.Calls)
+}
+
+// Compute works out the figures of every account, ordered by name, and of all together. span is the length of the run.
+func Compute(calls []Call, programs []Program, span time.Duration) (all Figures, accounts []Figures) {
+	names := map[string]bool{}
+	for _, p := range programs {
+		names[p.Account] = true
+	}
+	for name := range names {
+		accounts = append(accounts, figures(name, calls, programs, span))
+	}
+	slices.SortFunc(accounts, func(a, b Figures) int {
+		if a.Account < b.Account {
+			return -1
+		}
+		return 1
+	})
+	return figures("", calls, programs, span), accounts
+}
+
+func figures(account string, calls []Call, programs []Program, span time.Duration) Figures {
+	f := Figures{Account: account, Refusals: map[string]int{}, Failures: map[string]int{}, FailedBy: map[string]int{}}
+	latency, first := newHistogram(), newHistogram()
+	for _, p := range programs {
+		if account == "" || p.Account == account {
+			f.addProgram(&p, latency)
+		}
+	}
+	var prompt, wasted, output int
+	for i := range calls {
+		c := &calls[i]
+		if account != "" && c.Account != account {
+			continue
+		}
+		f.addCall(c, first)
+		if c.Whole && !c.Replayed {
+			prompt += c.Prompt
+			output += c.Completion
+			wasted += max(0, c.History-c.Cached)
+		}
+	}
+	if prompt > 0 {
+		f.WastedCache = float64(wasted) / float64(prompt)
+	}
+	f.Latency, f.FirstToken = quantiles(latency), quantiles(first)
+	if s := span.Seconds(); s > 0 {
+		f.Goodput = float64(f.Programs-f.Failed) / s
+		f.OutputRate = float64(output) / s
+	}
+	return f
+}
+
+func (f *Figures) addProgram(p *Program, latency *hdrhistogram.Histogram) {
+	f.Programs++
+	record(latency, p.Latency)
+	if p.Failed {
+		f.Failed++
+		f.FailedBy[p.Reason]++
+	}
+}
+
+func (f *Figures) addCall(c *Call, first *hdrhistogram.Histogram) {
+	f.Calls++
+	if c.FirstToken > 0 {
+		record(first, c.FirstToken)
+	}
+	switch {
+	case c.Refused():
+		f.Refusals[c.Reason]++
+		if c.WithinRate {
+			f.RefusedWithinRate++
+		}
+	case !c.Whole:
+		f.Failures[c.Reason]++
+	}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, maxLatencyMicros, histogramDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(d.Microseconds(), 1), maxLatencyMicros))
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	ms := func(q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) / float64(time.Millisecond/time.Microsecond)
+	}
+	return Quantiles{P50: ms(50), P95: ms(95), P99: ms(99)}
+}
+
+// WorstServed returns the account with the highest p95 program latency, leaving out those named.
+func WorstServed(accounts []Figures, except ...string) Figures {
+	worst := Figures{Latency: Quantiles{P95: math.Inf(-1)}}
+	for _, a := range accounts {
+		if a.Programs > 0 && !slices.Contains(except, a.Account) && a.Latency.P95 > worst.Latency.P95 {
+			worst = a
+		}
+	}
+	if worst.Programs == 0 {
+		return Figures{}
+	}
+	return worst
+}
