Drive whole sites of processes with workloads

berylload run starts daemons and stand-ins as separate processes, or takes a running site, and runs programs open-loop. Every answer is compared with the one that the stand-in gives to the whole conversation, and the prompt's length with the known history, so that a lost or mixed turn shows in each run. A refused call comes back at the time that the refusal names; a turn that may have run is sent again with its head.

--- /dev/null
+++ b/cmd/berylload/flags.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+
+	"github.com/berylpond/berylpond/internal/load/site"
+	"github.com/berylpond/berylpond/internal/load/workload"
+)
+
+const profilesDir = "examples/profiles"
+
+// common holds the flags that commands share.
+type common struct {
+	profile  string
+	seed     uint64
+	duration time.Duration
+	load     float64
+	cached   float64
+	scale    float64
+	flood    []string
+	bin      string
+	out      string
+}
+
+func (f *common) register(c *cobra.Command, duration time.Duration) {
+	fs := c.Flags()
+	fs.StringVar(&f.profile, "profile", "nile-current", "name of a profile in "+profilesDir+", or path of a TOML file")
+	fs.Uint64Var(&f.seed, "seed", 1, "seed of the workload")
+	fs.DurationVar(&f.duration, "duration", duration, "time in which programs start")
+	fs.Float64Var(&f.load, "load", 0.85, "engines' work over their capacity")
+	fs.Float64Var(&f.cached, "capacity-cached", 1, "share of the history taken for cached where capacity is worked out")
+	fs.Float64Var(&f.scale, "scale", 0, "engine time in one second of clock time; 0 is the profile's")
+	fs.StringArrayVar(&f.flood, "flood", nil, "ACCOUNT=N: the account sends N times its rate")
+	fs.StringVar(&f.bin, "bin", "", "directory of berylpondd and berylfakes; without it they are built")
+	fs.StringVar(&f.out, "json", "", "file for the figures as JSON")
+}
+
+func (f *common) workload() (*workload.Profile, workload.Options, error) {
+	path := f.profile
+	if !strings.Contains(path, "/") && !strings.HasSuffix(path, ".toml") {
+		path = filepath.Join(profilesDir, path+".toml")
+	}
+	o := workload.Options{Seed: f.seed, Duration: f.duration, Load: f.load, Cached: f.cached, Flood: map[string]float64{}}
+	p, err := workload.LoadProfile(path)
+	if err != nil {
+		return nil, o, err
+	}
+	if f.scale > 0 {
+		p.Scale = f.scale
+	}
+	for _, text := range f.flood {
+		account, times, _ := strings.Cut(text, "=")
+		n, err := strconv.ParseFloat(times, 64)
+		if err != nil || n <= 0 {
+			return nil, o, errors.Newf("--flood %q: the form is ACCOUNT=N", text)
+		}
+		o.Flood[account] = n
+	}
+	return p, o, nil
+}
+
+// binaries returns the directory of the binaries and what removes it, if it was made here.
+func (f *common) binaries(ctx context.Context) (string, func(), error) {
+	if f.bin != "" {
+		return f.bin, func() {}, nil
+	}
+	dir, err := os.MkdirTemp("", "berylload-bin")
+	if err != nil {
+		return "", nil, err
+	}
+	remove := func() { os.RemoveAll(dir) }
+	if err := site.Build(ctx, dir); err != nil {
+		remove()
+		return "", nil, err
+	}
+	return dir, remove, nil
+}
+
+func (f *common) writeJSON(v any) error {
+	if f.out == "" {
+		return nil
+	}
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(f.out, append(b, '\n'), 0o644)
+}
--- /dev/null
+++ b/internal/load/faults.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/berylpond/berylpond/internal/fakes/fault"
+	"github.com/berylpond/berylpond/internal/load/site"
+)
+
+// FaultKind names a fault of a run.
+type FaultKind string
+
+// Faults of a run.
+const (
+	// FaultKill ends a daemon at once; it starts again when the fault ends.
+	FaultKill FaultKind = "kill"
+	// FaultStop shuts a daemon down in order; it starts again when the fault ends.
+	FaultStop FaultKind = "stop"
+	// FaultFreeze suspends a daemon.
+	FaultFreeze FaultKind = "freeze"
+	// FaultLog takes the log away.
+	FaultLog FaultKind = "log-outage"
+	// FaultHang makes an engine accept requests without running them.
+	FaultHang FaultKind = "engine-hang"
+	// FaultSilent makes an engine's open connections go silent.
+	FaultSilent FaultKind = "engine-silent"
+	// FaultCrash makes an engine lose everything in its memory.
+	FaultCrash FaultKind = "engine-crash"
+	// FaultTruncate ends an engine's streams early.
+	FaultTruncate FaultKind = "engine-truncate"
+	// FaultCrossed makes an engine answer with another request's answer.
+	FaultCrossed FaultKind = "engine-crossed"
+	// FaultEffect makes a service run a call and lose its answer.
+	FaultEffect FaultKind = "service-lose-answer"
+)
+
+// Fault is one fault of a run.
+type Fault struct {
+	Kind FaultKind
+	// Target is the index of the daemon, engine or service.
+	Target int
+	// At is the time after the start of the run.
+	At time.Duration
+	// Duration is the time until the fault is removed.
+	Duration time.Duration
+}
+
+// Kinds returns all kinds of faults.
+func Kinds() []FaultKind {
+	return []FaultKind{
+		FaultKill, FaultStop, FaultFreeze, FaultLog, FaultHang, FaultSilent, FaultCrash, FaultTruncate, FaultCrossed, FaultEffect,
+	}
+}
+
+// ParseFault reads KIND:TARGET@AT+DURATION, for example "kill:2@5s+10s".
+func ParseFault(text string) (Fault, error) {
+	kind, rest, _ := strings.Cut(text, ":")
+	target, rest, _ := strings.Cut(rest, "@")
+	at, length, ok := strings.Cut(rest, "+")
+	f := Fault{Kind: FaultKind(kind)}
+	var errTarget, errAt, errLength error
+	f.Target, errTarget = strconv.Atoi(target)
+	f.At, errAt = time.ParseDuration(at)
+	f.Duration, errLength = time.ParseDuration(length)
+	if !ok || errTarget != nil || errAt != nil || errLength != nil {
+		return f, errors.Newf("fault %q: the form is KIND:TARGET@AT+DURATION", text)
+	}
+	for _, k := range Kinds() {
+		if k == f.Kind {
+			return f, nil
+		}
+	}
+	return f, errors.Newf("fault %q: the kinds are %v", text, Kinds())
+}
+
+// injectAll injects the faults at their times. It returns when all are removed.
+func injectAll(ctx context.Context, s *site.Site, faults []Fault) {
+	var running sync.WaitGroup
+	for _, f := range faults {
+		running.Go(func() {
+			if !pause(ctx, f.At) {
+				return
+			}
+			if err := Inject(ctx, s, f); err != nil {
+				klog.ErrorS(err, "Fault failed", "kind", f.Kind, "target", f.Target)
+			}
+		})
+	}
+	running.Wait()
+}
+
+// Inject brings one fault about, waits for its duration, and removes it.
+func Inject(ctx context.Context, s *site.Site, f Fault) error {
+	switch f.Kind {
+	case FaultKill, FaultStop, FaultFreeze:
+		return injectInstance(ctx, s, f, s.Instances[f.Target%len(s.Instances)])
+	case FaultLog:
+		return injectFake(ctx, s.Log, f, fault.Outage)
+	case FaultEffect:
+		return injectFake(ctx, s.Services[f.Target%len(s.Services)], f, fault.LoseAnswer)
+	}
+	modes := map[FaultKind]fault.Mode{
+		FaultHang: fault.Hang, FaultSilent: fault.Silent, FaultCrash: fault.Crash, FaultTruncate: fault.Truncate,
+		FaultCrossed: fault.Crossed,
+	}
+	return injectFake(ctx, s.Engines[f.Target%len(s.Engines)], f, modes[f.Kind])
+}
+
+func injectFake(ctx context.Context, fake *site.Fake, f Fault, mode fault.Mode) error {
+	if err := fake.Fault(ctx, fault.Spec{Mode: mode, DelayMS: f.Duration.Milliseconds(), AfterChunks: 3}); err != nil {
+		return err
+	}
+	pause(ctx, f.Duration)
+	return fake.Heal(context.WithoutCancel(ctx))
+}
+
+// stopTimeout bounds a graceful shutdown.
+const stopTimeout = 40 * time.Second
+
+func injectInstance(ctx context.Context, s *site.Site, f Fault, in *site.Instance) error {
+	p := in.Process()
+	switch f.Kind {
+	case FaultFreeze:
+		p.Signal(syscall.SIGSTOP)
+		pause(ctx, f.Duration)
+		p.Signal(syscall.SIGCONT)
+		return nil
+	case FaultKill:
+		p.Kill()
+	case FaultStop:
+		if !p.Stop(stopTimeout) {
+			return errors.Newf("%s did not shut down within %s", in.ID, stopTimeout)
+		}
+	}
+	pause(ctx, f.Duration)
+	restart := context.WithoutCancel(ctx)
+	if err := s.Start(restart, in); err != nil {
+		return err
+	}
+	return in.AwaitReady(restart)
+}
--- a/internal/load/report/recorder.go
+++ b/internal/load/report/recorder.go
@@ -52,10 +52,12 @@
 
 // Recorder keeps what callers saw. It is safe for concurrent use.
 type Recorder struct {
-	mu       sync.Mutex
-	buckets  map[string]*Bucket
-	calls    []Call
-	programs []Program
+	mu         sync.Mutex
+	buckets    map[string]*Bucket
+	calls      []Call
+	programs   []Program
+	effects    []Effect
+	violations []Violation
 }
 
 // NewRecorder returns a recorder with a bucket for each account.
--- /dev/null
+++ b/internal/load/report/result.go
@@ -0,0 +1,96 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/dustin/go-humanize"
+)
+
+// Daemons holds what the daemons used in a run, all together.
+type Daemons struct {
+	Count int `json:"count"`
+	// CPUCores is CPU time over clock time.
+	CPUCores float64 `json:"cpu_cores"`
+	// CPUPerCall is CPU time per call, in milliseconds.
+	CPUPerCall float64 `json:"cpu_ms_per_call"`
+	// MemoryBytes is the resident memory of the largest daemon.
+	MemoryBytes float64 `json:"largest_memory_bytes"`
+	// ControlBytes is bytes per second between instances; zero if no metric gives them.
+	ControlBytes float64 `json:"control_bytes_per_second"`
+	// Retries and Attempts count requests to backend servers.
+	Retries  float64 `json:"retries"`
+	Attempts float64 `json:"attempts"`
+}
+
+// Result is the outcome of one run.
+type Result struct {
+	Profile      string      `json:"profile"`
+	Policy       string      `json:"policy"`
+	Seed         uint64      `json:"seed"`
+	LoadCached   float64     `json:"load_every_prefix_cached"`
+	LoadUncached float64     `json:"load_no_prefix_cached"`
+	Seconds      float64     `json:"seconds"`
+	All          Figures     `json:"all"`
+	Accounts     []Figures   `json:"accounts"`
+	Daemons      Daemons     `json:"daemons"`
+	Violations   []Violation `json:"violations,omitempty"`
+}
+
+// WriteTable writes the result for people.
+func (r *Result) WriteTable(w io.Writer) error {
+	fmt.Fprintf(w, "profile %s, policy %s, seed %d, %.0f s, load %.2f with every prefix cached and %.2f with none\n",
+		r.Profile, r.Policy, r.Seed, r.Seconds, r.LoadCached, r.LoadUncached)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "account\tprograms\tfailed\tp50 ms\tp95 ms\tp99 ms\tTTFT p50\tTTFT p95\twasted\tcalls\trefused\twithin rate\tgoodput/s\t")
+	for _, f := range append(slices.Clone(r.Accounts), r.All) {
+		name := f.Account
+		if name == "" {
+			name = "all"
+		}
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f%%\t%d\t%d\t%d (%.2f%%)\t%.2f\t\n",
+			name, f.Programs, f.Failed, f.Latency.P50, f.Latency.P95, f.Latency.P99, f.FirstToken.P50, f.FirstToken.P95,
+			100*f.WastedCache, f.Calls, total(f.Refusals), f.RefusedWithinRate, 100*f.RefusedWithinRateShare(), f.Goodput)
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "refusals: %s; failures: %s; failed programs: %s\n", counts(r.All.Refusals), counts(r.All.Failures), counts(r.All.FailedBy))
+	d := r.Daemons
+	fmt.Fprintf(w, "%d daemons: %.2f cores, %.1f ms of CPU a call, largest memory %s, control %s/s; retries %.0f of %.0f requests to backend servers\n",
+		d.Count, d.CPUCores, d.CPUPerCall, humanize.IBytes(uint64(d.MemoryBytes)), humanize.IBytes(uint64(d.ControlBytes)), d.Retries, d.Attempts)
+	for i, v := range r.Violations {
+		if i == maxShown {
+			fmt.Fprintf(w, "and %d further violations\n", len(r.Violations)-i)
+			break
+		}
+		fmt.Fprintf(w, "VIOLATION %s: %s\n", v.Kind, v.Detail)
+	}
+	return nil
+}
+
+// maxShown is the number of violations that a table lists.
+const maxShown = 20
+
+func total(m map[string]int) int {
+	n := 0
+	for _, v := range m {
+		n += v
+	}
+	return n
+}
+
+func counts(m map[string]int) string {
+	if len(m) == 0 {
+		return "none"
+	}
+	var parts []string
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		parts = append(parts, fmt.Sprintf("%s %d", k, m[k]))
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/internal/load/site/instance.go
@@ -0,0 +1,127 @@
+package site
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+
+	"github.com/berylpond/berylpond/internal/settings"
+)
+
+// Instance is one daemon of the site.
+type Instance struct {
+	ID         string
+	DataCentre string
+
+	set     settings.Settings
+	process atomic.Pointer[Process]
+	callers atomic.Pointer[string]
+	peers   atomic.Pointer[string]
+	runs    int
+}
+
+// Callers returns the address for callers.
+func (in *Instance) Callers() string { return *in.callers.Load() }
+
+// Process returns the running process, or the last one.
+func (in *Instance) Process() *Process { return in.process.Load() }
+
+// servingLine is the daemon's log line with its bound addresses.
+type servingLine struct {
+	Msg     string `json:"msg"`
+	Callers string `json:"callers"`
+	Peers   string `json:"bound_peers"`
+}
+
+// Start starts the daemon, or a new incarnation of it, and enters it in the instance list. An incarnation after the
+// first takes the addresses of the first.
+func (s *Site) Start(ctx context.Context, in *Instance) error {
+	if in.runs > 0 {
+		in.set.Listen.Callers, in.set.Listen.Peers = *in.callers.Load(), *in.peers.Load()
+	}
+	raw, err := toml.Marshal(in.set)
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(s.dir, in.ID+".toml")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		return err
+	}
+	name := fmt.Sprintf("%s.%d", in.ID, in.runs)
+	in.runs++
+	p, err := start(s.dir, name, nil, filepath.Join(s.bin, daemonBinary), "run", "--settings", path)
+	if err != nil {
+		return err
+	}
+	in.process.Store(p)
+	err = await(ctx, "addresses of "+name, func() bool { return !p.Running() || in.readAddresses(p) })
+	if err == nil && !p.Running() {
+		err = errors.Newf("%s ended at its start; its log is %s", name, p.log)
+	}
+	if err != nil {
+		return err
+	}
+	return s.List.Call(ctx, http.MethodPut, "/v1/instances/"+in.ID, listEntry{
+		ID: in.ID, Kind: "entry", DataCentre: in.DataCentre, Address: *in.peers.Load(), State: "live",
+	}, nil)
+}
+
+// listEntry is an entry of the platform's instance list.
+type listEntry struct {
+	ID         string `json:"id"`
+	Kind       string `json:"kind"`
+	DataCentre string `json:"data_centre"`
+	Address    string `json:"address"`
+	State      string `json:"state"`
+}
+
+func (in *Instance) readAddresses(p *Process) bool {
+	log, err := os.ReadFile(p.log)
+	if err != nil {
+		return false
+	}
+	sc := bufio.NewScanner(bytes.NewReader(log))
+	for sc.Scan() {
+		var l servingLine
+		if json.Unmarshal(sc.Bytes(), &l) == nil && l.Msg == "Serving" {
+			in.callers.Store(&l.Callers)
+			in.peers.Store(&l.Peers)
+			return true
+		}
+	}
+	return false
+}
+
+// AwaitReady waits until the daemon is ready for traffic.
+func (in *Instance) AwaitReady(ctx context.Context) error {
+	return await(ctx, in.ID+" to be ready", func() bool {
+		resp, err := http.Get("http://" + in.Callers() + "/readyz")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	})
+}
+
+func await(ctx context.Context, what string, ok func() bool) error {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(pollInterval) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if ok() {
+			return nil
+		}
+	}
+	return errors.Newf("%s: not within %s", what, startTimeout)
+}
--- /dev/null
+++ b/internal/load/site/site.go
@@ -0,0 +1,202 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+
+	configv1 "github.com/berylpond/berylpond/api/config/v1"
+	"github.com/berylpond/berylpond/internal/load/workload"
+	"github.com/berylpond/berylpond/internal/settings"
+)
+
+// Site is a running site.
+type Site struct {
+	Log, List *Fake
+	Engines   []*Fake
+	Services  []*Fake
+	Instances []*Instance
+	// Keys holds each account's key.
+	Keys map[string]string
+
+	bin, dir string
+	fakes    []*Fake
+}
+
+// Options choose how a site is started.
+type Options struct {
+	// Bin is the directory of the binaries.
+	Bin string
+	// Policy is the daemons' scheduling policy; empty is the default.
+	Policy string
+	// Adjust, if set, changes the settings of each daemon.
+	Adjust func(*settings.Settings)
+}
+
+// Start brings up the site of a profile. It returns when every instance is ready and has the accounts' rates.
+func Start(ctx context.Context, p *workload.Profile, limits []workload.Limit, o Options) (*Site, error) {
+	dir, err := os.MkdirTemp("", "berylload")
+	if err != nil {
+		return nil, err
+	}
+	s := &Site{Keys: map[string]string{}, bin: o.Bin, dir: dir}
+	if err := s.start(ctx, p, limits, o); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context, p *workload.Profile, limits []workload.Limit, o Options) error {
+	if err := s.startFakes(p); err != nil {
+		return err
+	}
+	for i, dc := range p.DataCentres {
+		for slot := range dc.Instances {
+			s.Instances = append(s.Instances, s.newInstance(p, i, slot, o))
+		}
+	}
+	starts, startCtx := errgroup.WithContext(ctx)
+	for _, in := range s.Instances {
+		starts.Go(func() error { return s.Start(startCtx, in) })
+	}
+	if err := starts.Wait(); err != nil {
+		return err
+	}
+	doc, err := s.render(p, limits)
+	if err != nil {
+		return err
+	}
+	if err := s.apply(ctx, p.Name, doc); err != nil {
+		return err
+	}
+	for _, in := range s.Instances {
+		if err := in.AwaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Site) startFakes(p *workload.Profile) error {
+	var err error
+	if s.Log, err = s.fake("log", "", "log"); err != nil {
+		return err
+	}
+	if s.List, err = s.fake("instances", "", "instances"); err != nil {
+		return err
+	}
+	e := p.Engine
+	args := []string{
+		"--time-scale", number(p.Scale), "--prefill-rate", number(e.PrefillRate), "--decode-rate", number(e.DecodeRate),
+		"--max-batch", strconv.Itoa(e.MaxBatch), "--capacity", strconv.Itoa(e.Capacity),
+		"--event-delay", "100ms", "--event-drop-every", "50", "--load-lag", "200ms",
+	}
+	for _, dc := range p.DataCentres {
+		for i := range dc.Engines {
+			f, err := s.fake(fmt.Sprintf("engine-%s-%d", dc.Name, i), dc.Name, "engine", args...)
+			if err != nil {
+				return err
+			}
+			s.Engines = append(s.Engines, f)
+		}
+		for i := range dc.Services {
+			f, err := s.fake(fmt.Sprintf("service-%s-%d", dc.Name, i), dc.Name, "service", "--latency", "10ms")
+			if err != nil {
+				return err
+			}
+			s.Services = append(s.Services, f)
+		}
+	}
+	return nil
+}
+
+func number(f float64) string { return strconv.FormatFloat(f, 'g', -1, 64) }
+
+func (s *Site) fake(name, dc, role string, args ...string) (*Fake, error) {
+	f, err := startFake(s.bin, s.dir, name, role, args...)
+	if err != nil {
+		return nil, err
+	}
+	f.DataCentre = dc
+	s.fakes = append(s.fakes, f)
+	return f, nil
+}
+
+// claimWindow is short, because a new slot abstains from votes on claims for it.
+const claimWindow = 5 * time.Second
+
+func (s *Site) newInstance(p *workload.Profile, dcIndex, slot int, o Options) *Instance {
+	dc := p.DataCentres[dcIndex]
+	set := settings.Default()
+	set.Instance = settings.Instance{ID: fmt.Sprintf("%s-%d", dc.Name, slot), DataCentre: dc.Name, Slot: slot, CellSlots: dc.Instances}
+	for _, d := range p.DataCentres {
+		set.Instance.DataCentres = append(set.Instance.DataCentres, d.Name)
+	}
+	set.Timing.ClaimWindow = settings.Duration(claimWindow)
+	if o.Policy != "" {
+		set.Scheduling.Policy = o.Policy
+	}
+	set.Platform = settings.Platform{Log: "http://" + s.Log.Address, Instances: "http://" + s.List.Address}
+	ip := fmt.Sprintf("127.0.%d.%d", dcIndex+1, slot+1)
+	set.Listen = settings.Listen{Callers: ip + ":0", Peers: ip + ":0"}
+	if o.Adjust != nil {
+		o.Adjust(&set)
+	}
+	return &Instance{ID: set.Instance.ID, DataCentre: dc.Name, set: set}
+}
+
+// apply publishes the team's first document.
+func (s *Site) apply(ctx context.Context, team string, doc []byte) error {
+	conn, err := grpc.NewClient("passthrough:///"+*s.Instances[0].peers.Load(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	admin := configv1.NewAdminClient(conn)
+	err = await(ctx, "document", func() bool {
+		_, err = admin.Apply(ctx, &configv1.ApplyRequest{Team: team, Document: doc, Author: "berylload"})
+		return err == nil
+	})
+	return errors.Wrap(err, "apply")
+}
+
+// Callers returns the callers' addresses of each data centre, in the order of the profile.
+func (s *Site) Callers() [][]string {
+	var out [][]string
+	index := map[string]int{}
+	for _, in := range s.Instances {
+		i, ok := index[in.DataCentre]
+		if !ok {
+			i = len(out)
+			index[in.DataCentre] = i
+			out = append(out, nil)
+		}
+		out[i] = append(out[i], in.Callers())
+	}
+	return out
+}
+
+// Close ends every process of the site.
+func (s *Site) Close() {
+	var ends sync.WaitGroup
+	for _, in := range s.Instances {
+		if p := in.Process(); p != nil {
+			ends.Go(p.Kill)
+		}
+	}
+	ends.Wait()
+	for _, f := range s.fakes {
+		ends.Go(f.Kill)
+	}
+	ends.Wait()
+	os.RemoveAll(s.dir)
+}
--- /dev/null
+++ b/internal/load/warm.go
@@ -0,0 +1,64 @@
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/berylpond/berylpond/internal/fakes/engine"
+	"github.com/berylpond/berylpond/internal/load/report"
+	"github.com/berylpond/berylpond/internal/load/workload"
+)
+
+const (
+	warmTimeout = 60 * time.Second
+	warmPause   = 100 * time.Millisecond
+)
+
+// Warm waits until every account gets a call through in every data centre, and then until its bucket is full again.
+func Warm(ctx context.Context, t Target, limits []workload.Limit) error {
+	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+	defer cancel()
+	c := newClient(t, report.NewRecorder(nil), 0)
+	defer c.http.CloseIdleConnections()
+	warming, warmCtx := errgroup.WithContext(ctx)
+	var fill time.Duration
+	for _, l := range limits {
+		fill = max(fill, time.Duration(float64(l.Burst)/l.Rate*float64(time.Second)))
+		warming.Go(func() error {
+			for dc := range t.Callers {
+				if err := c.warm(warmCtx, l.Account, dc); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	if err := warming.Wait(); err != nil {
+		return err
+	}
+	pause(ctx, min(fill, maxFillWait))
+	return ctx.Err()
+}
+
+func (c *client) warm(ctx context.Context, account string, dc int) error {
+	r := rand.New(rand.NewPCG(uint64(dc), 0))
+	for {
+		a := c.do(ctx, r, request{
+			account: account, kind: report.KindTurn, dc: dc, method: http.MethodPost, path: "/v1/chat/completions",
+			body: engine.ChatRequest{
+				Model: c.target.Model, MaxTokens: 1, Messages: []engine.Message{{Role: "user", Content: "warm"}},
+			},
+		})
+		if a.whole {
+			return nil
+		}
+		if !pause(ctx, warmPause) {
+			return errors.Wrapf(a.err, "account %s gets no call through in data centre %d", account, dc)
+		}
+	}
+}
