Compare policies side by side on the same workloads

Each slice runs every policy on the same programs, each on a site that starts afresh; the order turns with the slices.

--- /dev/null
+++ b/cmd/berylload/compare.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"time"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/berylpond/berylpond/internal/load"
+)
+
+func compareCommand() *cobra.Command {
+	c := &cobra.Command{
+		Use: "compare", Short: "Run several policies side by side on the same workloads", Args: cobra.NoArgs,
+		Example: "  berylload compare --profile tsurumaki --seed 7 --duration 15s --slices 2 --json figures.json --plot latency.svg",
+	}
+	f := &common{}
+	f.register(c, 15*time.Second)
+	fs := c.Flags()
+	policies := fs.StringSlice("settings", []string{"fifo-round-robin", "least-loaded", "berylpond"}, "policies; ratios are of the last to the others")
+	slices := fs.Int("slices", 1, "times that each policy runs, in turn, with the next seed each time")
+	plot := fs.String("plot", "", "file for a plot, .svg or .png")
+	c.RunE = func(c *cobra.Command, _ []string) error {
+		p, w, err := f.workload()
+		if err != nil {
+			return err
+		}
+		bin, remove, err := f.binaries(c.Context())
+		if err != nil {
+			return err
+		}
+		defer remove()
+		result, err := load.Compare(c.Context(), p, load.CompareOptions{
+			Options: load.Options{Options: w, Bin: bin}, Policies: *policies, Slices: *slices,
+			Progress: func(slice int, policy string) { klog.InfoS("Slice begins", "slice", slice, "policy", policy) },
+		})
+		if err != nil {
+			return err
+		}
+		if err := result.WriteTable(c.OutOrStdout()); err != nil {
+			return err
+		}
+		if *plot != "" {
+			if err := result.SavePlot(*plot); err != nil {
+				return err
+			}
+		}
+		return f.writeJSON(result)
+	}
+	return c
+}
--- /dev/null
+++ b/internal/load/report/comparison.go
@@ -0,0 +1,88 @@
+package report
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// Comparison holds the results of several policies on the same workloads.
+type Comparison struct {
+	Profile      string  `json:"profile"`
+	Seed         uint64  `json:"seed"`
+	Slices       int     `json:"slices"`
+	SliceSeconds float64 `json:"slice_seconds"`
+	// Flooding lists the accounts that send several times their rate.
+	Flooding []string `json:"flooding,omitempty"`
+	// Results are in the order of the policies; ratios are of the last to the others.
+	Results []Result `json:"results"`
+}
+
+// Ratio is the last policy's figures over those of another.
+type Ratio struct {
+	Policy      string  `json:"policy"`
+	P50         float64 `json:"p50"`
+	P95         float64 `json:"p95"`
+	P99         float64 `json:"p99"`
+	FirstToken  float64 `json:"first_token_p95"`
+	WastedCache float64 `json:"wasted_cache"`
+	WorstP95    float64 `json:"worst_account_p95"`
+	Goodput     float64 `json:"goodput"`
+}
+
+// Ratios compares the last result with each of the others.
+func (c *Comparison) Ratios() []Ratio {
+	if len(c.Results) == 0 {
+		return nil
+	}
+	last := &c.Results[len(c.Results)-1]
+	var out []Ratio
+	for i := range c.Results[:len(c.Results)-1] {
+		r := &c.Results[i]
+		out = append(out, Ratio{
+			Policy:      r.Policy,
+			P50:         ratio(last.All.Latency.P50, r.All.Latency.P50),
+			P95:         ratio(last.All.Latency.P95, r.All.Latency.P95),
+			P99:         ratio(last.All.Latency.P99, r.All.Latency.P99),
+			FirstToken:  ratio(last.All.FirstToken.P95, r.All.FirstToken.P95),
+			WastedCache: ratio(last.All.WastedCache, r.All.WastedCache),
+			WorstP95:    ratio(c.worst(last).Latency.P95, c.worst(r).Latency.P95),
+			Goodput:     ratio(last.All.Goodput, r.All.Goodput),
+		})
+	}
+	return out
+}
+
+func (c *Comparison) worst(r *Result) Figures { return WorstServed(r.Accounts, c.Flooding...) }
+
+// ratio returns 0 where there is nothing to compare with.
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// WriteTable writes the comparison for people.
+func (c *Comparison) WriteTable(w io.Writer) error {
+	for i := range c.Results {
+		if err := c.Results[i].WriteTable(w); err != nil {
+			return err
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "profile %s, seed %d, %d slices of %.0f s, flooding: %v\n", c.Profile, c.Seed, c.Slices, c.SliceSeconds, c.Flooding)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "policy\tp50 ms\tp95 ms\tp99 ms\tTTFT p95\twasted\tworst account\tits p95\tfailed\twithin rate\tgoodput/s\t")
+	for i := range c.Results {
+		r, worst := &c.Results[i], c.worst(&c.Results[i])
+		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f%%\t%s\t%.0f\t%d of %d\t%.2f%%\t%.2f\t\n", r.Policy,
+			r.All.Latency.P50, r.All.Latency.P95, r.All.Latency.P99, r.All.FirstToken.P95, 100*r.All.WastedCache,
+			worst.Account, worst.Latency.P95, r.All.Failed, r.All.Programs, 100*r.All.RefusedWithinRateShare(), r.All.Goodput)
+	}
+	for _, x := range c.Ratios() {
+		fmt.Fprintf(t, "ratio to %s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\t%.2f\t\t\t%.2f\t\n",
+			x.Policy, x.P50, x.P95, x.P99, x.FirstToken, x.WastedCache, x.WorstP95, x.Goodput)
+	}
+	return t.Flush()
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -31,6 +31,15 @@
 		return nil, err
 	}
 	defer s.Close()
+	m, err := measureSite(ctx, s, p, w, o)
+	if err != nil {
+		return nil, err
+	}
+	return m.result, nil
+}
+
+// measureSite warms a started site up and drives it while its faults come.
+func measureSite(ctx context.Context, s *site.Site, p *workload.Profile, w *workload.Workload, o Options) (*measured, error) {
 	t := TargetOf(s)
 	if err := Warm(ctx, t, w.Limits); err != nil {
 		return nil, err
@@ -42,20 +51,20 @@
 		defer close(faulted)
 		injectAll(faultCtx, s, o.Faults)
 	}()
-	r := measure(ctx, t, p, w, o)
+	m := measure(ctx, t, p, w, o)
 	cancel()
 	<-faulted
-	r.Daemons = daemons(before, s.ScrapeAll(ctx), r)
-	return r, ctx.Err()
+	m.result.Daemons = daemons(before, s.ScrapeAll(ctx), m.result)
+	return m, ctx.Err()
 }
 
 // RunAgainst drives a running site.
 func RunAgainst(ctx context.Context, t Target, p *workload.Profile, o Options) (*report.Result, error) {
 	w := workload.Generate(p, o.Options)
 	before := scrapeTarget(ctx, t)
-	r := measure(ctx, t, p, w, o)
-	r.Daemons = daemons(before, scrapeTarget(ctx, t), r)
-	return r, ctx.Err()
+	m := measure(ctx, t, p, w, o)
+	m.result.Daemons = daemons(before, scrapeTarget(ctx, t), m.result)
+	return m.result, ctx.Err()
 }
 
 func scrapeTarget(ctx context.Context, t Target) map[string]site.Sample {
@@ -75,7 +84,14 @@
 	return Target{Callers: s.Callers(), Keys: s.Keys, Model: site.Model, EffectPath: site.EffectPath}
 }
 
-func measure(ctx context.Context, t Target, p *workload.Profile, w *workload.Workload, o Options) *report.Result {
+// measured is what the callers of one run saw, with its figures.
+type measured struct {
+	calls    []report.Call
+	programs []report.Program
+	result   *report.Result
+}
+
+func measure(ctx context.Context, t Target, p *workload.Profile, w *workload.Workload, o Options) *measured {
 	rec := NewRecorder(w.Limits)
 	begun := time.Now()
 	Drive(ctx, t, p, w, rec)
@@ -86,7 +102,7 @@
 		LoadCached: w.LoadCached, LoadUncached: w.LoadUncached, Violations: rec.Violations(),
 	}
 	r.All, r.Accounts = report.Compute(calls, programs, span)
-	return r
+	return &measured{calls: calls, programs: programs, result: r}
 }
 
 // daemons works out what the daemons used between two samples. A daemon that is in one of them only is left out.
