--- /dev/null
+++ b/internal/load/report/report_test.go
@@ -0,0 +1,124 @@
+package report
+
+import (
+	"bytes"
+	"math"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestBucket(t *testing.T) {
+	is := is.New(t)
+	b := NewBucket(2, 3, t0)
+	for range 3 {
+		is.True(b.Take(t0))
+	}
+	is.True(!b.Take(t0)) // the burst is spent
+	is.True(!b.Take(t0.Add(499 * time.Millisecond)))
+	is.True(b.Take(t0.Add(500 * time.Millisecond)))
+	is.True(!b.Take(t0.Add(500 * time.Millisecond)))
+	b.Return()
+	is.True(b.Take(t0.Add(500 * time.Millisecond)))
+	for range 3 {
+		is.True(b.Take(t0.Add(time.Hour))) // no more than the burst is kept
+	}
+	is.True(!b.Take(t0.Add(time.Hour)))
+}
+
+func TestRefusedWithinRate(t *testing.T) {
+	is := is.New(t)
+	r := NewRecorder(map[string]*Bucket{"a": NewBucket(1, 2, t0)})
+	send := func(refused bool) {
+		c := Call{Account: "a", Kind: KindTurn, WithinRate: r.Send("a", t0), Whole: !refused}
+		if refused {
+			c.Verdict, c.Reason = "not-run", "rate_limited"
+		}
+		r.Call(c)
+	}
+	send(true)  // within rate; its token comes back
+	send(false) // takes the first token
+	send(false) // takes the second
+	send(true)  // above the rate
+	calls, _ := r.Records()
+	all, _ := Compute(calls, nil, time.Second)
+	is.Equal(all.Refusals["rate_limited"], 2)
+	is.Equal(all.RefusedWithinRate, 1)
+	is.Equal(all.RefusedWithinRateShare(), 0.25)
+}
+
+func TestComputeFigures(t *testing.T) {
+	is := is.New(t)
+	calls := []Call{
+		{Account: "a", Whole: true, Prompt: 100, Cached: 0, History: 0, FirstToken: 10 * time.Millisecond},
+		{Account: "a", Whole: true, Prompt: 300, Cached: 150, History: 200, Completion: 40},
+		{Account: "a", Whole: true, Prompt: 300, History: 200, Replayed: true},
+		{Account: "b", Whole: true, Prompt: 100, Cached: 100, History: 100},
+		{Account: "b", Verdict: "may-have-run", Reason: "truncated"},
+	}
+	programs := []Program{
+		{Account: "a", Latency: time.Second}, {Account: "a", Latency: 3 * time.Second},
+		{Account: "b", Latency: 9 * time.Second, Failed: true, Reason: "deadline_exceeded"},
+	}
+	all, accounts := Compute(calls, programs, 2*time.Second)
+	is.Equal(len(accounts), 2)
+	is.Equal(accounts[0].WastedCache, 50.0/400) // the replayed answer cost no engine anything
+	is.Equal(accounts[1].WastedCache, 0.0)
+	is.Equal(all.WastedCache, 0.1)
+	is.Equal(all.Goodput, 1.0)
+	is.Equal(all.OutputRate, 20.0)
+	is.Equal(all.FailedBy["deadline_exceeded"], 1)
+	is.Equal(all.Failures["truncated"], 1)
+	is.True(math.Abs(all.Latency.P50-3000) < 5)
+	is.True(math.Abs(all.Latency.P99-9000) < 10)
+	is.Equal(WorstServed(accounts).Account, "b")
+	is.Equal(WorstServed(accounts, "b").Account, "a")
+}
+
+func TestComparison(t *testing.T) {
+	is := is.New(t)
+	result := func(policy string, p95, wasted float64) Result {
+		f := Figures{Programs: 1, Latency: Quantiles{P95: p95}, WastedCache: wasted}
+		account := f
+		account.Account = "a"
+		return Result{Policy: policy, All: f, Accounts: []Figures{account}}
+	}
+	c := Comparison{Profile: "p", Results: []Result{result("old", 1000, 0.3), result("new", 400, 0.06)}}
+	ratios := c.Ratios()
+	is.Equal(len(ratios), 1)
+	is.Equal(ratios[0].P95, 0.4)
+	is.Equal(ratios[0].WorstP95, 0.4)
+	is.True(math.Abs(ratios[0].WastedCache-0.2) < 1e-9)
+	is.Equal(ratios[0].Goodput, 0.0) // nothing to compare with
+	var table bytes.Buffer
+	is.NoErr(c.WriteTable(&table))
+	is.True(strings.Contains(table.String(), "ratio to old"))
+	for _, name := range []string{"plot.svg", "plot.png"} {
+		path := filepath.Join(t.TempDir(), name)
+		is.NoErr(c.SavePlot(path))
+		info, err := os.Stat(path)
+		is.NoErr(err)
+		is.True(info.Size() > 0)
+	}
+}
+
+func TestEffectOutcome(t *testing.T) {
+	is := is.New(t)
+	e := Effect{Outcome: verdict.NotRun}
+	e.Note(false, &verdict.Error{Verdict: verdict.NotRun})
+	is.Equal(e.Outcome, verdict.NotRun)
+	e.Note(false, &verdict.Error{Verdict: verdict.MayHaveRun})
+	is.Equal(e.Outcome, verdict.MayHaveRun)
+	e.Note(false, &verdict.Error{Verdict: verdict.NotRun}) // of the repetition only
+	is.Equal(e.Outcome, verdict.MayHaveRun)
+	e.Note(true, nil)
+	is.Equal(e.Outcome, verdict.Ran)
+}
