Soak a site with random faults and check what callers were told

berylload soak draws faults from the seed while programs run, and compares afterwards: each answer with the whole conversation, effects with what callers were told, admitted calls with rate and burst over every window, engines' memory with ended programs, and the daemons' logs for violated invariants. A false "not run" of a model turn can not be seen from outside: the engine knows a call by an id of the daemon's own.

--- a/cmd/berylload/compare.go
+++ b/cmd/berylload/compare.go
@@ -15,7 +15,7 @@
 		Example: "  berylload compare --profile tsurumaki --seed 7 --duration 15s --slices 2 --json figures.json --plot latency.svg",
 	}
 	f := &common{}
-	f.register(c, 15*time.Second)
+	f.register(c, 15*time.Second, 0.85)
 	fs := c.Flags()
 	policies := fs.StringSlice("settings", []string{"fifo-round-robin", "least-loaded", "berylpond"}, "policies; ratios are of the last to the others")
 	slices := fs.Int("slices", 1, "times that each policy runs, in turn, with the next seed each time")
--- a/cmd/berylload/flags.go
+++ b/cmd/berylload/flags.go
@@ -31,12 +31,12 @@
 	out      string
 }
 
-func (f *common) register(c *cobra.Command, duration time.Duration) {
+func (f *common) register(c *cobra.Command, duration time.Duration, load float64) {
 	fs := c.Flags()
 	fs.StringVar(&f.profile, "profile", "nile-current", "name of a profile in "+profilesDir+", or path of a TOML file")
 	fs.Uint64Var(&f.seed, "seed", 1, "seed of the workload")
 	fs.DurationVar(&f.duration, "duration", duration, "time in which programs start")
-	fs.Float64Var(&f.load, "load", 0.85, "engines' work over their capacity")
+	fs.Float64Var(&f.load, "load", load, "engines' work over their capacity")
 	fs.Float64Var(&f.cached, "capacity-cached", 1, "share of the history taken for cached where capacity is worked out")
 	fs.Float64Var(&f.scale, "scale", 0, "engine time in one second of clock time; 0 is the profile's")
 	fs.StringArrayVar(&f.flood, "flood", nil, "ACCOUNT=N: the account sends N times its rate")
--- a/cmd/berylload/main.go
+++ b/cmd/berylload/main.go
@@ -24,7 +24,7 @@
 Exit codes: 0 when all went well, 1 when a run failed or a promise was seen broken.`,
 		SilenceUsage: true, SilenceErrors: true, Version: buildinfo.Version(),
 	}
-	root.AddCommand(runCommand(), compareCommand())
+	root.AddCommand(runCommand(), compareCommand(), soakCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "berylload: %v\n", err)
 		os.Exit(1)
--- a/cmd/berylload/run.go
+++ b/cmd/berylload/run.go
@@ -31,7 +31,7 @@
   berylload run --callers 10.0.1.1:8080,10.0.1.2:8080 --key $KEY --load 0.2`,
 	}
 	f := &runFlags{}
-	f.register(c, 30*time.Second)
+	f.register(c, 30*time.Second, 0.85)
 	fs := c.Flags()
 	fs.StringVar(&f.policy, "policy", "berylpond", "scheduling policy of a started site")
 	fs.StringArrayVar(&f.faults, "fault", nil, "KIND:TARGET@AT+DURATION: a fault of a started site")
--- a/internal/load/program.go
+++ b/internal/load/program.go
@@ -191,7 +191,9 @@
 func (x *execution) end(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
-	_, _ = x.retry(ctx, request{kind: report.KindEnd, method: http.MethodDelete, path: "/v1/programs/" + x.id})
+	if _, err := x.retry(ctx, request{kind: report.KindEnd, method: http.MethodDelete, path: "/v1/programs/" + x.id}); err == nil {
+		x.c.rec.Ended(x.id, time.Now())
+	}
 }
 
 // pause reports whether ctx outlasts d.
--- a/internal/load/report/recorder.go
+++ b/internal/load/report/recorder.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -58,10 +59,13 @@
 	programs   []Program
 	effects    []Effect
 	violations []Violation
+	ended      map[string]time.Time
 }
 
 // NewRecorder returns a recorder with a bucket for each account.
-func NewRecorder(buckets map[string]*Bucket) *Recorder { return &Recorder{buckets: buckets} }
+func NewRecorder(buckets map[string]*Bucket) *Recorder {
+	return &Recorder{buckets: buckets, ended: map[string]time.Time{}}
+}
 
 // Send reports whether a call of the account that is sent now is within rate.
 func (r *Recorder) Send(account string, now time.Time) bool {
@@ -94,3 +98,17 @@
 	defer r.mu.Unlock()
 	return append([]Call(nil), r.calls...), append([]Program(nil), r.programs...)
 }
+
+// Ended records that the site confirmed the end of a program.
+func (r *Recorder) Ended(program string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended[program] = now
+}
+
+// EndedPrograms returns the time of each confirmed end.
+func (r *Recorder) EndedPrograms() map[string]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.ended)
+}
--- a/internal/load/site/instance.go
+++ b/internal/load/site/instance.go
@@ -27,7 +27,8 @@
 	process atomic.Pointer[Process]
 	callers atomic.Pointer[string]
 	peers   atomic.Pointer[string]
-	runs    int
+	// history holds every incarnation.
+	history []*Process
 }
 
 // Callers returns the address for callers.
@@ -46,7 +47,7 @@
 // Start starts the daemon, or a new incarnation of it, and enters it in the instance list. An incarnation after the
 // first takes the addresses of the first.
 func (s *Site) Start(ctx context.Context, in *Instance) error {
-	if in.runs > 0 {
+	if len(in.history) > 0 {
 		in.set.Listen.Callers, in.set.Listen.Peers = *in.callers.Load(), *in.peers.Load()
 	}
 	raw, err := toml.Marshal(in.set)
@@ -57,13 +58,13 @@
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		return err
 	}
-	name := fmt.Sprintf("%s.%d", in.ID, in.runs)
-	in.runs++
+	name := fmt.Sprintf("%s.%d", in.ID, len(in.history))
 	p, err := start(s.dir, name, nil, filepath.Join(s.bin, daemonBinary), "run", "--settings", path)
 	if err != nil {
 		return err
 	}
 	in.process.Store(p)
+	in.history = append(in.history, p)
 	err = await(ctx, "addresses of "+name, func() bool { return !p.Running() || in.readAddresses(p) })
 	if err == nil && !p.Running() {
 		err = errors.Newf("%s ended at its start; its log is %s", name, p.log)
--- /dev/null
+++ b/internal/load/soak/soak.go
@@ -0,0 +1,129 @@
+// Package soak runs programs while faults come at random, and checks afterwards what the callers were told against what
+// the backend servers did.
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/berylpond/berylpond/internal/load"
+	"github.com/berylpond/berylpond/internal/load/report"
+	"github.com/berylpond/berylpond/internal/load/site"
+	"github.com/berylpond/berylpond/internal/load/workload"
+	"github.com/berylpond/berylpond/internal/settings"
+)
+
+const (
+	// memoryGrace is the time after the end of a program within which engines must have let go of its memory.
+	memoryGrace = 10 * time.Second
+	// firstToken and progress are shorter than a daemon's defaults, so that a run meets them.
+	firstToken = 4 * time.Second
+	progress   = 2 * time.Second
+)
+
+// Options of a run.
+type Options struct {
+	workload.Options
+	// Bin is the directory of the binaries.
+	Bin string
+	// Policy is the daemons' scheduling policy.
+	Policy string
+	// MeanGap is the mean time between faults.
+	MeanGap time.Duration
+	// Kinds are the faults that come; empty means all.
+	Kinds []load.FaultKind
+	// Progress, if set, is called before each fault.
+	Progress func(load.Fault)
+}
+
+// Outcome is what a run found.
+type Outcome struct {
+	Seed       uint64             `json:"seed"`
+	Seconds    float64            `json:"seconds"`
+	Programs   int                `json:"programs"`
+	Failed     int                `json:"failed"`
+	FailedBy   map[string]int     `json:"failed_by_reason"`
+	Calls      int                `json:"calls"`
+	Effects    int                `json:"effects"`
+	Ended      int                `json:"ended_programs"`
+	Faults     map[string]int     `json:"faults"`
+	Violations []report.Violation `json:"violations"`
+}
+
+// Run runs programs under random faults and checks the callers' view.
+func Run(ctx context.Context, p *workload.Profile, o Options) (*Outcome, error) {
+	w := workload.Generate(p, o.Options)
+	s, err := site.Start(ctx, p, w.Limits, site.Options{Bin: o.Bin, Policy: o.Policy, Adjust: func(set *settings.Settings) {
+		set.Timing.FirstToken, set.Timing.Progress = settings.Duration(firstToken), settings.Duration(progress)
+	}})
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	t := load.TargetOf(s)
+	if err := load.Warm(ctx, t, w.Limits); err != nil {
+		return nil, err
+	}
+	rec := load.NewRecorder(w.Limits)
+	begun := time.Now()
+	faults := startFaults(ctx, s, o, rec)
+	load.Drive(ctx, t, p, w, rec)
+	counts := faults.stop()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	span := time.Since(begun)
+	// Ends of programs that the callers could not bring through come with the programs' deadlines only.
+	if !wait(ctx, memoryGrace) {
+		return nil, ctx.Err()
+	}
+	if err := check(ctx, s, w.Limits, rec); err != nil {
+		return nil, err
+	}
+	return outcome(o, rec, counts, span), nil
+}
+
+func outcome(o Options, rec *report.Recorder, faults map[string]int, span time.Duration) *Outcome {
+	calls, programs := rec.Records()
+	all, _ := report.Compute(calls, programs, span)
+	return &Outcome{
+		Seed: o.Seed, Seconds: span.Seconds(), Programs: all.Programs, Failed: all.Failed, FailedBy: all.FailedBy, Calls: all.Calls,
+		Effects: len(rec.Effects()), Ended: len(rec.EndedPrograms()), Faults: faults, Violations: rec.Violations(),
+	}
+}
+
+// Write writes the outcome for people.
+func (o *Outcome) Write(w io.Writer) {
+	fmt.Fprintf(w, "seed %d, %.0f s: %d programs (%d failed %v), %d calls, %d effects, %d ends confirmed, faults %v\n",
+		o.Seed, o.Seconds, o.Programs, o.Failed, o.FailedBy, o.Calls, o.Effects, o.Ended, o.Faults)
+	kinds := map[report.ViolationKind]int{}
+	for _, v := range o.Violations {
+		kinds[v.Kind]++
+		if kinds[v.Kind] <= maxShown {
+			fmt.Fprintf(w, "VIOLATION %s: %s\n", v.Kind, v.Detail)
+		}
+	}
+	fmt.Fprintf(w, "violations: %d %v\n", len(o.Violations), kinds)
+}
+
+// maxShown is the number of violations of one kind that are printed.
+const maxShown = 8
+
+func wait(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func kindsOf(o Options) []load.FaultKind {
+	if len(o.Kinds) > 0 {
+		return slices.Clone(o.Kinds)
+	}
+	return load.Kinds()
+}
