Compare with and without a flooding account; measure delay over the ideal

Program latency holds tool pauses, which no policy can shorten. Delay is the latency above that on idle engines with every prefix cached. A setting may leave the flooding accounts' programs out, for the ratio of the others' p95 with and without them; each account's programs are drawn by themselves, so the others' stay the same.

--- a/cmd/berylload/compare.go
+++ b/cmd/berylload/compare.go
@@ -18,6 +18,7 @@
 	f.register(c, 15*time.Second, 0.85)
 	fs := c.Flags()
 	policies := fs.StringSlice("settings", []string{"fifo-round-robin", "least-loaded", "berylpond"}, "policies; ratios are of the last to the others")
+	quiet := fs.Bool("without-flood", false, "also run the last policy without the flooding accounts, before it")
 	slices := fs.Int("slices", 1, "times that each policy runs, in turn, with the next seed each time")
 	plot := fs.String("plot", "", "file for a plot, .svg or .png")
 	c.RunE = func(c *cobra.Command, _ []string) error {
@@ -30,9 +31,16 @@
 			return err
 		}
 		defer remove()
+		var settings []load.Setting
+		for i, policy := range *policies {
+			if *quiet && i == len(*policies)-1 {
+				settings = append(settings, load.Setting{Policy: policy, Quiet: true})
+			}
+			settings = append(settings, load.Setting{Policy: policy})
+		}
 		result, err := load.Compare(c.Context(), p, load.CompareOptions{
-			Options: load.Options{Options: w, Bin: bin}, Policies: *policies, Slices: *slices,
-			Progress: func(slice int, policy string) { klog.InfoS("Slice begins", "slice", slice, "policy", policy) },
+			Options: load.Options{Options: w, Bin: bin}, Settings: settings, Slices: *slices,
+			Progress: func(slice int, s load.Setting) { klog.InfoS("Slice begins", "slice", slice, "setting", s.String()) },
 		})
 		if err != nil {
 			return err
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -10,38 +10,67 @@
 	"github.com/berylpond/berylpond/internal/load/workload"
 )
 
+// Setting is one of the things compared.
+type Setting struct {
+	// Policy is the daemons' scheduling policy.
+	Policy string
+	// Quiet takes the programs of flooding accounts away.
+	Quiet bool
+}
+
+// String names the setting in a report.
+func (s Setting) String() string {
+	if s.Quiet {
+		return s.Policy + " without the flooding account"
+	}
+	return s.Policy
+}
+
+// options returns those of a run of the setting.
+func (s Setting) options(o Options) Options {
+	o.Policy = s.Policy
+	if !s.Quiet {
+		return o
+	}
+	quiet := map[string]float64{}
+	for account := range o.Flood {
+		quiet[account] = 0
+	}
+	o.Flood = quiet
+	return o
+}
+
 // CompareOptions choose a comparison.
 type CompareOptions struct {
 	Options
-	// Policies are run side by side; ratios are against the last.
-	Policies []string
-	// Slices is the number of times that each policy runs.
+	// Settings are run side by side; ratios are of the last to the others.
+	Settings []Setting
+	// Slices is the number of times that each setting runs.
 	Slices int
 	// Progress, if set, is called before each slice.
-	Progress func(slice int, policy string)
+	Progress func(slice int, setting Setting)
 }
 
-// records gathers what callers saw in the slices of one policy.
+// records gathers what callers saw in the slices of one setting.
 type records struct {
 	calls    []report.Call
 	programs []report.Program
 	result   report.Result
 }
 
-// Compare runs the policies side by side: each slice runs every policy on the same workload, each on a site of its own
+// Compare runs the settings side by side: each slice runs every one of them on the same workload, each on a site of its own
 // that starts afresh, and the order turns from slice to slice.
 func Compare(ctx context.Context, p *workload.Profile, o CompareOptions) (*report.Comparison, error) {
-	all := make([]records, len(o.Policies))
+	all := make([]records, len(o.Settings))
 	for slice := range o.Slices {
 		one := o.Options
 		one.Seed = o.Seed + uint64(slice)
-		for i := range o.Policies {
-			n := (i + slice) % len(o.Policies)
-			one.Policy = o.Policies[n]
+		for i := range o.Settings {
+			n := (i + slice) % len(o.Settings)
 			if o.Progress != nil {
-				o.Progress(slice, one.Policy)
+				o.Progress(slice, o.Settings[n])
 			}
-			if err := all[n].slice(ctx, p, one); err != nil {
+			if err := all[n].slice(ctx, p, o.Settings[n].options(one)); err != nil {
 				return nil, err
 			}
 		}
@@ -52,12 +81,12 @@
 	}
 	slices.Sort(c.Flooding)
 	for i := range all {
-		c.Results = append(c.Results, all[i].finish(o.Policies[i]))
+		c.Results = append(c.Results, all[i].finish(o.Settings[i].String()))
 	}
 	return c, nil
 }
 
-// slice runs one policy once and adds what its callers saw.
+// slice runs one setting once and adds what its callers saw.
 func (a *records) slice(ctx context.Context, p *workload.Profile, o Options) error {
 	w := workload.Generate(p, o.Options)
 	s, err := site.Start(ctx, p, w.Limits, site.Options{Bin: o.Bin, Policy: o.Policy})
--- a/internal/load/drive.go
+++ b/internal/load/drive.go
@@ -20,19 +20,19 @@
 		if !pause(ctx, time.Until(begun.Add(x.At))) {
 			break
 		}
-		running.Go(func() { c.program(ctx, x) })
+		running.Go(func() { c.program(ctx, x, x.Ideal(p.Engine, p.Scale)) })
 	}
 	running.Wait()
 	c.background.Wait()
 }
 
 // program runs one program and records its outcome.
-func (c *client) program(ctx context.Context, p *workload.Program) {
+func (c *client) program(ctx context.Context, p *workload.Program, ideal time.Duration) {
 	begun := time.Now()
 	runCtx, cancel := context.WithTimeout(ctx, p.Deadline)
 	defer cancel()
 	err := newExecution(c, p).run(runCtx, "")
-	out := report.Program{Account: p.Account, Latency: time.Since(begun)}
+	out := report.Program{Account: p.Account, Latency: time.Since(begun), Ideal: ideal}
 	if err != nil {
 		out.Failed, out.Reason, out.Latency = true, string(err.Reason), p.Deadline
 	}
--- a/internal/load/report/comparison.go
+++ b/internal/load/report/comparison.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 )
 
@@ -24,9 +25,13 @@
 	P50         float64 `json:"p50"`
 	P95         float64 `json:"p95"`
 	P99         float64 `json:"p99"`
+	Delay       float64 `json:"delay_p95"`
 	FirstToken  float64 `json:"first_token_p95"`
 	WastedCache float64 `json:"wasted_cache"`
 	WorstP95    float64 `json:"worst_account_p95"`
+	// Rise is the largest ratio of one account's p95 to its own, flooding accounts left out.
+	Rise        float64 `json:"largest_account_p95_ratio"`
+	RiseAccount string  `json:"largest_account_p95_ratio_account"`
 	Goodput     float64 `json:"goodput"`
 }
 
@@ -39,7 +44,7 @@
 	var out []Ratio
 	for i := range c.Results[:len(c.Results)-1] {
 		r := &c.Results[i]
-		out = append(out, Ratio{
+		x := Ratio{
 			Policy:      r.Policy,
 			P50:         ratio(last.All.Latency.P50, r.All.Latency.P50),
 			P95:         ratio(last.All.Latency.P95, r.All.Latency.P95),
@@ -48,13 +53,31 @@
 			WastedCache: ratio(last.All.WastedCache, r.All.WastedCache),
 			WorstP95:    ratio(c.worst(last).Latency.P95, c.worst(r).Latency.P95),
 			Goodput:     ratio(last.All.Goodput, r.All.Goodput),
-		})
+			Delay:       ratio(last.All.Delay.P95, r.All.Delay.P95),
+		}
+		x.Rise, x.RiseAccount = c.rise(last, r)
+		out = append(out, x)
 	}
 	return out
 }
 
 func (c *Comparison) worst(r *Result) Figures { return WorstServed(r.Accounts, c.Flooding...) }
 
+// rise returns the account whose p95 differs most from its own in r.
+func (c *Comparison) rise(last, r *Result) (largest float64, account string) {
+	for _, a := range last.Accounts {
+		for _, b := range r.Accounts {
+			if a.Account != b.Account || slices.Contains(c.Flooding, a.Account) {
+				continue
+			}
+			if x := ratio(a.Latency.P95, b.Latency.P95); x > largest {
+				largest, account = x, a.Account
+			}
+		}
+	}
+	return largest, account
+}
+
 // ratio returns 0 where there is nothing to compare with.
 func ratio(a, b float64) float64 {
 	if b == 0 {
@@ -73,16 +96,16 @@
 	}
 	fmt.Fprintf(w, "profile %s, seed %d, %d slices of %.0f s, flooding: %v\n", c.Profile, c.Seed, c.Slices, c.SliceSeconds, c.Flooding)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "policy\tp50 ms\tp95 ms\tp99 ms\tTTFT p95\twasted\tworst account\tits p95\tfailed\twithin rate\tgoodput/s\t")
+	fmt.Fprintln(t, "policy\tp50 ms\tp95 ms\tp99 ms\tdelay p95\tTTFT p95\twasted\tworst account\tits p95\tfailed\twithin rate\tgoodput/s\t")
 	for i := range c.Results {
 		r, worst := &c.Results[i], c.worst(&c.Results[i])
-		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f%%\t%s\t%.0f\t%d of %d\t%.2f%%\t%.2f\t\n", r.Policy,
-			r.All.Latency.P50, r.All.Latency.P95, r.All.Latency.P99, r.All.FirstToken.P95, 100*r.All.WastedCache,
+		fmt.Fprintf(t, "%s\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f%%\t%s\t%.0f\t%d of %d\t%.2f%%\t%.2f\t\n", r.Policy,
+			r.All.Latency.P50, r.All.Latency.P95, r.All.Latency.P99, r.All.Delay.P95, r.All.FirstToken.P95, 100*r.All.WastedCache,
 			worst.Account, worst.Latency.P95, r.All.Failed, r.All.Programs, 100*r.All.RefusedWithinRateShare(), r.All.Goodput)
 	}
 	for _, x := range c.Ratios() {
-		fmt.Fprintf(t, "ratio to %s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t\t%.2f\t\t\t%.2f\t\n",
-			x.Policy, x.P50, x.P95, x.P99, x.FirstToken, x.WastedCache, x.WorstP95, x.Goodput)
+		fmt.Fprintf(t, "ratio to %s\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%.2f\t%s %.2f\t%.2f\t\t\t%.2f\t\n",
+			x.Policy, x.P50, x.P95, x.P99, x.Delay, x.FirstToken, x.WastedCache, x.RiseAccount, x.Rise, x.WorstP95, x.Goodput)
 	}
 	return t.Flush()
 }
--- a/internal/load/report/figures.go
+++ b/internal/load/report/figures.go
@@ -25,11 +25,13 @@
 	Account  string `json:"account"`
 	Programs int    `json:"programs"`
 	// Failed are the programs that did not finish before their deadline; Latency counts them at their deadline.
-	Failed     int            `json:"failed"`
-	FailedBy   map[string]int `json:"failed_by_reason,omitempty"`
-	Latency    Quantiles      `json:"program_latency"`
-	FirstToken Quantiles      `json:"first_token"`
-	Calls      int            `json:"calls"`
+	Failed   int            `json:"failed"`
+	FailedBy map[string]int `json:"failed_by_reason,omitempty"`
+	Latency  Quantiles      `json:"program_latency"`
+	// Delay is the part of Latency above that on idle engines with every prefix cached.
+	Delay      Quantiles `json:"delay"`
+	FirstToken Quantiles `json:"first_token"`
+	Calls      int       `json:"calls"`
 	// WastedCache is the share of prompt tokens that were computed although an engine had held them before.
 	WastedCache float64 `json:"wasted_cache"`
 	// Refusals counts calls that ended without having run, by reason; Failures those that may have run.
@@ -71,10 +73,11 @@
 
 func figures(account string, calls []Call, programs []Program, span time.Duration) Figures {
 	f := Figures{Account: account, Refusals: map[string]int{}, Failures: map[string]int{}, FailedBy: map[string]int{}}
-	latency, first := newHistogram(), newHistogram()
+	latency, delay, first := newHistogram(), newHistogram(), newHistogram()
 	for _, p := range programs {
 		if account == "" || p.Account == account {
 			f.addProgram(&p, latency)
+			record(delay, p.Latency-p.Ideal)
 		}
 	}
 	var prompt, wasted, output int
@@ -93,7 +96,7 @@
 	if prompt > 0 {
 		f.WastedCache = float64(wasted) / float64(prompt)
 	}
-	f.Latency, f.FirstToken = quantiles(latency), quantiles(first)
+	f.Latency, f.Delay, f.FirstToken = quantiles(latency), quantiles(delay), quantiles(first)
 	if s := span.Seconds(); s > 0 {
 		f.Goodput = float64(f.Programs-f.Failed) / s
 		f.OutputRate = float64(output) / s
--- a/internal/load/report/recorder.go
+++ b/internal/load/report/recorder.go
@@ -46,7 +46,9 @@
 	Account string
 	// Latency is from the program's start to its end, or to its deadline if it failed.
 	Latency time.Duration
-	Failed  bool
+	// Ideal is the latency on idle engines that have every prefix cached.
+	Ideal  time.Duration
+	Failed bool
 	// Reason of a failure.
 	Reason string
 }
--- a/internal/load/report/result.go
+++ b/internal/load/report/result.go
@@ -46,14 +46,14 @@
 	fmt.Fprintf(w, "profile %s, policy %s, seed %d, %.0f s, load %.2f with every prefix cached and %.2f with none\n",
 		r.Profile, r.Policy, r.Seed, r.Seconds, r.LoadCached, r.LoadUncached)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "account\tprograms\tfailed\tp50 ms\tp95 ms\tp99 ms\tTTFT p50\tTTFT p95\twasted\tcalls\trefused\twithin rate\tgoodput/s\t")
+	fmt.Fprintln(t, "account\tprograms\tfailed\tp50 ms\tp95 ms\tp99 ms\tdelay p95\tTTFT p50\tTTFT p95\twasted\tcalls\trefused\twithin rate\tgoodput/s\t")
 	for _, f := range append(slices.Clone(r.Accounts), r.All) {
 		name := f.Account
 		if name == "" {
 			name = "all"
 		}
-		fmt.Fprintf(t, "%s\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f%%\t%d\t%d\t%d (%.2f%%)\t%.2f\t\n",
-			name, f.Programs, f.Failed, f.Latency.P50, f.Latency.P95, f.Latency.P99, f.FirstToken.P50, f.FirstToken.P95,
+		fmt.Fprintf(t, "%s\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.0f\t%.1f%%\t%d\t%d\t%d (%.2f%%)\t%.2f\t\n",
+			name, f.Programs, f.Failed, f.Latency.P50, f.Latency.P95, f.Latency.P99, f.Delay.P95, f.FirstToken.P50, f.FirstToken.P95,
 			100*f.WastedCache, f.Calls, total(f.Refusals), f.RefusedWithinRate, 100*f.RefusedWithinRateShare(), f.Goodput)
 	}
 	if err := t.Flush(); err != nil {
--- a/internal/load/workload/generate.go
+++ b/internal/load/workload/generate.go
@@ -23,7 +23,7 @@
 	// Cached is the share of the history that counts as cached where capacity is worked out: 1 means that each prompt
 	// token is computed once, 0 that each call computes its whole prompt.
 	Cached float64
-	// Flood makes accounts send this many times their rate.
+	// Flood makes accounts send this many times their rate; 0 makes them send nothing.
 	Flood map[string]float64
 }
 
@@ -72,7 +72,7 @@
 		rate := total * a.Share / shares
 		limit := Limit{Account: a.Name, Rate: rate * means[i].calls * a.Headroom, Burst: a.Burst, Weight: a.Weight}
 		w.Limits = append(w.Limits, limit)
-		if flood := o.Flood[a.Name]; flood > 0 {
+		if flood, ok := o.Flood[a.Name]; ok {
 			rate = flood * limit.Rate / means[i].calls
 		}
 		w.Programs = append(w.Programs, arrivals(p, a, rate, o)...)
--- a/internal/load/workload/program.go
+++ b/internal/load/workload/program.go
@@ -84,6 +84,25 @@
 	return cost
 }
 
+// Ideal returns the clock time of the program on idle engines that have every prefix cached.
+func (p *Program) Ideal(e Engine, scale float64) time.Duration {
+	var total time.Duration
+	for _, t := range p.Turns {
+		seconds := (float64(t.Fresh)/e.PrefillRate + float64(t.Output)/e.DecodeRate) / scale
+		total += time.Duration(seconds * float64(time.Second))
+		if len(t.SubAgents) == 0 {
+			total += t.Pause
+			continue
+		}
+		var longest time.Duration
+		for _, s := range t.SubAgents {
+			longest = max(longest, s.Ideal(e, scale))
+		}
+		total += longest
+	}
+	return total
+}
+
 // drawer draws programs of one account.
 type drawer struct {
 	p *Profile
