--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -25,8 +25,8 @@
 const (
 	endMarker        = "[DONE]"
 	maxIdlePerServer = 256
-	// reasonConnection is the reason of a call whose connection broke.
-	reasonConnection verdict.Reason = "connection"
+	// ReasonConnection is the reason of a call whose connection broke.
+	ReasonConnection verdict.Reason = "connection"
 	// reasonNotWhole is the reason of an answer without its end.
 	reasonNotWhole verdict.Reason = "not_whole"
 )
@@ -74,6 +74,7 @@
 
 // answer is what came back.
 type answer struct {
+	address  string
 	status   int
 	header   http.Header
 	body     []byte
@@ -108,7 +109,7 @@
 	within := c.rec.Send(q.account, sent)
 	a := c.exchange(ctx, r, q)
 	call := report.Call{
-		Account: q.account, Kind: q.kind, Sent: sent, Done: time.Now(), WithinRate: within, Whole: a.whole, Status: a.status,
+		Account: q.account, Kind: q.kind, Address: a.address, Sent: sent, Done: time.Now(), WithinRate: within, Whole: a.whole, Status: a.status,
 		Prompt: int(a.usage.PromptTokens), Cached: int(a.usage.PromptTokensDetails.CachedTokens),
 		Completion: int(a.usage.CompletionTokens), History: q.history, Replayed: a.replayed,
 	}
@@ -129,7 +130,9 @@
 		return answer{err: verdict.Refuse(0, verdict.ReasonMalformed, 0, "%v", err)}
 	}
 	for {
-		a, connected := c.once(ctx, c.address(r, q.dc), q, body)
+		addr := c.address(r, q.dc)
+		a, connected := c.once(ctx, addr, q, body)
+		a.address = addr
 		if connected || ctx.Err() != nil {
 			return a
 		}
@@ -169,7 +172,7 @@
 	if ctx.Err() != nil {
 		return verdict.Fail(0, verdict.ReasonDeadline, "%v", err)
 	}
-	return verdict.Fail(0, reasonConnection, "%v", err)
+	return verdict.Fail(0, ReasonConnection, "%v", err)
 }
 
 func (a *answer) readBody(ctx context.Context, r io.Reader) {
--- a/internal/load/report/recorder.go
+++ b/internal/load/report/recorder.go
@@ -21,6 +21,8 @@
 type Call struct {
 	Account string
 	Kind    Kind
+	// Address is the instance that got the call.
+	Address string
 	Sent    time.Time
 	Done    time.Time
 	// WithinRate is set when the account's bucket had a token as the call was sent.
--- a/internal/load/soak/check.go
+++ b/internal/load/soak/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/berylpond/berylpond/internal/fakes/engine"
 	"github.com/berylpond/berylpond/internal/fakes/service"
+	"github.com/berylpond/berylpond/internal/load"
 	"github.com/berylpond/berylpond/internal/load/report"
 	"github.com/berylpond/berylpond/internal/load/site"
 	"github.com/berylpond/berylpond/internal/load/workload"
@@ -18,7 +19,7 @@
 
 // check compares the callers' view with that of the backend servers and the daemons' logs. The order, history and
 // wholeness of answers were checked as they came.
-func check(ctx context.Context, s *site.Site, limits []workload.Limit, rec *report.Recorder) error {
+func check(ctx context.Context, s *site.Site, limits []workload.Limit, stops []plannedStop, rec *report.Recorder) error {
 	if err := checkMemory(ctx, s, rec); err != nil {
 		return err
 	}
@@ -31,9 +32,23 @@
 			rec.Violation(report.ViolationRate, "%s: %s", l.Account, detail)
 		}
 	}
+	for _, stop := range stops {
+		checkStop(calls, stop, rec)
+	}
 	return checkLogs(s, rec)
 }
 
+// checkStop finds calls that were under way at an instance when it was told to shut down, and were cut.
+func checkStop(calls []report.Call, stop plannedStop, rec *report.Recorder) {
+	for i := range calls {
+		c := &calls[i]
+		cut := c.Address == stop.address && c.Sent.Before(stop.from) && c.Done.After(stop.from) && c.Done.Before(stop.to)
+		if cut && c.Reason == string(load.ReasonConnection) {
+			rec.Violation(report.ViolationShutdown, "%s cut a call of kind %s %s after its signal", stop.instance, c.Kind, c.Done.Sub(stop.from))
+		}
+	}
+}
+
 // checkMemory finds programs that ended memoryGrace ago and still hold memory of an engine.
 func checkMemory(ctx context.Context, s *site.Site, rec *report.Recorder) error {
 	ended := rec.EndedPrograms()
--- a/internal/load/soak/faults.go
+++ b/internal/load/soak/faults.go
@@ -30,6 +30,13 @@
 	mu     sync.Mutex
 	counts map[string]int
 	busy   map[string]bool
+	stops  []plannedStop
+}
+
+// plannedStop is the time from the signal to shut down until the instance serves again.
+type plannedStop struct {
+	instance, address string
+	from, to          time.Time
 }
 
 // startFaults begins to inject random faults until stop.
@@ -43,11 +50,16 @@
 	return f
 }
 
-// stop removes all faults and returns how many of each kind came.
-func (f *faultRun) stop() map[string]int {
+// stop removes all faults.
+func (f *faultRun) stop() {
 	f.cancel()
 	<-f.done
-	return f.counts
+}
+
+func (f *faultRun) noteStop(in *site.Instance, from time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.stops = append(f.stops, plannedStop{instance: in.ID, address: in.Callers(), from: from, to: time.Now()})
 }
 
 // run draws the whole sequence from the seed, so that a skipped fault does not change the later ones.
@@ -73,6 +85,9 @@
 		}
 		running.Go(func() {
 			defer f.free(key)
+			if one.Kind == load.FaultStop {
+				defer f.noteStop(s.Instances[one.Target%len(s.Instances)], time.Now())
+			}
 			if err := load.Inject(ctx, s, one); err != nil {
 				rec.Violation(report.ViolationShutdown, "%s of %s: %v", one.Kind, key, err)
 			}
--- a/internal/load/soak/soak.go
+++ b/internal/load/soak/soak.go
@@ -71,7 +71,7 @@
 	begun := time.Now()
 	faults := startFaults(ctx, s, o, rec)
 	load.Drive(ctx, t, p, w, rec)
-	counts := faults.stop()
+	faults.stop()
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
@@ -80,10 +80,10 @@
 	if !wait(ctx, memoryGrace) {
 		return nil, ctx.Err()
 	}
-	if err := check(ctx, s, w.Limits, rec); err != nil {
+	if err := check(ctx, s, w.Limits, faults.stops, rec); err != nil {
 		return nil, err
 	}
-	return outcome(o, rec, counts, span), nil
+	return outcome(o, rec, faults.counts, span), nil
 }
 
 func outcome(o Options, rec *report.Recorder, faults map[string]int, span time.Duration) *Outcome {
