Count a refusal within rate once for each call that the account was entitled to

The caller's bucket gave a refused call's token back. An account that floods was then counted as refused within rate at every try while the fleet admitted a little less than its rate. Now a call uses its token up, whatever came of it, and the share is over the calls within rate. A refused call comes back after the header's Retry-After, as callers' libraries do, and no longer after the finer time in the body.

--- a/cmd/berylload/compare.go
+++ b/cmd/berylload/compare.go
@@ -18,7 +18,7 @@
 	f.register(c, 15*time.Second, 0.85)
 	fs := c.Flags()
 	policies := fs.StringSlice("settings", []string{"fifo-round-robin", "least-loaded", "berylpond"}, "policies; ratios are of the last to the others")
-	quiet := fs.Bool("without-flood", false, "also run the last policy without the flooding accounts, before it")
+	floods := fs.StringSlice("without-flood", nil, "also run the last policy with the flooding accounts \"absent\" or at their \"usual load\"")
 	slices := fs.Int("slices", 1, "times that each policy runs, in turn, with the next seed each time")
 	plot := fs.String("plot", "", "file for a plot, .svg or .png")
 	c.RunE = func(c *cobra.Command, _ []string) error {
@@ -33,8 +33,10 @@
 		defer remove()
 		var settings []load.Setting
 		for i, policy := range *policies {
-			if *quiet && i == len(*policies)-1 {
-				settings = append(settings, load.Setting{Policy: policy, Quiet: true})
+			if i == len(*policies)-1 {
+				for _, mode := range *floods {
+					settings = append(settings, load.Setting{Policy: policy, Flood: load.FloodMode(mode)})
+				}
 			}
 			settings = append(settings, load.Setting{Policy: policy})
 		}
--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -192,10 +193,16 @@
 	}
 	a.err = &verdict.Error{
 		Verdict: verdict.Parse(p.Verdict), Reason: verdict.Reason(p.Reason), Status: a.status, Detail: p.Detail,
-		RetryAfter: time.Duration(p.RetryAfterSeconds * float64(time.Second)),
+		RetryAfter: retryAfter(a.header),
 	}
 }
 
+// retryAfter returns the time that the header names, in whole seconds as in RFC 9110.
+func retryAfter(h http.Header) time.Duration {
+	seconds, _ := strconv.Atoi(h.Get("Retry-After"))
+	return time.Duration(seconds) * time.Second
+}
+
 // streamEvent is the union of what a stream's events hold.
 type streamEvent struct {
 	Choices []struct {
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -14,29 +14,44 @@
 type Setting struct {
 	// Policy is the daemons' scheduling policy.
 	Policy string
-	// Quiet takes the programs of flooding accounts away.
-	Quiet bool
+	// Flood is what flooding accounts do.
+	Flood FloodMode
 }
 
+// FloodMode is what flooding accounts do in a setting.
+type FloodMode string
+
+// Modes of flooding accounts.
+const (
+	// FloodOn sends several times the rate.
+	FloodOn FloodMode = ""
+	// FloodNormal sends the account's usual load.
+	FloodNormal FloodMode = "usual load"
+	// FloodAbsent sends nothing.
+	FloodAbsent FloodMode = "absent"
+)
+
 // String names the setting in a report.
 func (s Setting) String() string {
-	if s.Quiet {
-		return s.Policy + " without the flooding account"
+	if s.Flood == FloodOn {
+		return s.Policy
 	}
-	return s.Policy
+	return s.Policy + ", flooding account: " + string(s.Flood)
 }
 
 // options returns those of a run of the setting.
 func (s Setting) options(o Options) Options {
 	o.Policy = s.Policy
-	if !s.Quiet {
-		return o
-	}
-	quiet := map[string]float64{}
-	for account := range o.Flood {
-		quiet[account] = 0
+	switch s.Flood {
+	case FloodNormal:
+		o.Flood = nil
+	case FloodAbsent:
+		absent := map[string]float64{}
+		for account := range o.Flood {
+			absent[account] = 0
+		}
+		o.Flood = absent
 	}
-	o.Flood = quiet
 	return o
 }
 
--- a/internal/load/report/bucket.go
+++ b/internal/load/report/bucket.go
@@ -16,7 +16,8 @@
 	return &Bucket{rate: rate, burst: float64(burst), tokens: float64(burst), at: now}
 }
 
-// Take takes one token for a call that is sent now. It reports whether the call is within rate.
+// Take takes one token for a call that is sent now. It reports whether the call is within rate. A call that is refused
+// later has still used its token up: an account is entitled to rate x time + burst calls, whatever came of them.
 func (b *Bucket) Take(now time.Time) bool {
 	b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.at).Seconds())
 	b.at = now
@@ -26,6 +27,3 @@
 	b.tokens--
 	return true
 }
-
-// Return gives back the token of a call that was refused.
-func (b *Bucket) Return() { b.tokens = min(b.burst, b.tokens+1) }
--- a/internal/load/report/figures.go
+++ b/internal/load/report/figures.go
@@ -39,18 +39,20 @@
 	Failures map[string]int `json:"failures,omitempty"`
 	// RefusedWithinRate counts refusals of calls that were within the account's rate and burst.
 	RefusedWithinRate int `json:"refused_within_rate"`
+	// WithinRate counts the calls that were within the account's rate and burst.
+	WithinRate int `json:"within_rate"`
 	// Goodput is the programs that finished in time, per second.
 	Goodput float64 `json:"goodput"`
 	// Tokens of answers per second.
 	OutputRate float64 `json:"output_tokens_per_second"`
 }
 
-// RefusedWithinRateShare returns RefusedWithinRate over Calls.
+// RefusedWithinRateShare returns RefusedWithinRate over WithinRate.
 func (f *Figures) RefusedWithinRateShare() float64 {
-	if f.Calls == 0 {
+	if f.WithinRate == 0 {
 		return 0
 	}
-	return float64(f.RefusedWithinRate) / float64(f.Calls)
+	return float64(f.RefusedWithinRate) / float64(f.WithinRate)
 }
 
 // Compute works out the figures of every account, ordered by name, and of all together. span is the length of the run.
@@ -115,6 +117,9 @@
 
 func (f *Figures) addCall(c *Call, first *hdrhistogram.Histogram) {
 	f.Calls++
+	if c.WithinRate {
+		f.WithinRate++
+	}
 	if c.FirstToken > 0 {
 		record(first, c.FirstToken)
 	}
--- a/internal/load/report/recorder.go
+++ b/internal/load/report/recorder.go
@@ -83,9 +83,6 @@
 func (r *Recorder) Call(c Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c.WithinRate && c.Refused() {
-		r.buckets[c.Account].Return()
-	}
 	r.calls = append(r.calls, c)
 }
 
--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -26,8 +26,6 @@
 	is.True(!b.Take(t0.Add(499 * time.Millisecond)))
 	is.True(b.Take(t0.Add(500 * time.Millisecond)))
 	is.True(!b.Take(t0.Add(500 * time.Millisecond)))
-	b.Return()
-	is.True(b.Take(t0.Add(500 * time.Millisecond)))
 	for range 3 {
 		is.True(b.Take(t0.Add(time.Hour))) // no more than the burst is kept
 	}
@@ -44,15 +42,15 @@
 		}
 		r.Call(c)
 	}
-	send(true)  // within rate; its token comes back
-	send(false) // takes the first token
+	send(true)  // takes the first token
 	send(false) // takes the second
+	send(false) // above the rate
 	send(true)  // above the rate
 	calls, _ := r.Records()
 	all, _ := Compute(calls, nil, time.Second)
 	is.Equal(all.Refusals["rate_limited"], 2)
 	is.Equal(all.RefusedWithinRate, 1)
-	is.Equal(all.RefusedWithinRateShare(), 0.25)
+	is.Equal(all.RefusedWithinRateShare(), 0.5)
 }
 
 func TestComputeFigures(t *testing.T) {
