Take refusals within rate as the shortfall from what rate and burst would let through

A flooding account's calls compete for its tokens; which of them get through is not which the caller's bucket named. So 551 of 933 entitled calls of the flooding account counted as refused (59%) though 929 of its calls were admitted.

--- a/internal/load/report/figures.go
+++ b/internal/load/report/figures.go
@@ -37,7 +37,7 @@
 	// Refusals counts calls that ended without having run, by reason; Failures those that may have run.
 	Refusals map[string]int `json:"refusals,omitempty"`
 	Failures map[string]int `json:"failures,omitempty"`
-	// RefusedWithinRate counts refusals of calls that were within the account's rate and burst.
+	// RefusedWithinRate is the calls that rate and burst would have let through, less those that did get through.
 	RefusedWithinRate int `json:"refused_within_rate"`
 	// WithinRate counts the calls that were within the account's rate and burst.
 	WithinRate int `json:"within_rate"`
@@ -70,7 +70,12 @@
 		}
 		return 1
 	})
-	return figures("", calls, programs, span), accounts
+	all = figures("", calls, programs, span)
+	all.RefusedWithinRate = 0
+	for i := range accounts {
+		all.RefusedWithinRate += accounts[i].RefusedWithinRate
+	}
+	return all, accounts
 }
 
 func figures(account string, calls []Call, programs []Program, span time.Duration) Figures {
@@ -95,6 +100,7 @@
 			wasted += max(0, c.History-c.Cached)
 		}
 	}
+	f.RefusedWithinRate = max(0, f.WithinRate-(f.Calls-total(f.Refusals)))
 	if prompt > 0 {
 		f.WastedCache = float64(wasted) / float64(prompt)
 	}
@@ -126,9 +132,6 @@
 	switch {
 	case c.Refused():
 		f.Refusals[c.Reason]++
-		if c.WithinRate {
-			f.RefusedWithinRate++
-		}
 	case !c.Whole:
 		f.Failures[c.Reason]++
 	}
