Let the log vote in the ledger of even cells; wait for it only where history is kept

Cause: a cell of two slots had no majority for events after one crash, and a turn waited for the log twice. Ruled out: letting one slot count alone (a paused holder could come back with another history). The log's vote counts unless a marker of a newer term comes first, and a new holder writes its marker before it reads to the end. Reservations and ends wait for the majority only; commits and creations wait for the log too. Before: even cell with one slot down: no record. After: the ledger's and program's tests pass. In a scratch copy (trial) with the promise, the head check and the pending event taken out, TestReplacedHolderRecordsNothing, TestStore and TestCommitThatMayBeHeldComesFirst fail.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -173,6 +173,7 @@
 	d.programs = program.NewController(self.DataCentre, d.parts, d.ledger,
 		program.WithEnded(d.keeper.ProgramEnded), program.WithForward(d.forwardEvent), program.WithDraining(d.draining.Load))
 	d.journal.apply = d.applyEvent
+	d.journal.partOf = d.partOf
 	d.backends = backends.New(self.DataCentre)
 	d.executor = executor.New(executor.Deps{
 		Snapshot: d.config.Snapshot, Programs: d.programs, Keeper: d.keeper,
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,6 +22,9 @@
 // kindProgram is the kind of journal records that hold an event of a program.
 const kindProgram = "program"
 
+// voteTimeout bounds the wait for the log where its vote is needed.
+const voteTimeout = 2 * time.Second
+
 // streams writes and follows the two streams of the data centre: events of programs and intents.
 type streams struct {
 	metrics *journal.Metrics
@@ -29,11 +34,16 @@
 	eventR  *journal.Reader
 	intentR *journal.Reader
 	// apply takes each event read from the log; it is set before Run.
-	apply func(*programv1.Event)
+	apply  func(*programv1.Event)
+	partOf func(program string) int
+
+	mu sync.Mutex
+	// marks holds the newest marker's term of each part, as far as the log was read.
+	marks map[int]uint64
 }
 
 func newStreams(log *platform.Client, self member.Instance, onIntent func(id string)) *streams {
-	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent)}
+	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent), marks: map[int]uint64{}}
 	id := journal.WriterID{Instance: self.ID, Incarnation: self.Incarnation}
 	events, intents := "journal/"+self.DataCentre, "intents/"+self.DataCentre
 	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics))
@@ -64,12 +74,83 @@
 
 // Append implements ledger.Log.
 func (s *streams) Append(ctx context.Context, ev *programv1.Event) error {
+	_, err := s.append(ctx, ev)
+	return err
+}
+
+func (s *streams) append(ctx context.Context, ev *programv1.Event) (journal.Position, error) {
+	rec, err := recordOf(ev)
+	if err != nil {
+		return journal.Position{}, err
+	}
+	return s.events.Append(ctx, rec)
+}
+
+func recordOf(ev *programv1.Event) (*journalv1.Record, error) {
 	raw, err := proto.Marshal(ev)
 	if err != nil {
-		return errors.Wrap(err, "encoding an event")
+		return nil, errors.Wrap(err, "encoding an event")
 	}
-	_, err = s.events.Append(ctx, &journalv1.Record{Kind: kindProgram, Key: ev.Program, Payload: raw, UnixMs: ev.UnixMs})
-	return err
+	return &journalv1.Record{Kind: kindProgram, Key: ev.Program, Payload: raw, UnixMs: ev.UnixMs}, nil
+}
+
+// Enqueue implements ledger.Log.
+func (s *streams) Enqueue(ev *programv1.Event) error {
+	rec, err := recordOf(ev)
+	if err != nil {
+		return err
+	}
+	return s.events.Enqueue(rec)
+}
+
+// errSuperseded means that a newer term was marked on the log.
+var errSuperseded = errors.New("a newer term is marked on the log")
+
+// Vote implements ledger.Log.
+func (s *streams) Vote(ctx context.Context, part int, ev *programv1.Event) error {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	pos, err := s.append(ctx, ev)
+	if err != nil {
+		return err
+	}
+	if err := s.eventR.WaitFor(ctx, pos.Offset); err != nil {
+		return err
+	}
+	if s.mark(part) > ev.Term {
+		return errSuperseded
+	}
+	return nil
+}
+
+// Mark implements ledger.Log.
+func (s *streams) Mark(ctx context.Context, part int, term uint64) error {
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	pos, err := s.append(ctx, &programv1.Event{Term: term, Body: &programv1.Event_Marker{Marker: &programv1.Marker{Part: int32(part)}}})
+	if err != nil {
+		return err
+	}
+	if err := s.eventR.WaitFor(ctx, pos.Offset); err != nil {
+		return err
+	}
+	if s.mark(part) > term {
+		return errSuperseded
+	}
+	return nil
+}
+
+// mark returns the newest marker's term of a part.
+func (s *streams) mark(part int) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.marks[part]
+}
+
+func (s *streams) setMark(part int, term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.marks[part] = max(s.marks[part], term)
 }
 
 // Apply implements journal.Handler for the stream of events.
@@ -82,6 +163,14 @@
 		klog.ErrorS(err, "Event in the log cannot be decoded", "program", rec.Key)
 		return
 	}
+	if m := ev.GetMarker(); m != nil {
+		s.setMark(int(m.Part), ev.Term)
+		return
+	}
+	if ev.Term < s.mark(s.partOf(ev.Program)) {
+		klog.InfoS("Event of a replaced holder is passed over", "program", ev.Program, "term", ev.Term)
+		return
+	}
 	s.apply(ev)
 }
 
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -81,9 +81,11 @@
 // applyEvent takes in an event from the log.
 func (d *Daemon) applyEvent(ev *programv1.Event) {
 	d.programs.Apply(ev)
-	d.ledger.Seen(program.PartOf(ev.Program, d.parts.Parts()), ev.Id)
+	d.ledger.Seen(d.partOf(ev.Program), ev.Id)
 }
 
+func (d *Daemon) partOf(id string) int { return program.PartOf(id, d.parts.Parts()) }
+
 // forwardEvent passes an event of a turn that ended after its part moved to the part's new holder.
 func (d *Daemon) forwardEvent(ctx context.Context, part int, ev *programv1.Event) error {
 	in, ok := d.parts.Holder(part)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -6,7 +6,12 @@
 // answering, before it serves: so each event that counted under an older term is found, and no further one can count. The log keeps events for instances that start later and is appended to only
 // after the majority has the event, so no event of a deposed holder can come first on the log.
 //
-// While the log is away the majority alone makes an event durable, and the events are queued for the log.
+// While the log is away the majority alone makes an event durable, and the events are queued for the log. A cell of one
+// slot has no other memory than the log, so there an event is durable only on the log.
+//
+// In a cell of even size the log is one more voter, which counts where slots are missing: an event that is on the log
+// has its vote, unless a marker of a newer term comes before it; a new holder writes that marker before it reads the
+// log to the end.
 package ledger
 
 import (
@@ -16,6 +21,8 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -45,10 +52,17 @@
 	ErrFull = errors.New("the memory for events held while the log is away is full")
 )
 
-// Log appends events to the data centre's stream. Append returns after the event is on the log, or with an error when
-// the log is away; it then goes on trying by itself.
+// Log is the data centre's stream of events.
 type Log interface {
+	// Append returns after the event is on the log, or with an error when the log is away; it then goes on trying by
+	// itself.
 	Append(ctx context.Context, ev *programv1.Event) error
+	// Enqueue appends the event without waiting.
+	Enqueue(ev *programv1.Event) error
+	// Vote appends the event, reads it back, and fails if a marker of a newer term comes before it.
+	Vote(ctx context.Context, part int, ev *programv1.Event) error
+	// Mark appends a marker and returns after everything before it was read.
+	Mark(ctx context.Context, part int, term uint64) error
 }
 
 // Dialer gives connections to other instances.
@@ -93,44 +107,76 @@
 
 func (l *Ledger) majority() int { return l.cfg.Slots/2 + 1 }
 
-// Record makes one event durable. It implements program.Recorder.
+// Record makes one event durable, on the log too unless the log is away. It implements program.Recorder.
 func (l *Ledger) Record(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
+	voted, err := l.hold(ctx, part, term, ev)
+	if err != nil || voted {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	defer cancel()
+	err = l.log.Append(ctx, ev)
+	if err != nil && l.cfg.Slots > 1 {
+		klog.V(1).InfoS("Event counts by the cell's majority alone", "program", ev.Program, "err", err)
+		return nil
+	}
+	return err
+}
+
+// RecordHeld makes one event durable by the cell's majority and queues it for the log.
+func (l *Ledger) RecordHeld(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
+	if l.cfg.Slots == 1 {
+		return l.Record(ctx, part, term, ev)
+	}
+	voted, err := l.hold(ctx, part, term, ev)
+	if err != nil || voted {
+		return err
+	}
+	return l.log.Enqueue(ev)
+}
+
+// hold gets the votes of a majority. voted is set when the log's vote was needed, so that the event is there already.
+func (l *Ledger) hold(ctx context.Context, part int, term uint64, ev *programv1.Event) (voted bool, err error) {
+	ev.Term = term
 	raw, err := proto.Marshal(ev)
 	if err != nil {
-		return errors.Wrap(err, "encoding an event")
+		return false, errors.Wrap(err, "encoding an event")
 	}
 	if err := failpoint.Hit("ledger.hold.before"); err != nil {
-		return err
-	}
-	if err := l.holdAtMajority(ctx, part, term, ev.Id, raw); err != nil {
-		return err
+		return false, err
 	}
-	if err := failpoint.Hit("ledger.hold.after"); err != nil {
-		return err
+	have, err := l.holdAtSlots(ctx, part, term, ev.Id, raw)
+	if err != nil {
+		return false, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
-	defer cancel()
-	if err := l.log.Append(ctx, ev); err != nil {
-		klog.V(1).InfoS("Event counts by the cell's majority alone", "program", ev.Program, "err", err)
+	if have < l.majority() {
+		if !l.logVotes(have) {
+			return false, ErrNoMajority
+		}
+		if err := l.log.Vote(ctx, part, ev); err != nil {
+			return false, err
+		}
+		voted = true
 	}
-	return nil
+	return voted, failpoint.Hit("ledger.hold.after")
 }
 
-func (l *Ledger) holdAtMajority(ctx context.Context, part int, term uint64, id string, raw []byte) error {
+// logVotes reports whether the log's vote makes a majority of the given number of slots' votes.
+func (l *Ledger) logVotes(have int) bool { return l.cfg.Slots%2 == 0 && have+1 >= l.majority() }
+
+// holdAtSlots returns the number of slots, this one included, that accepted the event; it stops at a majority.
+func (l *Ledger) holdAtSlots(ctx context.Context, part int, term uint64, id string, raw []byte) (int, error) {
 	if err := l.accept(part, term, id, raw); err != nil {
-		return err
+		return 0, err
 	}
 	if l.majority() <= 1 {
-		return nil
+		return 1, nil
 	}
 	// The calls outlive the caller's wait for the majority, so that slower slots get the event too.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), holdTimeout)
 	answers := make(chan error, l.cfg.Slots)
 	asked := l.askAll(ctx, &peerv1.HoldRequest{Part: int32(part), Term: term, Id: id, Event: raw}, answers)
-	go func() {
-		<-ctx.Done()
-		cancel()
-	}()
+	defer time.AfterFunc(holdTimeout, cancel)
 	return l.await(ctx, answers, asked)
 }
 
@@ -153,22 +199,26 @@
 	return err
 }
 
-func (l *Ledger) await(ctx context.Context, answers <-chan error, asked int) error {
+// await counts the slots that accepted. A slot that promised a newer term ends the wait: this holder was replaced.
+func (l *Ledger) await(ctx context.Context, answers <-chan error, asked int) (int, error) {
 	have := 1
 	for range asked {
 		select {
 		case err := <-answers:
+			if status.Code(err) == codes.FailedPrecondition {
+				return have, ErrStaleTerm
+			}
 			if err == nil {
 				have++
 			}
 		case <-ctx.Done():
-			return ErrNoMajority
+			return have, nil
 		}
 		if have >= l.majority() {
-			return nil
+			return have, nil
 		}
 	}
-	return ErrNoMajority
+	return have, nil
 }
 
 // others returns the occupants of the cell's other slots.
@@ -310,9 +360,14 @@
 	if err != nil {
 		return err
 	}
-	lists, err := l.fetchMajority(ctx, part, term)
-	if err != nil {
-		return err
+	lists := l.fetchOthers(ctx, part, term)
+	if len(lists)+1 < l.majority() {
+		if !l.logVotes(len(lists) + 1) {
+			return ErrNoMajority
+		}
+		if err := l.log.Mark(ctx, part, term); err != nil {
+			return err
+		}
 	}
 	events := decode(append([][][]byte{own}, lists...))
 	for changed := true; changed; {
@@ -355,7 +410,8 @@
 	return out
 }
 
-func (l *Ledger) fetchMajority(ctx context.Context, part int, term uint64) ([][][]byte, error) {
+// fetchOthers returns the held events of the other slots that answered and promised the term.
+func (l *Ledger) fetchOthers(ctx context.Context, part int, term uint64) [][][]byte {
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	others := l.others()
@@ -380,10 +436,7 @@
 		case <-ctx.Done():
 		}
 	}
-	if len(lists)+1 < l.majority() {
-		return nil, ErrNoMajority
-	}
-	return lists, nil
+	return lists
 }
 
 func (l *Ledger) fetch(ctx context.Context, addr string, part int, term uint64) ([][]byte, error) {
--- /dev/null
+++ b/internal/ledger/ledger_test.go
@@ -0,0 +1,238 @@
+package ledger
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
+	"github.com/berylpond/berylpond/internal/member"
+)
+
+// fakeLog is the data centre's stream, shared by the slots.
+type fakeLog struct {
+	mu    sync.Mutex
+	away  bool
+	order []*programv1.Event
+}
+
+var errAway = errors.New("log away")
+
+func (f *fakeLog) Append(_ context.Context, ev *programv1.Event) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away {
+		return errAway
+	}
+	f.order = append(f.order, ev)
+	return nil
+}
+
+func (f *fakeLog) Enqueue(ev *programv1.Event) error { return f.Append(context.Background(), ev) }
+
+func (f *fakeLog) Vote(ctx context.Context, _ int, ev *programv1.Event) error {
+	if err := f.Append(ctx, ev); err != nil {
+		return err
+	}
+	return f.check(ev.Term)
+}
+
+func (f *fakeLog) check(term uint64) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, ev := range f.order {
+		if ev.GetMarker() != nil && ev.Term > term {
+			return errors.New("superseded")
+		}
+	}
+	return nil
+}
+
+func (f *fakeLog) Mark(ctx context.Context, part int, term uint64) error {
+	return f.Append(ctx, &programv1.Event{Term: term, Body: &programv1.Event_Marker{Marker: &programv1.Marker{Part: int32(part)}}})
+}
+
+// slot is one member of a test cell, reachable over loopback.
+type slot struct {
+	peerv1.UnimplementedPeerServer
+	*Ledger
+	server *grpc.Server
+}
+
+func (s *slot) Hold(_ context.Context, r *peerv1.HoldRequest) (*peerv1.HoldReply, error) {
+	return &peerv1.HoldReply{}, wireError(s.Ledger.Hold(r))
+}
+
+func (s *slot) FetchHeld(_ context.Context, r *peerv1.FetchHeldRequest) (*peerv1.FetchHeldReply, error) {
+	events, err := s.Promise(int(r.Part), r.Term)
+	return &peerv1.FetchHeldReply{Events: events}, wireError(err)
+}
+
+func wireError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ErrStaleTerm):
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
+
+type dialer struct{}
+
+func (dialer) Conn(addr string) (grpc.ClientConnInterface, error) {
+	return grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(insecure.NewCredentials()))
+}
+
+// newCell starts a cell of ready slots.
+func newCell(t testing.TB, n int, log Log) []*slot {
+	t.Helper()
+	slots := make([]*slot, n)
+	tables := make([]*member.Table, n)
+	var members []member.Instance
+	for i := range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		in := member.Instance{ID: string(rune('a' + i)), DataCentre: "giza", Slot: i, Incarnation: 1, PeerAddr: l.Addr().String()}
+		members = append(members, in)
+		tables[i] = member.NewTable(in)
+		slots[i] = &slot{Ledger: New(Config{DataCentre: "giza", Slot: i, Slots: n}, tables[i], dialer{}, log), server: grpc.NewServer()}
+		slots[i].SetReady()
+		peerv1.RegisterPeerServer(slots[i].server, slots[i])
+		go slots[i].server.Serve(l)
+		t.Cleanup(slots[i].server.Stop)
+	}
+	for _, tab := range tables {
+		for _, in := range members {
+			tab.Merge(in)
+		}
+	}
+	return slots
+}
+
+func event(id string) *programv1.Event { return &programv1.Event{Id: id, Program: "p"} }
+
+func gather(t *testing.T, s *slot, term uint64) ([]string, error) {
+	t.Helper()
+	var ids []string
+	seen := map[string]bool{}
+	err := s.Gather(context.Background(), 0, term, func(ev *programv1.Event) bool {
+		if seen[ev.Id] {
+			return false
+		}
+		seen[ev.Id] = true
+		ids = append(ids, ev.Id)
+		return true
+	})
+	return ids, err
+}
+
+func TestNewHolderFindsWhatCounted(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	cell := newCell(t, 3, &fakeLog{away: true})
+	is.NoErr(cell[0].Record(ctx, 0, 1, event("e1")))
+	is.NoErr(cell[0].Record(ctx, 0, 1, event("e2")))
+	cell[0].server.Stop()
+	ids, err := gather(t, cell[1], 2)
+	is.NoErr(err)
+	is.Equal(ids, []string{"e1", "e2"})
+}
+
+// TestReplacedHolderRecordsNothing: a fetch is a promise, so that no event of an older term counts after it.
+func TestReplacedHolderRecordsNothing(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	cell := newCell(t, 3, &fakeLog{})
+	_, err := gather(t, cell[1], 2)
+	is.NoErr(err)
+	is.True(errors.Is(cell[0].Record(ctx, 0, 1, event("late")), ErrStaleTerm))
+	is.NoErr(cell[1].Record(ctx, 0, 2, event("e2")))
+}
+
+func TestNoMajorityNoRecord(t *testing.T) {
+	is := is.New(t)
+	cell := newCell(t, 3, &fakeLog{})
+	cell[1].server.Stop()
+	cell[2].server.Stop()
+	is.True(errors.Is(cell[0].Record(context.Background(), 0, 1, event("e1")), ErrNoMajority))
+	_, err := gather(t, cell[0], 2)
+	is.True(errors.Is(err, ErrNoMajority))
+}
+
+func TestSlotThatForgotDoesNotCount(t *testing.T) {
+	is := is.New(t)
+	cell := newCell(t, 3, &fakeLog{away: true})
+	is.NoErr(cell[0].Record(context.Background(), 0, 1, event("e1")))
+	cell[0].server.Stop()
+	cell[2].ready = false // a new process that has not read the log
+	_, err := gather(t, cell[1], 2)
+	is.True(errors.Is(err, ErrNoMajority))
+}
+
+func TestCellOfOneNeedsTheLog(t *testing.T) {
+	is := is.New(t)
+	log := &fakeLog{}
+	cell := newCell(t, 1, log)
+	is.NoErr(cell[0].RecordHeld(context.Background(), 0, 1, event("e1")))
+	log.away = true
+	is.True(cell[0].Record(context.Background(), 0, 1, event("e2")) != nil) // no copy outside the process
+}
+
+func TestLogVotesInAnEvenCell(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	log := &fakeLog{}
+	cell := newCell(t, 2, log)
+	cell[0].server.Stop()
+	is.NoErr(cell[1].Record(ctx, 0, 1, event("e1")))
+	_, err := gather(t, cell[1], 3)
+	is.NoErr(err)
+	is.True(cell[1].Record(ctx, 0, 3, event("e2")) == nil)
+	// A holder of an older term that comes back finds the marker before its event.
+	is.True(log.Vote(ctx, 0, &programv1.Event{Id: "late", Program: "p", Term: 2}) != nil)
+	log.away = true
+	is.True(errors.Is(cell[1].Record(ctx, 0, 3, event("e3")), errAway))
+}
+
+func TestSeenEventsAreDropped(t *testing.T) {
+	is := is.New(t)
+	cell := newCell(t, 1, &fakeLog{})
+	for i := range 100 {
+		id := string(rune('A' + i))
+		is.NoErr(cell[0].Record(context.Background(), 0, 1, event(id)))
+		cell[0].Seen(0, id)
+	}
+	n, bytes := cell[0].HeldEvents()
+	is.Equal(n, 0)
+	is.Equal(bytes, 0)
+	is.True(len(cell[0].held[0].order) <= 16)
+}
+
+func BenchmarkRecord(b *testing.B) {
+	for _, n := range []int{1, 3, 5, 7} {
+		b.Run(string(rune('0'+n))+"slots", func(b *testing.B) {
+			cell := newCell(b, n, &fakeLog{})
+			b.ResetTimer()
+			for i := range b.N {
+				ev := event(string(rune(i)))
+				ev.Id = ev.Id + string(rune(i>>16))
+				if err := cell[0].Record(context.Background(), 0, 1, ev); err != nil {
+					b.Fatal(err)
+				}
+				cell[0].Seen(0, ev.Id)
+			}
+		})
+	}
+}
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -30,6 +30,8 @@
 // term, and the log too unless the log is away. After an error the event may be durable or not.
 type Recorder interface {
 	Record(ctx context.Context, part int, term uint64, ev *programv1.Event) error
+	// RecordHeld is Record without the wait for the log.
+	RecordHeld(ctx context.Context, part int, term uint64, ev *programv1.Event) error
 }
 
 // Parts tells which parts this instance holds.
@@ -179,7 +181,12 @@
 
 // record makes the event durable, then applies it. When recording fails the event stays pending.
 func (c *Controller) record(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
-	if err := c.rec.Record(ctx, part, term, ev); err != nil {
+	record := c.rec.Record
+	if ev.GetTurnCommitted() == nil && ev.GetCreated() == nil {
+		// Reservations and ends are bookkeeping between two turns; a majority of the cell is enough until the log has them.
+		record = c.rec.RecordHeld
+	}
+	if err := record(ctx, part, term, ev); err != nil {
 		c.mu.Lock()
 		c.pending[ev.Program] = ev
 		c.mu.Unlock()
--- /dev/null
+++ b/internal/program/controller_test.go
@@ -0,0 +1,166 @@
+package program
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// fakeCell is one part's lease and memory outside the process.
+type fakeCell struct {
+	term   uint64
+	held   bool
+	fail   error
+	events []*programv1.Event
+}
+
+func (f *fakeCell) Parts() int               { return 1 }
+func (f *fakeCell) Holds(int) (uint64, bool) { return f.term, f.held }
+
+func (f *fakeCell) Record(_ context.Context, _ int, _ uint64, ev *programv1.Event) error {
+	if f.fail != nil {
+		return f.fail
+	}
+	f.events = append(f.events, ev)
+	return nil
+}
+
+func (f *fakeCell) RecordHeld(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
+	return f.Record(ctx, part, term, ev)
+}
+
+func newTestController(t *testing.T, opts ...Option) (*Controller, *fakeCell, string) {
+	t.Helper()
+	is := is.New(t)
+	f := &fakeCell{term: 1, held: true}
+	c := NewController("giza", f, f, opts...)
+	c.SetReady(0, 1)
+	id := NewID("giza")
+	_, err := c.Create(context.Background(), CreateSpec{ID: id, Team: "t", Account: "a", BudgetTokens: 1000, BudgetCalls: 3, Deadline: time.Now().Add(time.Hour)})
+	is.NoErr(err)
+	return c, f, id
+}
+
+func spec(id, head, digest string) TurnSpec {
+	return TurnSpec{Program: id, Team: "t", Account: "a", Head: head, Digest: digest, PromptBound: 10, MaxTokens: 20}
+}
+
+func reason(err error) verdict.Reason { return verdict.From(err).Reason }
+
+func TestTurnsOfOneProgramRunInOrder(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, _, id := newTestController(t)
+	turn, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
+	is.NoErr(err)
+	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
+	is.Equal(reason(err), verdict.ReasonTurnInProgress)
+	is.Equal(verdict.From(err).Verdict, verdict.NotRun)
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "x", PromptTokens: 10, CompletionTokens: 5})
+	is.NoErr(err)
+	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
+	is.Equal(reason(err), verdict.ReasonWrongHead)
+	_, recorded, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
+	is.NoErr(err)
+	is.Equal(recorded.Answer, "x") // the repeated request gets the record
+	next, _, err := c.Begin(ctx, spec(id, head, "d2"))
+	is.NoErr(err)
+	is.Equal(len(next.History), 1)
+	is.Equal(next.HistoryTokens, int64(15))
+}
+
+func TestForeignAccountSeesNoProgram(t *testing.T) {
+	is := is.New(t)
+	c, _, id := newTestController(t)
+	s := spec(id, FirstHead(id), "d")
+	s.Account = "other"
+	_, _, err := c.Begin(context.Background(), s)
+	is.Equal(reason(err), verdict.ReasonUnknownProgram)
+}
+
+func TestMaxTokensFitsTheBudget(t *testing.T) {
+	is := is.New(t)
+	c, _, id := newTestController(t)
+	s := spec(id, FirstHead(id), "d")
+	s.MaxTokens = 5000
+	turn, _, err := c.Begin(context.Background(), s)
+	is.NoErr(err)
+	is.Equal(turn.MaxTokens, int64(990))
+	turn.Abandon(context.Background(), 995)
+	_, _, err = c.Begin(context.Background(), spec(id, FirstHead(id), "d"))
+	is.Equal(reason(err), verdict.ReasonBudgetSpent)
+}
+
+// TestCommitThatMayBeHeldComesFirst: part of the cell may have a commit whose recording failed, so a later holder may
+// find it; nothing else may be recorded on that head before it.
+func TestCommitThatMayBeHeldComesFirst(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, f, id := newTestController(t)
+	turn, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
+	is.NoErr(err)
+	f.fail = errors.New("no majority")
+	_, err = turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "kept by one slot"})
+	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
+	is.Equal(reason(err), verdict.ReasonNotDurable)
+	f.fail = nil
+	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
+	is.Equal(reason(err), verdict.ReasonWrongHead)
+	_, recorded, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
+	is.NoErr(err)
+	is.Equal(recorded.Answer, "kept by one slot")
+}
+
+func TestNothingIsServedWithoutThePart(t *testing.T) {
+	is := is.New(t)
+	c, f, id := newTestController(t)
+	f.term = 2 // a new holding, whose held events were not gathered yet
+	_, _, err := c.Begin(context.Background(), spec(id, FirstHead(id), "d"))
+	is.Equal(reason(err), verdict.ReasonOwnerUnavailable)
+	c.SetReady(0, 2)
+	f.held = false
+	_, _, err = c.Begin(context.Background(), spec(id, FirstHead(id), "d"))
+	is.Equal(reason(err), verdict.ReasonOwnerUnavailable)
+}
+
+func TestTurnEndsAtTheNewHolder(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	var second *Controller
+	c, f, id := newTestController(t, WithForward(func(ctx context.Context, _ int, ev *programv1.Event) error {
+		return second.RecordForeign(ctx, ev)
+	}))
+	turn, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
+	is.NoErr(err)
+	g := &fakeCell{term: 2, held: true}
+	second = NewController("giza", g, g)
+	second.SetReady(0, 2)
+	for _, ev := range f.events {
+		second.Apply(ev)
+	}
+	f.held = false
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "late"})
+	is.NoErr(err)
+	p, _, err := second.Get(id)
+	is.NoErr(err)
+	is.Equal(p.Head, head)
+}
+
+func TestSweepEndsLatePrograms(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	var ended []string
+	c, _, id := newTestController(t, WithClock(func() time.Time { return now }), WithEnded(func(id string) { ended = append(ended, id) }))
+	is.Equal(c.Sweep(context.Background()), 0)
+	now = now.Add(2 * time.Hour)
+	is.Equal(c.Sweep(context.Background()), 1)
+	is.Equal(ended, []string{id})
+	is.Equal(c.Alive(id), false)
+}
--- a/test/e2e/overhead_test.go
+++ b/test/e2e/overhead_test.go
@@ -32,6 +32,9 @@
 		}
 		inProgram[in.id] = measure(b, func() answer { return c.turn(in, &p, "turn", true) })
 	}
+	for _, phase := range []string{"begin", "queue", "first_token", "engine", "commit"} {
+		b.ReportMetric(s.phaseMean(phase)*1e6, phase+"-mean-us")
+	}
 	calls := b.N * len(s.instances)
 	b.ReportMetric(float64(direct.Microseconds()), "direct-p50-us")
 	b.ReportMetric(float64((single - direct).Microseconds()), "single-added-p50-us")
@@ -71,6 +74,15 @@
 
 // metric returns the sum of all series of one metric of a daemon.
 func (s *site) metric(in *instance, name string) float64 {
+	return s.sum(in, func(series string) bool { return series == name || strings.HasPrefix(series, name+"{") })
+}
+
+// series returns one series of a daemon.
+func (s *site) series(in *instance, name string) float64 {
+	return s.sum(in, func(series string) bool { return series == name })
+}
+
+func (s *site) sum(in *instance, match func(series string) bool) float64 {
 	s.t.Helper()
 	resp, err := http.Get("http://" + in.callers + "/metrics")
 	if err != nil {
@@ -81,7 +93,7 @@
 	sc := bufio.NewScanner(resp.Body)
 	for sc.Scan() {
 		series, value, ok := strings.Cut(sc.Text(), " ")
-		if ok && (series == name || strings.HasPrefix(series, name+"{")) {
+		if ok && match(series) {
 			v, err := strconv.ParseFloat(value, 64)
 			if err == nil {
 				sum += v
@@ -90,3 +102,14 @@
 	}
 	return sum
 }
+
+// phaseMean returns the mean time of a phase over all daemons, in seconds.
+func (s *site) phaseMean(phase string) float64 {
+	s.t.Helper()
+	var sum, count float64
+	for _, in := range s.instances {
+		sum += s.series(in, "berylpond_phase_seconds_sum{phase=\""+phase+"\"}")
+		count += s.series(in, "berylpond_phase_seconds_count{phase=\""+phase+"\"}")
+	}
+	return sum / max(count, 1)
+}
