Refuse takes above the burst at once; leave silent holders alone

Cause: a take above the account's burst would have fetched all tokens of the other data centres in vain, and takes at a silent holder waited 250 ms each.

--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -53,6 +53,7 @@
 }
 
 type limitEntry struct {
+	limit Limit
 	share Share
 	added time.Time
 }
@@ -99,6 +100,12 @@
 	return e.share, ok
 }
 
+// Limit returns the limit of an account.
+func (h *Holder) Limit(account string) (Limit, bool) {
+	e, ok := h.limits[account]
+	return e.limit, ok
+}
+
 // SetLimits takes a version of the limits into force. An older version than the one in force is dropped. An account
 // that is new in this version starts empty.
 func (h *Holder) SetLimits(now time.Time, version uint64, limits []Limit) {
@@ -112,7 +119,7 @@
 		if !ok {
 			e.added = now
 		}
-		e.share = Split(l, h.dcs, h.slots)
+		e.limit, e.share = l, Split(l, h.dcs, h.slots)
 		next[l.Account] = e
 	}
 	h.limits = next
--- /dev/null
+++ b/internal/quota/lend.go
@@ -0,0 +1,216 @@
+package quota
+
+import (
+	"slices"
+	"time"
+
+	"github.com/berylpond/berylpond/internal/invariant"
+)
+
+// Request asks a lender for tokens now, for rate over a longer term, or to renew a loan; or it gives a loan back.
+type Request struct {
+	// Sender and Sequence identify the request. Sender names one run of one process.
+	Sender   string
+	Sequence uint64
+	Tokens   float64
+	Rate     float64
+	Renew    uint64
+	Return   *Piece
+}
+
+// Piece is rate and burst that moves from one data centre to another, with the tokens in it.
+type Piece struct {
+	// Lender is the data centre whose share the piece belongs to, and Loan its name there.
+	Lender string
+	Loan   uint64
+	Amount Amount
+	Tokens float64
+	// Term counts from the sending of the request that the piece answers.
+	Term time.Duration
+	// Long marks loans that can be renewed.
+	Long bool
+}
+
+// Grant answers a Request.
+type Grant struct {
+	Sequence uint64
+	Version  uint64
+	Pieces   []Piece
+	// Renewed is set when the loan in Request.Renew has got Term anew.
+	Renewed bool
+	Loan    uint64
+	Term    time.Duration
+	// Level and LevelRate are the lender's after the grant; hints only.
+	Level     float64
+	LevelRate float64
+}
+
+// Tokens returns the tokens in all pieces.
+func (g Grant) Tokens() float64 {
+	var n float64
+	for _, p := range g.Pieces {
+		n += p.Tokens
+	}
+	return n
+}
+
+type returnKey struct {
+	sender   string
+	sequence uint64
+}
+
+// Lend debits what it grants before the grant can be sent. The request must have been received by now.
+func (a *Account) Lend(now time.Time, peer string, r Request) Grant {
+	a.Advance(now)
+	g := Grant{Sequence: r.Sequence}
+	switch {
+	case r.Return != nil:
+		if a.giveBack(*r.Return, returnKey{r.Sender, r.Sequence}) {
+			a.bucket.level = min(a.bucket.level+r.Return.Tokens, a.Current().Burst)
+		}
+	case r.Renew != 0:
+		g.Renewed = a.renew(now, r.Renew)
+		g.Loan, g.Term = r.Renew, a.terms.Loan
+	case r.Tokens > 0:
+		g.Pieces = a.lendTokens(now, peer, r.Tokens)
+	case r.Rate > 0:
+		g.Pieces = a.lendRate(now, r.Rate)
+	}
+	a.bucket.level = max(0, min(a.bucket.level, a.Current().Burst))
+	g.Level, g.LevelRate = a.bucket.level, a.Current().Rate
+	return g
+}
+
+// giveBack takes a piece of a loan off what is lent. A key that isn't zero is taken once. It reports false when the loan has ended here, in which case the
+// tokens are void: their burst was in use again already.
+func (a *Account) giveBack(p Piece, key returnKey) bool {
+	for i := range a.lent {
+		l := &a.lent[i]
+		if l.id != p.Loan || l.inherited || l.returned[key] {
+			continue
+		}
+		if !invariant.Check(p.Amount.Burst <= l.amount.Burst+tolerance, "quota.returned_within_lent") {
+			return false
+		}
+		if key != (returnKey{}) {
+			if l.returned == nil {
+				l.returned = map[returnKey]bool{}
+			}
+			l.returned[key] = true
+		}
+		l.amount.Rate = max(0, l.amount.Rate-p.Amount.Rate)
+		l.amount.Burst = max(0, l.amount.Burst-p.Amount.Burst)
+		if l.amount.Burst <= tolerance {
+			a.lent = append(a.lent[:i:i], a.lent[i+1:]...)
+		}
+		return true
+	}
+	return false
+}
+
+func (a *Account) renew(now time.Time, id uint64) bool {
+	if a.Demand(now) > a.own().Rate {
+		return false
+	}
+	for i, l := range a.lent {
+		if l.id != id || !l.long {
+			continue
+		}
+		a.lent = append(a.lent[:i:i], a.lent[i+1:]...)
+		l.expires = now.Add(a.terms.Loan + a.terms.Margin)
+		a.addLoan(&a.lent, l)
+		return true
+	}
+	return false
+}
+
+// lendTokens gives tokens together with as much burst, floor included, and the rate that fills it, for a short term.
+// Without the burst the lender would refill while the tokens are on their way, and there would be more than the
+// account's burst; without the rate the lender would have no room for what comes in. What the peer itself has lent
+// goes first, then what others have lent, then the own share.
+func (a *Account) lendTokens(now time.Time, peer string, want float64) []Piece {
+	var out []Piece
+	left := min(want, a.bucket.level)
+	for _, first := range []bool{true, false} {
+		for i := range a.borrowed {
+			if l := &a.borrowed[i]; (l.lender == peer) == first {
+				out, left = appendPiece(out, left, a.cut(now, l, left))
+			}
+		}
+	}
+	a.dropSpentLoans()
+	own := a.own()
+	if give := min(left, own.Burst); give > tolerance {
+		p := Piece{Amount: portion(own, give), Tokens: give, Term: a.terms.Transfer}
+		out, _ = appendPiece(out, left, a.lendOwn(now, p))
+	}
+	for _, p := range out {
+		a.bucket.level -= p.Tokens
+	}
+	return out
+}
+
+func appendPiece(out []Piece, left float64, p Piece) ([]Piece, float64) {
+	if p.Tokens <= 0 {
+		return out, left
+	}
+	return append(out, p), left - p.Tokens
+}
+
+// portion returns the part of a that has the given burst.
+func portion(a Amount, burst float64) Amount {
+	return Amount{Rate: a.Rate * burst / a.Burst, Burst: burst}
+}
+
+// cut takes up to burst off a borrowed loan, to pass it on.
+func (a *Account) cut(now time.Time, l *loan, burst float64) Piece {
+	burst = min(burst, l.amount.Burst)
+	if burst <= tolerance {
+		return Piece{}
+	}
+	p := Piece{Lender: l.lender, Loan: l.id, Amount: portion(l.amount, burst), Tokens: burst, Term: l.expires.Sub(now), Long: l.long}
+	l.amount.Rate = max(0, l.amount.Rate-p.Amount.Rate)
+	l.amount.Burst = max(0, l.amount.Burst-p.Amount.Burst)
+	return p
+}
+
+func (a *Account) dropSpentLoans() {
+	a.borrowed = slices.DeleteFunc(a.borrowed, func(l loan) bool { return l.amount.Burst <= tolerance })
+}
+
+// lendOwn records a piece of the own share as lent.
+func (a *Account) lendOwn(now time.Time, p Piece) Piece {
+	a.nextLoan++
+	p.Lender, p.Loan = a.dc, a.nextLoan
+	a.addLoan(&a.lent, loan{id: p.Loan, amount: p.Amount, expires: now.Add(p.Term + a.terms.Margin), long: p.Long})
+	return p
+}
+
+// lendRate gives spare rate, the burst that goes with it, and the tokens in that.
+func (a *Account) lendRate(now time.Time, want float64) []Piece {
+	if now.Before(a.loansUnknownUntil()) {
+		return nil
+	}
+	var long Amount
+	for _, l := range a.lent {
+		if l.long {
+			long.Rate += l.amount.Rate
+			long.Burst += l.amount.Burst
+		}
+	}
+	lendable := Amount{Rate: a.share.Holder.Rate - a.share.Floor.Rate, Burst: a.share.Holder.Burst - a.share.Floor.Burst}
+	own := a.own()
+	rate := min(want, lendable.Rate-long.Rate, own.Rate-headroom*a.Demand(now))
+	if own.Burst <= 0 || rate <= floorFraction*min(want, lendable.Rate) {
+		return nil
+	}
+	burst := max(0, min(own.Burst*rate/own.Rate, lendable.Burst-long.Burst))
+	if burst <= tolerance {
+		return nil
+	}
+	p := Piece{Amount: Amount{Rate: rate, Burst: burst}, Term: a.terms.Loan, Long: true}
+	p.Tokens = min(burst, a.bucket.level*burst/a.Current().Burst)
+	a.bucket.level -= p.Tokens
+	invariant.Check(long.Rate+rate <= lendable.Rate+tolerance && long.Burst+burst <= lendable.Burst+tolerance, "quota.lent_within_lendable")
+	return []Piece{a.lendOwn(now, p)}
+}
--- a/internal/quota/quotactl/batch.go
+++ b/internal/quota/quotactl/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -18,7 +19,10 @@
 	maxQueued = 4096
 )
 
-var errQueueFull = errors.New("too many takes wait for the holder")
+var (
+	errQueueFull    = errors.New("too many takes wait for the holder")
+	errSilentHolder = errors.New("the holder has not answered of late")
+)
 
 type answer struct {
 	result result
@@ -38,6 +42,9 @@
 	mu       sync.Mutex
 	queue    []waiting
 	inFlight int
+	// failures counts calls without an answer in a row. Until silentTil takes fail at once.
+	failures  int
+	silentTil time.Time
 }
 
 func (c *Controller) batcher(addr string) *batcher {
@@ -55,6 +62,10 @@
 func (b *batcher) take(ctx context.Context, item *quotav1.TakeItem) (result, error) {
 	w := waiting{item: item, done: make(chan answer, 1)}
 	b.mu.Lock()
+	if b.c.now().Before(b.silentTil) {
+		b.mu.Unlock()
+		return result{}, errSilentHolder
+	}
 	if len(b.queue) >= maxQueued {
 		b.mu.Unlock()
 		return result{}, errQueueFull
@@ -103,6 +114,7 @@
 		req.Items[i] = w.item
 	}
 	resp, err := b.invoke(req)
+	b.note(err)
 	if err == nil && len(resp.Results) != len(batch) {
 		err = errors.Newf("%d results for %d takes", len(resp.Results), len(batch))
 	}
@@ -116,6 +128,19 @@
 	}
 }
 
+// note leaves a holder alone for a while that does not answer, so that takes are refused at once.
+func (b *batcher) note(err error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if err == nil {
+		b.failures = 0
+		return
+	}
+	if b.failures++; b.failures >= silentHolderCalls {
+		b.silentTil = b.c.now().Add(silentHolderPause)
+	}
+}
+
 func (b *batcher) invoke(req *quotav1.TakeRequest) (*quotav1.TakeResponse, error) {
 	conn, err := b.c.dial.Conn(b.addr)
 	if err != nil {
--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -67,6 +68,11 @@
 	// minRatePause and maxRatePause bound how long a data centre that had no rate to lend is not asked for it.
 	minRatePause = 500 * time.Millisecond
 	maxRatePause = 4 * time.Second
+	// silentHolderPause is how long a holder is left alone after silentHolderCalls calls without an answer.
+	silentHolderPause = 500 * time.Millisecond
+	silentHolderCalls = 2
+	// overBurstRetry is the time to come back given when a take is larger than the account's burst.
+	overBurstRetry = time.Minute
 	// noHolderRetry is the time to come back given when no holder can be reached.
 	noHolderRetry = time.Second
 )
@@ -154,6 +160,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.holder.SetLimits(c.now(), version, limits)
+	for _, p := range c.peers {
+		maps.DeleteFunc(p.accounts, func(name string, _ *peerAccount) bool {
+			_, known := c.holder.Limit(name)
+			return !known
+		})
+	}
 }
 
 // observe looks up the lease of part and reports whether it may be used at the returned time. c.mu is held.
--- a/internal/quota/quotactl/controller_test.go
+++ b/internal/quota/quotactl/controller_test.go
@@ -265,3 +265,30 @@
 	}
 	wg.Wait()
 }
+
+func TestSilentHolderIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 6, quickTerms, []Limit{{Account: "kiosk", Rate: 30, Burst: 9}})
+	part := quota.PartOf("kiosk", 2)
+	f.net.mu.Lock()
+	f.net.cut[f.self[3*part].PeerAddr] = true
+	f.net.mu.Unlock()
+	other := f.ctl[3*(1-part)]
+	for range 3 {
+		ve := verdict.From(other.Take(context.Background(), "kiosk", 1))
+		is.Equal(ve.Verdict, verdict.NotRun)
+		is.Equal(ve.Reason, verdict.ReasonOwnerUnavailable)
+	}
+	_, err := other.batcher(f.self[3*part].PeerAddr).take(context.Background(), nil)
+	is.True(errors.Is(err, errSilentHolder))
+}
+
+func TestTakeAboveBurstFetchesNothing(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	f := newFleet(t, 3, quickTerms, []Limit{{Account: "kiosk", Rate: 30, Burst: 9}})
+	ve := verdict.From(f.ctl[0].Take(context.Background(), "kiosk", 10))
+	is.Equal(ve.Reason, verdict.ReasonRateLimited)
+	is.Equal(len(f.ctl[0].Shares()), 0)
+}
--- a/internal/quota/quotactl/take.go
+++ b/internal/quota/quotactl/take.go
@@ -30,11 +30,19 @@
 		c.metrics.admitted.WithLabelValues("slot").Inc()
 		return nil
 	}
-	_, _, held := c.account(account)
+	limit, _ := c.holder.Limit(account)
+	tooLarge := n > limit.Burst
+	held := false
+	if known && !tooLarge {
+		_, _, held = c.account(account)
+	}
 	c.mu.Unlock()
 	if !known {
 		return c.refuse(causeUnknown, http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, noHolderRetry, "no limits of the account are known here yet")
 	}
+	if tooLarge {
+		return c.refuse(causeOverBurst, http.StatusTooManyRequests, verdict.ReasonRateLimited, overBurstRetry, "the take is larger than the account's burst")
+	}
 	if held {
 		return c.conclude("local", c.takeHeld(ctx, account, n))
 	}
--- /dev/null
+++ b/internal/quota/steady_test.go
@@ -0,0 +1,141 @@
+package quota
+
+import (
+	"math"
+	"sort"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// steady is a fleet without faults whose messages take no time.
+type steady struct {
+	now   time.Time
+	nodes []*Account
+	seq   uint64
+}
+
+func newSteady(dcs int, l Limit) *steady {
+	s := &steady{now: time.Unix(1e6, 0)}
+	for dc := range dcs {
+		s.nodes = append(s.nodes, NewAccount(dcName(dc), Split(l, dcs, 0), DefaultTerms(), 1, s.now))
+	}
+	return s
+}
+
+func (s *steady) exchange(from, to int, r Request) {
+	s.seq++
+	r.Sequence = s.seq
+	s.nodes[from].Sent(s.now, dcName(to), r.Sequence)
+	s.nodes[from].Accept(s.now, s.nodes[to].Lend(s.now, dcName(from), r))
+}
+
+func (s *steady) take(dc int) bool {
+	a := s.nodes[dc]
+	a.Ask(s.now, 1)
+	ok, short, _ := a.Take(s.now, 1)
+	if ok {
+		return true
+	}
+	order := make([]int, len(s.nodes))
+	for i := range order {
+		order[i] = i
+		s.nodes[i].Advance(s.now)
+	}
+	sort.Slice(order, func(i, j int) bool { return s.nodes[order[i]].Level() > s.nodes[order[j]].Level() })
+	for _, peer := range order {
+		if peer != dc && short > 0 {
+			s.exchange(dc, peer, Request{Tokens: short})
+			short = 1 - a.Level()
+		}
+	}
+	ok, _, _ = a.Take(s.now, 1)
+	return ok
+}
+
+func (s *steady) tick() {
+	for dc, a := range s.nodes {
+		var peers []string
+		for p := range s.nodes {
+			if p != dc {
+				peers = append(peers, dcName(p))
+			}
+		}
+		for _, w := range a.Wishes(s.now, peers) {
+			s.exchange(dc, int(w.Peer[2]-'0'), w.Request)
+		}
+	}
+}
+
+// run sends arrivals at the given rate for a time, each to the data centre that pick returns, and returns how many
+// were refused.
+func (s *steady) run(rate float64, d time.Duration, pick func(i int) int) (refused, total int) {
+	end, nextTick := s.now.Add(d), s.now
+	for ; s.now.Before(end); s.now = s.now.Add(time.Duration(float64(time.Second) / rate)) {
+		for !nextTick.After(s.now) {
+			s.tick()
+			nextTick = nextTick.Add(250 * time.Millisecond)
+		}
+		if !s.take(pick(total)) {
+			refused++
+		}
+		total++
+	}
+	return refused, total
+}
+
+func TestSteadyArrivalsAreNotRefused(t *testing.T) {
+	for _, dcs := range []int{3, 4} {
+		for _, rate := range []float64{1, 10, 100, 1000} {
+			s := newSteady(dcs, Limit{Rate: rate, Burst: 5})
+			s.now = s.now.Add(time.Minute)
+			h := uint64(0)
+			refused, total := s.run(0.95*rate, time.Duration(20000/rate*float64(time.Second)), func(i int) int {
+				h = mix(h, uint64(i))
+				return int(h % uint64(dcs))
+			})
+			t.Logf("%d data centres, rate %v: refused %d of %d", dcs, rate, refused, total)
+			if refused > 0 {
+				t.Errorf("refused %d within rate", refused)
+			}
+		}
+	}
+}
+
+func TestShareFollowsDemandWithinTenSeconds(t *testing.T) {
+	const rate = 300
+	s := newSteady(3, Limit{Rate: rate, Burst: 60})
+	s.now = s.now.Add(time.Minute)
+	s.run(0.95*rate, 20*time.Second, func(i int) int { return i % 3 })
+	s.run(0.99*rate, 10*time.Second, func(int) int { return 0 })
+	got := s.nodes[0].Current().Rate
+	t.Logf("after 10 s: %.1f of %d per second", got, rate)
+	if got < 0.9*rate {
+		t.Errorf("share %.1f", got)
+	}
+	refused, total := s.run(0.95*rate, 10*time.Second, func(int) int { return 0 })
+	t.Logf("then refused %d of %d", refused, total)
+	if refused > 0 {
+		t.Errorf("refused %d", refused)
+	}
+	// A second move, to a data centre that had lent its share.
+	s.run(0.99*rate, 10*time.Second, func(int) int { return 1 })
+	if got := s.nodes[1].Current().Rate; got < 0.9*rate {
+		t.Errorf("share after the second move %.1f", got)
+	}
+}
+
+func TestSplitIsMonotone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := Limit{Rate: rapid.Float64Range(0, 1e4).Draw(t, "rate"), Burst: rapid.Float64Range(0, 1e4).Draw(t, "burst")}
+		b := Limit{Rate: a.Rate + rapid.Float64Range(0, 100).Draw(t, "more"), Burst: a.Burst + rapid.Float64Range(0, 100).Draw(t, "more")}
+		x, y := Split(a, 3, 5), Split(b, 3, 5)
+		if x.Holder.Rate > y.Holder.Rate || x.Slot.Rate > y.Slot.Rate || x.Holder.Burst > y.Holder.Burst || x.Slot.Burst > y.Slot.Burst {
+			t.Fatalf("%+v above %+v", x, y)
+		}
+		if sum := 3 * (x.Holder.Burst + 5*x.Slot.Burst); math.Abs(sum-a.Burst) > 1e-6 {
+			t.Fatalf("burst %v split into %v", a.Burst, sum)
+		}
+	})
+}
