--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -2,7 +2,7 @@
 
 import (
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/berylpond/berylpond/internal/invariant"
@@ -28,6 +28,8 @@
 	demandWindow = time.Second
 	// headroom is the factor over its own demand that a holder keeps when lending, and asks for when borrowing.
 	headroom = 1.2
+	// mergeWindow is the time in which short pieces for one peer make one loan.
+	mergeWindow = 100 * time.Millisecond
 	// nearShare is the part of its rate at which a holder asks for more.
 	nearShare = 0.95
 	// returnBefore is the time before the end of a loan at which it is returned though it would be needed.
@@ -38,8 +40,11 @@
 
 type loan struct {
 	// lender is empty for what is lent from the own share.
-	lender  string
-	id      uint64
+	lender string
+	id     uint64
+	// peer and granted say to whom and when the own share was lent first.
+	peer    string
+	granted time.Time
 	amount  Amount
 	expires time.Time
 	long    bool
@@ -90,8 +95,29 @@
 // addLoan keeps list ordered by expiry.
 func (a *Account) addLoan(list *[]loan, l loan) {
 	*list = append(*list, l)
-	s := *list
-	sort.SliceStable(s, func(i, j int) bool { return s[i].expires.Before(s[j].expires) })
+	sortLoans(*list)
+}
+
+func sortLoans(list []loan) {
+	slices.SortStableFunc(list, func(x, y loan) int { return x.expires.Compare(y.expires) })
+}
+
+// addBorrowed joins the pieces of one loan. The whole then ends with the piece that ends first.
+func (a *Account) addBorrowed(n loan) {
+	for i := range a.borrowed {
+		l := &a.borrowed[i]
+		if l.lender != n.lender || l.id != n.id {
+			continue
+		}
+		l.amount.Rate += n.amount.Rate
+		l.amount.Burst += n.amount.Burst
+		if n.expires.Before(l.expires) {
+			l.expires = n.expires
+		}
+		sortLoans(a.borrowed)
+		return
+	}
+	a.addLoan(&a.borrowed, n)
 }
 
 func total(list []loan) Amount {
@@ -236,7 +262,7 @@
 	case !expires.After(now):
 		return
 	default:
-		a.addLoan(&a.borrowed, loan{lender: p.Lender, id: p.Loan, amount: p.Amount, expires: expires, long: p.Long})
+		a.addBorrowed(loan{lender: p.Lender, id: p.Loan, amount: p.Amount, expires: expires, long: p.Long})
 	}
 	a.bucket.level = min(a.bucket.level+p.Tokens, a.Current().Burst)
 }
--- a/internal/quota/lend.go
+++ b/internal/quota/lend.go
@@ -74,7 +74,7 @@
 	case r.Tokens > 0:
 		g.Pieces = a.lendTokens(now, peer, r.Tokens)
 	case r.Rate > 0:
-		g.Pieces = a.lendRate(now, r.Rate)
+		g.Pieces = a.lendRate(now, peer, r.Rate)
 	}
 	a.bucket.level = max(0, min(a.bucket.level, a.Current().Burst))
 	g.Level, g.LevelRate = a.bucket.level, a.Current().Rate
@@ -142,7 +142,7 @@
 	own := a.own()
 	if give := min(left, own.Burst); give > tolerance {
 		p := Piece{Amount: portion(own, give), Tokens: give, Term: a.terms.Transfer}
-		out, _ = appendPiece(out, left, a.lendOwn(now, p))
+		out, _ = appendPiece(out, left, a.lendOwn(now, peer, p))
 	}
 	for _, p := range out {
 		a.bucket.level -= p.Tokens
@@ -178,16 +178,31 @@
 	a.borrowed = slices.DeleteFunc(a.borrowed, func(l loan) bool { return l.amount.Burst <= tolerance })
 }
 
-// lendOwn records a piece of the own share as lent.
-func (a *Account) lendOwn(now time.Time, p Piece) Piece {
+// lendOwn records a piece of the own share as lent. Short pieces for one peer soon after each other make one loan,
+// which bounds the number of loans.
+func (a *Account) lendOwn(now time.Time, peer string, p Piece) Piece {
+	p.Lender = a.dc
+	expires := now.Add(p.Term + a.terms.Margin)
+	for i := range a.lent {
+		l := &a.lent[i]
+		if p.Long || l.long || l.inherited || l.peer != peer || now.Sub(l.granted) > mergeWindow {
+			continue
+		}
+		l.amount.Rate += p.Amount.Rate
+		l.amount.Burst += p.Amount.Burst
+		l.expires = expires
+		p.Loan = l.id
+		sortLoans(a.lent)
+		return p
+	}
 	a.nextLoan++
-	p.Lender, p.Loan = a.dc, a.nextLoan
-	a.addLoan(&a.lent, loan{id: p.Loan, amount: p.Amount, expires: now.Add(p.Term + a.terms.Margin), long: p.Long})
+	p.Loan = a.nextLoan
+	a.addLoan(&a.lent, loan{id: p.Loan, peer: peer, granted: now, amount: p.Amount, expires: expires, long: p.Long})
 	return p
 }
 
 // lendRate gives spare rate, the burst that goes with it, and the tokens in that.
-func (a *Account) lendRate(now time.Time, want float64) []Piece {
+func (a *Account) lendRate(now time.Time, peer string, want float64) []Piece {
 	if now.Before(a.loansUnknownUntil()) {
 		return nil
 	}
@@ -212,5 +227,5 @@
 	p.Tokens = min(burst, a.bucket.level*burst/a.Current().Burst)
 	a.bucket.level -= p.Tokens
 	invariant.Check(long.Rate+rate <= lendable.Rate+tolerance && long.Burst+burst <= lendable.Burst+tolerance, "quota.lent_within_lendable")
-	return []Piece{a.lendOwn(now, p)}
+	return []Piece{a.lendOwn(now, peer, p)}
 }
--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -20,7 +20,8 @@
 // Limit is a client account's rate and burst across all instances.
 type Limit = quota.Limit
 
-// Parts tells who holds the parts of this data centre's account space.
+// Parts tells who holds the parts of this data centre's account space. Its methods are called for each take, with a
+// lock held: they must not block or call the Controller.
 type Parts interface {
 	// Parts is the number of parts. It never changes while the process runs.
 	Parts() int
