Measure the spread of configuration; index documents only on errors

Cause: a change cost 19 ms of processor time in each instance for a document of 400 accounts with 800 keys (152 KB): the line index scanned the text anew for each key, though only errors need it.

Conclusion: the index is made at the first problem, and finds lines by binary search.

--- /dev/null
+++ b/internal/config/spread_test.go
@@ -0,0 +1,305 @@
+package config
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	configv1 "github.com/berylpond/berylpond/api/config/v1"
+	"github.com/berylpond/berylpond/internal/document"
+	"github.com/berylpond/berylpond/internal/member"
+)
+
+// largeDocument returns a document with 400 accounts of two keys each.
+func largeDocument(t testing.TB) []byte {
+	var b bytes.Buffer
+	b.WriteString("team = \"t\"\ndata_centres = [\"a\"]\n")
+	hash := "sha256:" + strings.Repeat("0123456789abcdef", 4)
+	for i := range 400 {
+		fmt.Fprintf(&b, "[[account]]\nname = \"account-%03d\"\nrate = \"20/s\"\nburst = 40\nkeys = [\n", i)
+		for k := range 2 {
+			fmt.Fprintf(&b, "  { id = \"%08x%08x\", salt = \"00112233445566778899aabbccddeeff\", hash = %q },\n", i, k, hash)
+		}
+		b.WriteString("]\n")
+	}
+	if _, err := document.Parse(b.Bytes()); err != nil {
+		t.Fatal(err)
+	}
+	return b.Bytes()
+}
+
+// edited returns the document with one account's rate changed.
+func edited(doc []byte, i int) []byte {
+	name := fmt.Sprintf("\"account-%03d\"\nrate = ", i%400)
+	at := bytes.Index(doc, []byte(name)) + len(name)
+	end := at + bytes.IndexByte(doc[at:], '\n')
+	return slices.Concat(doc[:at], fmt.Appendf(nil, "\"%d/s\"", 21+i), doc[end:])
+}
+
+// rounds pushes a change from the first controller on until nothing waits to be pushed, one hop a round, and then
+// reconciles in rounds until all hold the version. Nothing runs in the background.
+func rounds(t testing.TB, cs []*Controller, version uint64) (pushRounds, reconcileRounds, reached int) {
+	ctx := context.Background()
+	for moving := true; moving; {
+		moving = false
+		var queue []func()
+		for _, c := range cs {
+			select {
+			case d := <-c.pushes:
+				for _, addr := range c.pick(c.neighbours(), c.cfg.Fanout) {
+					queue = append(queue, func() { c.push(ctx, addr, d) })
+				}
+			default:
+			}
+		}
+		for _, f := range queue {
+			f()
+			moving = true
+		}
+		if moving {
+			pushRounds++
+		}
+	}
+	holders := func() int {
+		n := 0
+		for _, c := range cs {
+			if _, v := c.Source("t"); v == version {
+				n++
+			}
+		}
+		return n
+	}
+	reached = holders()
+	for holders() < len(cs) {
+		reconcileRounds++
+		for _, c := range cs {
+			_ = c.reconcile(ctx, c.pick(c.neighbours(), 1)[0])
+		}
+		if reconcileRounds > 100 {
+			t.Fatal("the change did not reach all")
+		}
+	}
+	for _, c := range cs { // What reconciling spread is not pushed on in the next measurement.
+		for len(c.pushes) > 0 {
+			<-c.pushes
+		}
+	}
+	return pushRounds, reconcileRounds, reached
+}
+
+// seeded returns n controllers that hold version 1 of doc.
+func seeded(t testing.TB, n int, doc []byte) (*network, []*Controller) {
+	net, cs := newSite(n, newFakeLog(), Config{})
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, c := range cs {
+		c.random = rng.IntN
+		c.update(func(s *State) {
+			s.Start(0)
+			s.Apply(0, editRecord("t", 0, "first", string(doc)))
+		})
+		<-c.pushes
+	}
+	return net, cs
+}
+
+func change(c *Controller, offset uint64, base, doc []byte) {
+	r := editRecord("t", offset, fmt.Sprint("edit-", offset), "")
+	r.GetEdit().Document, r.GetEdit().Splice = nil, makeSplice(base, doc)
+	c.update(func(s *State) { s.Apply(offset, r) })
+}
+
+func TestChangeReachesAll(t *testing.T) {
+	is := is.New(t)
+	doc := exampleDocument(t)
+	doc = bytes.Replace(doc, []byte(nile), []byte("t"), 1)
+	_, cs := seeded(t, 60, doc)
+	change(cs[0], 1, doc, append(doc, '\n'))
+	_, reconciles, reached := rounds(t, cs, 2)
+	is.True(reached > len(cs)/2) // pushing reaches most
+	is.True(reconciles <= 12)
+}
+
+func TestNeighboursReachAll(t *testing.T) {
+	is := is.New(t)
+	var all []member.Instance
+	for i := range 300 {
+		all = append(all, member.Instance{ID: fmt.Sprint("i", i), PeerAddr: fmt.Sprint("i", i)})
+	}
+	steps := map[string]int{"i0": 0}
+	for queue := []string{"i0"}; len(queue) > 0; queue = queue[1:] {
+		out := neighbours(queue[0], all)
+		is.True(len(out) <= 9) // log2 of the fleet
+		for _, n := range out {
+			if _, ok := steps[n]; !ok {
+				steps[n] = steps[queue[0]] + 1
+				queue = append(queue, n)
+			}
+		}
+	}
+	is.Equal(len(steps), len(all))
+}
+
+func BenchmarkSpread(b *testing.B) {
+	for _, n := range []int{11, 100, 300} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) {
+			doc := largeDocument(b)
+			net, cs := seeded(b, n, doc)
+			var pushes, reconciles, reached, changes int
+			var sent, calls int64
+			for b.Loop() {
+				changes++
+				next := edited(doc, changes)
+				net.bytes.Store(0)
+				net.calls.Store(0)
+				change(cs[0], uint64(changes), doc, next)
+				p, r, got := rounds(b, cs, uint64(changes)+1)
+				pushes, reconciles, reached = pushes+p, reconciles+r, reached+got
+				sent, calls = sent+net.bytes.Load(), calls+net.calls.Load()
+				doc = next
+			}
+			per := float64(changes)
+			b.ReportMetric(float64(pushes)/per, "push-rounds/change")
+			b.ReportMetric(float64(reconciles)/per, "reconcile-rounds/change")
+			b.ReportMetric(100*float64(reached)/per/float64(n), "%reached-by-push")
+			b.ReportMetric(float64(sent)/per/float64(n), "bytes/instance/change")
+			b.ReportMetric(float64(calls)/per/float64(n), "calls/instance/change")
+		})
+	}
+}
+
+// BenchmarkInfection runs the pushes and reconciles of one change over the neighbours of a fleet of full size, without
+// states: who holds the change is all that is kept.
+func BenchmarkInfection(b *testing.B) {
+	const n = 2800
+	rng := rand.New(rand.NewPCG(1, 2))
+	var all []member.Instance
+	index := map[string]int{}
+	for i := range n {
+		id := fmt.Sprint("instance-", i)
+		all = append(all, member.Instance{ID: id, PeerAddr: id})
+		index[id] = i
+	}
+	ringOrder(all)
+	near := make([][]string, n)
+	for _, in := range all {
+		near[index[in.ID]] = neighbours(in.ID, all)
+	}
+	var runs, pushRounds, pushed, reconcileRounds, worst int
+	for b.Loop() {
+		runs++
+		holds := make([]bool, n)
+		start := rng.IntN(n)
+		holds[start] = true
+		got := 1
+		for fresh := []int{start}; len(fresh) > 0; pushRounds++ {
+			var next []int
+			for _, i := range fresh {
+				for _, k := range rng.Perm(len(near[i]))[:DefaultFanout] {
+					if j := index[near[i][k]]; !holds[j] {
+						holds[j] = true
+						next = append(next, j)
+					}
+				}
+			}
+			got += len(next)
+			fresh = next
+		}
+		pushed += got
+		r := 0
+		for ; got < n; r++ {
+			for i := range n {
+				j := index[near[i][rng.IntN(len(near[i]))]]
+				if holds[i] != holds[j] {
+					holds[i], holds[j] = true, true
+					got++
+				}
+			}
+		}
+		reconcileRounds += r
+		worst = max(worst, r)
+	}
+	b.ReportMetric(float64(pushRounds)/float64(runs), "push-rounds")
+	b.ReportMetric(100*float64(pushed)/float64(runs)/n, "%reached-by-push")
+	b.ReportMetric(float64(reconcileRounds)/float64(runs), "reconcile-rounds")
+	b.ReportMetric(float64(worst), "reconcile-rounds-max")
+}
+
+func BenchmarkIdleReconcile(b *testing.B) {
+	net, cs := seeded(b, 2, largeDocument(b))
+	ctx := context.Background()
+	runs := 0
+	for b.Loop() {
+		runs++
+		if err := cs[0].reconcile(ctx, cs[1].table.Self().PeerAddr); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(net.bytes.Load())/float64(runs), "bytes/reconcile")
+}
+
+func BenchmarkApplyChange(b *testing.B) {
+	doc := largeDocument(b)
+	_, cs := seeded(b, 1, doc)
+	offset := uint64(0)
+	for b.Loop() {
+		offset++
+		next := edited(doc, int(offset))
+		change(cs[0], offset, doc, next)
+		<-cs[0].pushes
+		doc = next
+	}
+	b.ReportMetric(float64(len(doc)), "document-bytes")
+	r := editRecord("t", 1, "edit", "")
+	r.GetEdit().Splice = makeSplice(doc, edited(doc, 5))
+	b.ReportMetric(float64(proto.Size(r)), "edit-bytes")
+}
+
+func BenchmarkMemoryOfDocument(b *testing.B) {
+	doc := largeDocument(b)
+	const copies = 50
+	var kept []*Controller
+	heap := func() uint64 {
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		return m.HeapAlloc
+	}
+	var each float64
+	for b.Loop() {
+		kept = nil
+		before := heap()
+		for range copies {
+			c := New(Config{}, member.NewTable(member.Instance{ID: "x"}), nil, nil)
+			c.update(func(s *State) {
+				s.Start(0)
+				s.Apply(0, &configv1.Record{Kind: &configv1.Record_Edit{Edit: &configv1.Edit{Team: "t", Document: bytes.Clone(doc)}}})
+			})
+			kept = append(kept, c)
+		}
+		each = float64(heap()-before) / copies
+	}
+	runtime.KeepAlive(kept)
+	b.ReportMetric(each, "heap-bytes/document")
+}
+
+func BenchmarkAuthenticate(b *testing.B) {
+	key, hashed, err := document.NewKey()
+	if err != nil {
+		b.Fatal(err)
+	}
+	doc := fmt.Appendf(largeDocument(b), "[[account]]\nname=\"new\"\nrate=1\nkeys=[{id=%q,salt=%q,hash=%q}]\n", hashed.ID, hashed.Salt, hashed.Hash)
+	_, cs := seeded(b, 1, doc)
+	for b.Loop() {
+		if _, refusal := cs[0].Snapshot().Authenticate(key); refusal != nil {
+			b.Fatal(refusal)
+		}
+	}
+}
--- a/internal/document/index.go
+++ b/internal/document/index.go
@@ -1,21 +1,27 @@
 package document
 
 import (
-	"bytes"
 	"fmt"
+	"sort"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
 // index maps the path of each key in a TOML text, such as "account[2].rate", to its line, from 1.
 type index struct {
-	data   []byte
+	// starts holds the offset at which each line after the first begins.
+	starts []int
 	lines  map[string]int
 	counts map[string]int
 }
 
 func newIndex(data []byte) *index {
-	x := &index{data: data, lines: map[string]int{}, counts: map[string]int{}}
+	x := &index{lines: map[string]int{}, counts: map[string]int{}}
+	for i, b := range data {
+		if b == '\n' {
+			x.starts = append(x.starts, i+1)
+		}
+	}
 	var p unstable.Parser
 	p.Reset(data)
 	prefix := ""
@@ -77,7 +83,7 @@
 }
 
 func (x *index) line(n *unstable.Node) int {
-	return 1 + bytes.Count(x.data[:n.Raw.Offset], []byte("\n"))
+	return 1 + sort.SearchInts(x.starts, int(n.Raw.Offset)+1)
 }
 
 // at returns the line of a path, or of the nearest enclosing one that is written out.
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -17,7 +17,7 @@
 	if err := toml.Unmarshal(data, &values); err != nil {
 		return nil, Problems{syntaxProblem(err)}
 	}
-	r := &reader{index: newIndex(data)}
+	r := &reader{data: data}
 	d := readDocument(r.table("", values))
 	r.validate(d)
 	if err := r.err(); err != nil {
@@ -29,7 +29,7 @@
 
 // Validate returns Problems if a document breaks a rule, however it was made. Problems have no lines.
 func Validate(d *Document) error {
-	r := &reader{index: newIndex(nil)}
+	r := &reader{}
 	r.validate(d)
 	return r.err()
 }
--- a/internal/document/table.go
+++ b/internal/document/table.go
@@ -43,11 +43,16 @@
 
 // reader gathers the problems that its tables meet.
 type reader struct {
+	data []byte
+	// index is made at the first problem: a valid document does without it.
 	index    *index
 	problems Problems
 }
 
 func (r *reader) fail(path, format string, args ...any) {
+	if r.index == nil {
+		r.index = newIndex(r.data)
+	}
 	r.problems = append(r.problems, Problem{Line: r.index.at(path), Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
