Add berylctl

Cause: operators need one tool for documents, keys, backend servers, instances and programs, with exit codes that scripts can rely on.

--- /dev/null
+++ b/cmd/berylctl/main.go
@@ -0,0 +1,12 @@
+// Command berylctl is the operators' tool for berylpond.
+package main
+
+import (
+	"os"
+
+	"github.com/berylpond/berylpond/internal/ctl"
+)
+
+func main() {
+	os.Exit(ctl.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/ctl/backend_list.go
@@ -0,0 +1,32 @@
+package ctl
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	adminv1 "github.com/berylpond/berylpond/api/admin/v1"
+)
+
+func (a *app) backendList() *cobra.Command {
+	return &cobra.Command{
+		Use:     "list",
+		Short:   "List the backend servers that the instance knows",
+		Example: "  berylctl backend list -o json",
+		Args:    args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return a.callAdmin(cmd, func(ctx context.Context, c adminv1.AdminClient) error {
+				resp, err := c.ListBackends(ctx, &adminv1.ListBackendsRequest{})
+				if err != nil {
+					return err
+				}
+				return a.print(resp, func(t table) {
+					t.row("ADDRESS", "DATA CENTRE", "POOL", "STATE", "IN FLIGHT", "WAITING")
+					for _, b := range resp.Backends {
+						t.row(b.Address, b.DataCentre, b.Pool, b.State, b.InFlight, b.Waiting)
+					}
+				})
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/ctl/instance_drain.go
@@ -0,0 +1,30 @@
+package ctl
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	adminv1 "github.com/berylpond/berylpond/api/admin/v1"
+)
+
+func (a *app) instanceDrain() *cobra.Command {
+	return &cobra.Command{
+		Use:     "drain",
+		Short:   "Begin the graceful shutdown of the instance that --instance names",
+		Example: "  berylctl instance drain --instance 10.1.0.4:7070",
+		Args:    args(cobra.NoArgs),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if !cmd.Flags().Changed("instance") {
+				return usagef("--instance is needed: the instance to shut down")
+			}
+			return a.callAdmin(cmd, func(ctx context.Context, c adminv1.AdminClient) error {
+				resp, err := c.DrainInstance(ctx, &adminv1.DrainInstanceRequest{})
+				if err != nil {
+					return err
+				}
+				return a.print(resp, func(t table) { t.row(a.instance + " is draining") })
+			})
+		},
+	}
+}
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -205,3 +205,25 @@
 	is.True(Route{Path: "/a/b", Method: "*"}.Specificity() > Route{Path: "/a/{x}", Method: "GET"}.Specificity())
 	is.True(Route{Path: "/a/{x}"}.Specificity() > Route{Path: "/a/*"}.Specificity())
 }
+
+func TestAddKeyKeepsTheRest(t *testing.T) {
+	for _, layout := range []string{
+		"keys = []\n", "keys = [\n]\n", "", "# a comment\nweight = 2\n",
+		"[[account.keys]]\nid = \"old\"\nsalt = \"00112233445566778899aabbccddeeff\"\nhash = \"sha256:" + strings.Repeat("ab", 32) + "\"\n",
+	} {
+		is := is.New(t)
+		src := strings.Replace(small, "rate = 2.5\n", "rate = 2.5\n"+layout, 1)
+		_, k, err := NewKey()
+		is.NoErr(err)
+		out, err := AddKey([]byte(src), "y", k)
+		is.NoErr(err)
+		d, err := Parse(out)
+		is.NoErr(err)
+		a, _ := d.Account("y")
+		is.True(a.Keys[0] == k || a.Keys[len(a.Keys)-1] == k)
+		is.Equal(strings.Contains(string(out), "# a comment"), strings.Contains(layout, "# a comment"))
+	}
+	is := is.New(t)
+	_, err := AddKey([]byte(small), "nobody", Key{})
+	is.True(err != nil)
+}
