--- a/internal/config/controller_test.go
+++ b/internal/config/controller_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -30,6 +31,8 @@
 	records [][]byte
 	grown   chan struct{}
 	away    atomic.Bool
+	// unreadable makes reads fail while appends work.
+	unreadable atomic.Bool
 	// losing is the number of appends that take effect and whose answer is lost.
 	losing atomic.Int64
 }
@@ -53,7 +56,7 @@
 }
 
 func (l *fakeLog) Read(ctx context.Context, _ string, from int64, max int, wait time.Duration) (Page, error) {
-	if l.away.Load() {
+	if l.away.Load() || l.unreadable.Load() {
 		return Page{}, errAway
 	}
 	l.mu.Lock()
@@ -77,6 +80,12 @@
 	return page, nil
 }
 
+func (l *fakeLog) all() [][]byte {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.records
+}
+
 // network joins controllers by direct calls. It counts messages and their bytes.
 type network struct {
 	mu    sync.Mutex
@@ -194,7 +203,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return data
+	return slices.Clip(data)
 }
 
 const nile = "nile-current"
@@ -253,6 +262,30 @@
 	eventually(t, "second version everywhere", everywhere(cs, func(s *Snapshot) bool { return s.Version(nile) == v2 }))
 }
 
+// The append is sent again because its answer was lost and the log cannot be read. It must count once, and its operator
+// must not be told of a conflict with the own edit.
+func TestRetriedAppendIsNotItsOwnConflict(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	cfg := fast()
+	cfg.LogWait = time.Millisecond
+	_, cs := newSite(1, log, cfg)
+	run(t, cs...)
+	log.unreadable.Store(true)
+	time.Sleep(10 * time.Millisecond) // the read under way ends
+	log.losing.Store(1)
+	go func() {
+		for len(log.all()) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		log.unreadable.Store(false)
+	}()
+	v, err := cs[0].Apply(context.Background(), nile, 0, exampleDocument(t), "op")
+	is.NoErr(err)
+	is.Equal(v, uint64(1))
+	is.Equal(len(cs[0].History(nile)), 1)
+}
+
 func TestApplyWithoutLogMayHaveRun(t *testing.T) {
 	is := is.New(t)
 	log := newFakeLog()
