--- a/internal/scheduler/cache/index.go
+++ b/internal/scheduler/cache/index.go
@@ -37,6 +37,8 @@
 	lastUse time.Time
 	// pause is a moving mean of its pauses between calls, in seconds; 0 means not known.
 	pause float64
+	// began is when its first call was seen.
+	began time.Time
 	// attained is the cost of the service received; that of sub-agents is counted at the root.
 	attained float64
 }
--- a/internal/scheduler/cache/program.go
+++ b/internal/scheduler/cache/program.go
@@ -14,9 +14,9 @@
 	root := c.RootProgram()
 	delete(x.ended, c.Program)
 	delete(x.ended, root)
-	r := x.ensure(root, root)
+	r := x.ensure(now, root, root)
 	r.begin(now)
-	if p := x.ensure(c.Program, root); p != r {
+	if p := x.ensure(now, c.Program, root); p != r {
 		p.begin(now)
 	}
 }
@@ -33,12 +33,12 @@
 	p.lastUse = now
 }
 
-func (x *Index) ensure(name, root string) *program {
+func (x *Index) ensure(now time.Time, name, root string) *program {
 	p := x.programs[name]
 	if p != nil {
 		return p
 	}
-	p = &program{root: root}
+	p = &program{root: root, began: now}
 	x.programs[name] = p
 	if name != root {
 		r := x.programs[root]
@@ -87,6 +87,14 @@
 	return told
 }
 
+// Age returns the time since the first call of the call's root program was seen.
+func (x *Index) Age(now time.Time, c *framework.Call) time.Duration {
+	if r := x.programs[c.RootProgram()]; r != nil {
+		return now.Sub(r.began)
+	}
+	return 0
+}
+
 // EndProgram forgets a program and its sub-agents. What engines hold for them is due for release.
 func (x *Index) EndProgram(now time.Time, name string) {
 	x.ended[name] = now
--- a/internal/scheduler/framework/settings.go
+++ b/internal/scheduler/framework/settings.go
@@ -77,7 +77,7 @@
 	MaxConcurrency int
 	// ConcurrencyShare scales limits, for a scheduler that does not have the group to itself. Zero means 1.
 	ConcurrencyShare float64
-	// AgeingHalf is the wait after which a program's attained service counts half.
+	// AgeingHalf is the age after which a program's attained service counts half.
 	AgeingHalf time.Duration
 	// MaxQueueWait is the longest that a call stays queued.
 	MaxQueueWait time.Duration
--- a/internal/scheduler/queue/item.go
+++ b/internal/scheduler/queue/item.go
@@ -31,10 +31,10 @@
 // absent is the index of an item that is in no heap.
 const absent = -1
 
-// orderKey is smaller for calls that go first. Service counts half after each further half of waiting, so the key is
-// log2(service) + arrival/half: it does not change while the call waits, and a heap can hold it.
-func orderKey(service float64, sinceStart, half time.Duration) float64 {
-	return math.Log2(math.Max(1, service)) + sinceStart.Seconds()/half.Seconds()
+// orderKey is smaller for calls that go first. Service counts half for each further half of the program's age, so the
+// key is log2(service) + began/half: it does not change while the call waits, and a heap can hold it.
+func orderKey(service float64, began, half time.Duration) float64 {
+	return math.Log2(math.Max(1, service)) + began.Seconds()/half.Seconds()
 }
 
 // byKey is a heap of items by key, then arrival.
--- a/internal/scheduler/queue/queue.go
+++ b/internal/scheduler/queue/queue.go
@@ -50,9 +50,23 @@
 // Len returns the number of waiting calls.
 func (q *Queue) Len() int { return len(q.items) }
 
-// Push queues a call. Service is what its root program has received so far, in cost units; giveUp is when the call
-// is refused.
-func (q *Queue) Push(now time.Time, c framework.Call, service float64, giveUp time.Time) {
+// Arrival is a call to be queued.
+type Arrival struct {
+	Call framework.Call
+	// Service is what its root program has received so far, in cost units.
+	Service float64
+	// Age is the time since its root program began.
+	Age time.Duration
+	// GiveUp is when the call is refused if it still waits.
+	GiveUp time.Time
+}
+
+// maxAge bounds the age that counts, so that a program that loops without end does not go first for ever.
+const maxAge = time.Minute
+
+// Push queues a call.
+func (q *Queue) Push(now time.Time, in Arrival) {
+	c := in.Call
 	if q.start.IsZero() {
 		q.start = now
 	}
@@ -61,9 +75,10 @@
 		a.finish = max(a.finish, q.virtual)
 	}
 	q.seq++
-	it := &Item{Call: c, Enqueued: now, GiveUp: giveUp, account: a, seq: q.seq}
+	it := &Item{Call: c, Enqueued: now, GiveUp: in.GiveUp, account: a, seq: q.seq}
 	if q.settings.ProgramOrder {
-		it.key = orderKey(q.effective(&c, service), now.Sub(q.start), q.settings.AgeingHalf)
+		began := now.Sub(q.start) - min(maxAge, in.Age)
+		it.key = orderKey(q.effective(&c, in.Service), began, q.settings.AgeingHalf)
 	} else {
 		it.key = float64(q.seq)
 	}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -23,7 +23,9 @@
 		return err
 	}
 	g.index.Begin(now, &c)
-	g.queue.Push(now, c, g.index.Attained(&c), g.giveUp(now, &c))
+	g.queue.Push(now, queue.Arrival{
+		Call: c, Service: g.index.Attained(&c), Age: g.index.Age(now, &c), GiveUp: g.giveUp(now, &c),
+	})
 	return nil
 }
 
