Let the weight of refusals move queue length and patience

Cause: the objective's weight for refusals within rate moved nothing. Ruled out: changing the reserve for begun programs, which trades one kind of refusal for a worse one. After: both times 0.5 to 2 by the weight's share; the table test holds, the comparison with even weights is unchanged.

--- a/internal/scheduler/framework/settings.go
+++ b/internal/scheduler/framework/settings.go
@@ -121,3 +121,23 @@
 func (w CostWeights) Of(prompt, cached, completion int64) float64 {
 	return w.Prompt*float64(prompt-cached) + w.Cached*float64(cached) + w.Completion*float64(completion)
 }
+
+// Bounds of the factor by which the objective moves a parameter.
+const (
+	minFactor = 0.5
+	maxFactor = 2
+)
+
+// Patience is how long a call waits before it is refused: longer where refusals weigh more.
+func (s *Settings) Patience() time.Duration {
+	return time.Duration(s.refusalFactor() * float64(s.MaxQueueWait))
+}
+
+// QueueLimit is the number of calls that one account may queue: higher where refusals weigh more.
+func (s *Settings) QueueLimit() int {
+	return max(1, int(s.refusalFactor()*float64(s.MaxQueuedPerAccount)))
+}
+
+func (s *Settings) refusalFactor() float64 {
+	return min(maxFactor, max(minFactor, s.Objective.Share(s.Objective.RefusalsWithinRate)))
+}
--- /dev/null
+++ b/internal/scheduler/framework/settings_test.go
@@ -0,0 +1,29 @@
+package framework
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestObjectiveMovesPatience(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		objective Objective
+		patience  time.Duration
+		limit     int
+	}{
+		{"none", Objective{}, 10 * time.Second, 8},
+		{"even", Objective{1, 1, 1, 1}, 10 * time.Second, 8},
+		{"refusals only", Objective{RefusalsWithinRate: 1}, 20 * time.Second, 16},
+		{"refusals do not count", Objective{ProgramLatency: 1}, 5 * time.Second, 4},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := Settings{Objective: tt.objective, MaxQueueWait: 10 * time.Second, MaxQueuedPerAccount: 8}
+			is.Equal(s.Patience(), tt.patience)
+			is.Equal(s.QueueLimit(), tt.limit)
+		})
+	}
+}
--- a/internal/scheduler/queue/room.go
+++ b/internal/scheduler/queue/room.go
@@ -18,7 +18,7 @@
 // so that refusals fall on first turns.
 func (q *Queue) HasRoom(c *framework.Call) bool {
 	a := q.account(c)
-	limit := q.settings.MaxQueuedPerAccount
+	limit := q.settings.QueueLimit()
 	if len(a.waiting) >= limit {
 		return false
 	}
--- a/internal/scheduler/submit.go
+++ b/internal/scheduler/submit.go
@@ -41,7 +41,7 @@
 		return g.full(c, perSecond)
 	}
 	wait, known := g.queue.Wait(c, perSecond)
-	if g.settings.RefuseEarly && known && !c.Begun() && wait > g.settings.MaxQueueWait {
+	if g.settings.RefuseEarly && known && !c.Begun() && wait > g.settings.Patience() {
 		return g.full(c, perSecond)
 	}
 	return g.takeRetry(c, perSecond)
@@ -79,7 +79,7 @@
 
 // giveUp returns the instant at which a waiting call is refused.
 func (g *Group) giveUp(now time.Time, c *framework.Call) time.Time {
-	patience := g.settings.MaxQueueWait
+	patience := g.settings.Patience()
 	if c.Begun() {
 		patience *= begunPatience
 	}
