--- a/internal/scheduler/retry/budget.go
+++ b/internal/scheduler/retry/budget.go
@@ -4,10 +4,10 @@
 import "github.com/berylpond/berylpond/internal/verdict"
 
 const (
-	// burst is the most retries that can be saved up.
-	burst = 10
+	// burst is the most retries that can be saved up: about the calls in flight on two engines that fail at once.
+	burst = 32
 	// initial is the number of retries allowed before any call.
-	initial = 3
+	initial = 10
 )
 
 // Budget is a token bucket filled by first attempts. It is not safe for concurrent use.
