Log when a failpoint acts; count the messages that engines receive

Cause: a fault matrix has to tell a case whose step was never reached from one that passed, and has to check that a call answered with not-run never reached an engine. Before: neither could be seen from outside. After: one log line for each action, and the counts of last user messages in GET /executions of the engine's stand-in.

--- a/internal/failpoint/failpoint.go
+++ b/internal/failpoint/failpoint.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 )
 
 // ErrInjected is returned by Hit at a point whose action is "error".
@@ -117,6 +118,7 @@
 	if !ok {
 		return nil
 	}
+	klog.InfoS("Failpoint acts", "name", name, "kind", a.Kind)
 	switch a.Kind {
 	case "kill":
 		_ = syscall.Kill(os.Getpid(), syscall.SIGKILL)
--- a/internal/fakes/engine/chat.go
+++ b/internal/fakes/engine/chat.go
@@ -30,6 +30,9 @@
 		http.Error(w, "bad request", http.StatusBadRequest)
 		return
 	}
+	s.mu.Lock()
+	s.messages[lastUser(c.Messages)]++
+	s.mu.Unlock()
 	if f, ok := s.Faults.Take(fault.Hang, fault.Refuse); ok {
 		if f.Mode == fault.Hang {
 			s.block(r)
--- a/internal/fakes/engine/engine.go
+++ b/internal/fakes/engine/engine.go
@@ -9,6 +9,7 @@
 package engine
 
 import (
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -60,6 +61,7 @@
 	active     int
 	requests   *lru.Cache[string, *execution]
 	counts     map[string]int
+	messages   map[string]int
 	models     map[string]bool
 	role       string
 	fence      int64
@@ -121,7 +123,7 @@
 		wake: make(chan struct{}, 1), stop: make(chan struct{}), done: make(chan struct{}),
 		scale: 1, prefillRate: defaultPrefillRate, decodeRate: defaultDecodeRate,
 		maxBatch: defaultMaxBatch, capacity: defaultCapacity,
-		cache: newCache(), counts: map[string]int{}, crashed: make(chan struct{}),
+		cache: newCache(), counts: map[string]int{}, messages: map[string]int{}, crashed: make(chan struct{}),
 	}
 	s.requests, _ = lru.New[string, *execution](keptRequests)
 	for _, o := range opts {
@@ -154,7 +156,7 @@
 	s.handle("POST /v1/orders", s.handleOrder)
 	s.handle("GET /v1/orders", s.handleOrders)
 	s.mux.HandleFunc("GET /executions", func(w http.ResponseWriter, _ *http.Request) {
-		fault.JSON(w, Executions{Counts: s.Executions()})
+		fault.JSON(w, Executions{Counts: s.Executions(), Messages: s.messagesReceived()})
 	})
 }
 
@@ -186,6 +188,12 @@
 	return out
 }
 
+func (s *Server) messagesReceived() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.messages)
+}
+
 func (s *Server) onFault(f fault.Spec) {
 	switch {
 	case f.Mode == fault.Crash:
--- a/internal/fakes/engine/protocol.go
+++ b/internal/fakes/engine/protocol.go
@@ -116,9 +116,11 @@
 	Orders []Order `json:"orders"`
 }
 
-// Executions answers GET /executions: how often each request id was run.
+// Executions answers GET /executions: how often each request id was run, and how often a chat with each last user
+// message was received.
 type Executions struct {
-	Counts map[string]int `json:"counts"`
+	Counts   map[string]int `json:"counts"`
+	Messages map[string]int `json:"messages"`
 }
 
 // Answer returns the chunks of the engine's answer: the first holds a digest of the last user message and the number
