--- /dev/null
+++ b/internal/daemon/membership_bench_test.go
@@ -0,0 +1,69 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/peer"
+)
+
+// benchTable returns the table of one instance in a fleet of n.
+func benchTable(self, n int) *member.Table {
+	instance := func(i int) member.Instance {
+		return member.Instance{
+			ID: fmt.Sprintf("entry-%04d", i), DataCentre: fmt.Sprintf("region%d-dc%d", i%6, i%17), Slot: i % 7,
+			Incarnation: uint64(time.Now().UnixNano()), PeerAddr: fmt.Sprintf("10.0.%d.%d:7080", i/250, i%250),
+			HTTPAddr: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250),
+		}
+	}
+	t := member.NewTable(instance(self))
+	for i := range n {
+		t.Merge(instance(i))
+	}
+	return t
+}
+
+// BenchmarkMembershipExchange measures one exchange of the tables of instances between two instances: processor time of
+// both, and the bytes of the request and the reply. A round is exchangeFanout of them, every membershipInterval.
+func BenchmarkMembershipExchange(b *testing.B) {
+	for _, n := range []int{10, 100, 1000, 2800} {
+		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) { benchExchange(b, n) })
+	}
+}
+
+func benchExchange(b *testing.B, n int) {
+	other := &Daemon{table: benchTable(1, n)}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	srv := peer.NewServer()
+	registerPeer(srv, other)
+	go func() { _ = srv.Serve(l) }()
+	b.Cleanup(srv.Stop)
+	d := &Daemon{table: benchTable(0, n), pool: peer.NewPool(nil)}
+	d.exchange(context.Background(), l.Addr().String())
+	b.ResetTimer()
+	cpu := processorTime()
+	for range b.N {
+		d.exchange(context.Background(), l.Addr().String())
+	}
+	b.ReportMetric(float64((processorTime()-cpu).Microseconds())/float64(b.N), "cpu-us/op")
+	request := proto.Size(&peerv1.ExchangeRequest{Instances: d.instancesToWire()})
+	reply := proto.Size(&peerv1.ExchangeReply{Instances: other.instancesToWire()})
+	b.ReportMetric(float64(request+reply), "message-B/op")
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- /dev/null
+++ b/internal/quota/bench_test.go
@@ -0,0 +1,57 @@
+package quota
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkTick measures one look at the demand of all accounts that one holder has, and the heap that they occupy. Each
+// account's demand is above its share, so that it wishes to borrow.
+func BenchmarkTick(b *testing.B) {
+	for _, dcs := range []int{3, 17} {
+		for _, accounts := range []int{10, 100, 400} {
+			b.Run(fmt.Sprintf("dcs=%d/accounts=%d", dcs, accounts), func(b *testing.B) { benchTick(b, dcs, accounts) })
+		}
+	}
+}
+
+func benchTick(b *testing.B, dcs, accounts int) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	now := time.Unix(1e6, 0)
+	h := NewHolder(dcName(0), DefaultTerms(), dcs, 1)
+	var limits []Limit
+	for i := range accounts {
+		limits = append(limits, Limit{Account: fmt.Sprint("account-", i), Rate: 1000, Burst: 1000})
+	}
+	h.SetLimits(now, 1, limits)
+	h.Observe(now, 0, 1, true)
+	var peers []string
+	for dc := 1; dc < dcs; dc++ {
+		peers = append(peers, dcName(dc))
+	}
+	for _, l := range limits {
+		if _, ok := h.Account(0, l.Account); !ok {
+			b.Fatal("no such account")
+		}
+	}
+	wishes := 0
+	b.ResetTimer()
+	for range b.N {
+		now = now.Add(250 * time.Millisecond)
+		h.Held(func(_ int, _ string, a *Account) {
+			a.Ask(now, 250)
+			wishes += len(a.Wishes(now, peers))
+		})
+	}
+	b.StopTimer()
+	b.ReportMetric(float64(wishes)/float64(b.N*accounts), "wishes/account/tick")
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(accounts), "held-B/account")
+	runtime.KeepAlive(h)
+	runtime.KeepAlive(limits)
+}
--- a/internal/scheduler/bench_test.go
+++ b/internal/scheduler/bench_test.go
@@ -11,7 +11,7 @@
 
 // BenchmarkDecision measures one call's way through a full group: submit, end of another call, decide.
 func BenchmarkDecision(b *testing.B) {
-	for _, n := range []int{4, 16, 64} {
+	for _, n := range []int{4, 16, 64, 196} {
 		for _, queued := range []int{10, 100, 1000} {
 			b.Run(fmt.Sprintf("engines=%d/queued=%d", n, queued), func(b *testing.B) { benchDecision(b, n, queued) })
 		}
