Report every problem of a settings file with file, line and key

Cause: the settings decoder stopped at its first bad value, and checks beyond decoding had no line. internal/document had a reader that goes on, with an index from key to line. Both move to internal/tomlfile, and settings use them. Ruled out: a second index in settings, and decoding each key by itself.

Before: a file with a bad duration, an unknown key and a slot out of range was told of one of the three, without a line for the slot. After: check-settings prints the three as file:line: key: problem and ends with 2 (run on the example with these three errors put in).

--- a/cmd/berylpondd/run.go
+++ b/cmd/berylpondd/run.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/cockroachdb/errors"
+	"github.com/dustin/go-humanize/english"
 	"github.com/spf13/cobra"
 
 	"github.com/berylpond/berylpond/internal/daemon"
@@ -26,8 +27,14 @@
 	return c.Flags().StringP("settings", "s", "berylpondd.toml", "settings file")
 }
 
-func load(path string) (settings.Settings, error) {
+// load prints every problem of a settings file, one a line, in the form "file:line: key: problem".
+func load(c *cobra.Command, path string) (settings.Settings, error) {
 	s, err := settings.Load(path)
+	var ps settings.Problems
+	if errors.As(err, &ps) {
+		fmt.Fprintln(c.ErrOrStderr(), ps)
+		err = errors.Newf("%s: %s", path, english.Plural(len(ps), "problem", ""))
+	}
 	if err != nil {
 		return s, errors.Mark(err, errUsage)
 	}
@@ -41,7 +48,7 @@
 	}
 	path := settingsFlag(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		s, err := load(*path)
+		s, err := load(c, *path)
 		if err != nil {
 			return err
 		}
@@ -62,7 +69,7 @@
 	}
 	path := settingsFlag(c)
 	c.RunE = func(c *cobra.Command, _ []string) error {
-		if _, err := load(*path); err != nil {
+		if _, err := load(c, *path); err != nil {
 			return err
 		}
 		fmt.Fprintf(c.OutOrStdout(), "%s is good\n", *path)
--- a/internal/document/diff.go
+++ b/internal/document/diff.go
@@ -8,6 +8,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/berylpond/berylpond/internal/tomlfile"
 )
 
 // ChangeKind says what happened to a value.
@@ -84,7 +86,7 @@
 	switch v := v.(type) {
 	case map[string]any:
 		for k, item := range v {
-			flattenInto(out, join(path, k), item)
+			flattenInto(out, tomlfile.Join(path, k), item)
 		}
 	case []any:
 		for i, item := range v {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -1,35 +1,16 @@
-// Package settings reads the settings file of the daemon.
+// Package settings reads the settings file of the daemon. Every problem of a file is reported at once.
 package settings
 
-import (
-	"net"
-	"os"
-	"slices"
-	"strconv"
-	"strings"
-	"time"
+import "time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/pelletier/go-toml/v2"
-)
-
-// Duration is a time.Duration written with its unit, for example "500ms".
+// Duration is a time.Duration that the file gives with its unit, for example "500ms".
 type Duration time.Duration
 
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(b []byte) error {
-	v, err := time.ParseDuration(string(b))
-	if err != nil {
-		return errors.Newf("%q is not a duration with a unit, such as \"500ms\" or \"10s\"", b)
-	}
-	*d = Duration(v)
-	return nil
-}
-
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
-// Settings are the settings of one instance. A process learns its addresses and data centre from here.
+// Settings are the settings of one instance. A process learns its addresses and data centre from here. The tags serve to
+// write a file; Parse reads one.
 type Settings struct {
 	Instance   Instance   `toml:"instance"`
 	Listen     Listen     `toml:"listen"`
@@ -62,8 +43,8 @@
 	// Peers is the host:port of the gRPC server for other instances and operators.
 	Peers string `toml:"peers"`
 	// AdvertiseCallers and AdvertisePeers are told to others where they differ from what is bound.
-	AdvertiseCallers string `toml:"advertise_callers"`
-	AdvertisePeers   string `toml:"advertise_peers"`
+	AdvertiseCallers string `toml:"advertise_callers,omitempty"`
+	AdvertisePeers   string `toml:"advertise_peers,omitempty"`
 }
 
 // Platform holds the addresses of the platform's services.
@@ -76,7 +57,7 @@
 
 // Peers names instances that are asked for the others at the start, beside the platform's list.
 type Peers struct {
-	Seeds []string `toml:"seeds"`
+	Seeds []string `toml:"seeds,omitempty"`
 }
 
 // Timing bounds waits.
@@ -112,7 +93,7 @@
 
 // Faults arms failpoints. For tests only.
 type Faults struct {
-	Failpoints string `toml:"failpoints"`
+	Failpoints string `toml:"failpoints,omitempty"`
 	// PanicOnViolation ends the process when an invariant is violated.
 	PanicOnViolation bool `toml:"panic_on_violation"`
 }
@@ -129,96 +110,3 @@
 		Scheduling: Scheduling{Policy: "berylpond"},
 	}
 }
-
-// Load reads and checks the settings file at path.
-func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, errors.Wrap(err, "settings")
-	}
-	s, err := Parse(data)
-	return s, errors.Wrapf(err, "%s", path)
-}
-
-// Parse decodes and checks settings; every problem is reported at once.
-func Parse(data []byte) (Settings, error) {
-	s := Default()
-	dec := toml.NewDecoder(strings.NewReader(string(data)))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
-		return s, explain(err)
-	}
-	return s, s.Check()
-}
-
-func explain(err error) error {
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		var ps []string
-		for _, e := range strict.Errors {
-			row, _ := e.Position()
-			ps = append(ps, "line "+strconv.Itoa(row)+": unknown key "+strings.Join(e.Key(), "."))
-		}
-		return errors.New(strings.Join(ps, "\n"))
-	}
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		row, _ := de.Position()
-		return errors.Newf("line %d: %s: %s", row, strings.Join(de.Key(), "."), de.Error())
-	}
-	return err
-}
-
-// Check returns every problem of the settings.
-func (s Settings) Check() error {
-	var ps problems
-	ps.need(s.Instance.ID != "", "instance.id is missing")
-	ps.need(s.Instance.DataCentre != "", "instance.data_centre is missing")
-	ps.need(!strings.Contains(s.Instance.DataCentre, "_"), "instance.data_centre must not hold \"_\"")
-	ps.need(slices.Contains(s.Instance.DataCentres, s.Instance.DataCentre), "instance.data_centres must list instance.data_centre")
-	ps.need(s.Instance.CellSlots >= 1 && s.Instance.CellSlots <= maxCellSlots, "instance.cell_slots must be 1 to 7")
-	ps.need(s.Instance.Slot >= 0 && s.Instance.Slot < s.Instance.CellSlots, "instance.slot must be from 0 to cell_slots-1")
-	ps.addr("listen.callers", s.Listen.Callers)
-	ps.addr("listen.peers", s.Listen.Peers)
-	for _, a := range s.Peers.Seeds {
-		ps.addr("peers.seeds", a)
-	}
-	ps.need(s.Platform.Log != "", "platform.log is missing")
-	ps.need(s.Platform.Instances != "", "platform.instances is missing")
-	ps.timing(s.Timing)
-	switch s.Scheduling.Policy {
-	case "berylpond", "least-loaded", "fifo-round-robin":
-	default:
-		ps.need(false, "scheduling.policy must be \"berylpond\", \"least-loaded\" or \"fifo-round-robin\"")
-	}
-	if len(ps) == 0 {
-		return nil
-	}
-	return errors.New(strings.Join(ps, "\n"))
-}
-
-// maxCellSlots is the largest cell: beyond it heartbeats cost more than they add.
-const maxCellSlots = 7
-
-type problems []string
-
-func (p *problems) need(ok bool, text string) {
-	if !ok {
-		*p = append(*p, text)
-	}
-}
-
-func (p *problems) addr(key, addr string) {
-	host, port, err := net.SplitHostPort(addr)
-	p.need(err == nil && port != "", key+" must be host:port, not "+strconv.Quote(addr))
-	p.need(err != nil || net.ParseIP(host) != nil, key+" must name its host by IP number, not "+strconv.Quote(host))
-}
-
-func (p *problems) timing(t Timing) {
-	p.need(t.Heartbeat > 0, "timing.heartbeat must be above 0")
-	p.need(t.Lease >= 2*t.Heartbeat, "timing.lease must be at least twice timing.heartbeat")
-	p.need(t.Margin > 0, "timing.margin must be above 0")
-	p.need(t.FirstToken > 0 && t.Progress > 0, "timing.first_token and timing.progress must be above 0")
-	p.need(t.ClaimWindow > 0, "timing.claim_window must be above 0")
-	p.need(t.Shutdown > 0, "timing.shutdown must be above 0")
-}
--- a/internal/document/index.go
+++ b/internal/tomlfile/index.go
@@ -1,4 +1,4 @@
-package document
+package tomlfile
 
 import (
 	"bytes"
@@ -37,7 +37,7 @@
 	path, line := "", 0
 	for it := n.Key(); it.Next(); {
 		k := it.Node()
-		path = join(path, string(k.Data))
+		path = Join(path, string(k.Data))
 		line = x.line(k)
 		if it.IsLast() && array {
 			i := x.counts[path]
@@ -54,7 +54,7 @@
 func (x *index) keyValue(prefix string, n *unstable.Node) {
 	path, line := prefix, 0
 	for it := n.Key(); it.Next(); {
-		path = join(path, string(it.Node().Data))
+		path = Join(path, string(it.Node().Data))
 		line = x.line(it.Node())
 	}
 	x.lines[path] = line
@@ -91,7 +91,8 @@
 	return 1
 }
 
-func join(path, key string) string {
+// Join returns the path of a key in the table at path.
+func Join(path, key string) string {
 	if path == "" {
 		return key
 	}
