Ask less often for accounts over their rate

A holder whose own demand is above the account's whole rate and burst now waits 500 ms after an answer that fell short.

--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -66,6 +66,8 @@
 	// minEmptyPause and maxEmptyPause bound how long a data centre that had no tokens of an account is not asked.
 	minEmptyPause = 2 * time.Millisecond
 	maxEmptyPause = 100 * time.Millisecond
+	// overRatePause is the same for an account whose demand here alone is above its rate and burst.
+	overRatePause = 500 * time.Millisecond
 	// minRatePause and maxRatePause bound how long a data centre that had no rate to lend is not asked for it.
 	minRatePause = 500 * time.Millisecond
 	maxRatePause = 4 * time.Second
--- a/internal/quota/quotactl/gather.go
+++ b/internal/quota/quotactl/gather.go
@@ -165,7 +165,10 @@
 // takeIn accepts one grant and notes what the lender has left. c.mu is held.
 func (c *Controller) takeIn(p *peerState, it *quotav1.LendItem, g *quotav1.Grant) {
 	grant := fromGrant(g)
+	over := false
 	if now, a, held := c.account(it.Account); held && a != nil {
+		limit, _ := c.holder.Limit(it.Account)
+		over = a.Demand(now) > limit.Rate+limit.Burst
 		c.holder.Accept(now, quota.PartOf(it.Account, c.parts.Parts()), it.Account, grant)
 	}
 	now := c.now()
@@ -177,6 +180,9 @@
 		c.metrics.borrowedTokens.Add(got)
 		share, _ := c.holder.Share(it.Account)
 		pa.noteTokens(now, it.Tokens, got, share.Holder.Rate)
+		if over && got < it.Tokens {
+			pa.noTokens = now.Add(overRatePause)
+		}
 	case it.Rate > 0 && len(g.Pieces) > 0:
 		pa.ratePause = 0
 	case it.Rate > 0:
