--- a/internal/config/bench_test.go
+++ b/internal/config/bench_test.go
@@ -9,13 +9,13 @@
 	"time"
 )
 
-// idleTime is how long BenchmarkSpread watches a fleet without changes.
+// idleTime is how long BenchmarkFleetEdit watches a fleet without changes.
 const idleTime = 3 * time.Second
 
-// BenchmarkSpread measures one edit of a document on its way to all instances of a fleet at the default intervals: the
+// BenchmarkFleetEdit measures one edit of a document on its way to all instances of a fleet at the default intervals: the
 // time until it is in force everywhere, and the messages and their bytes for each instance. Before that it measures the
 // bytes that an instance sends and receives while nothing changes.
-func BenchmarkSpread(b *testing.B) {
+func BenchmarkFleetEdit(b *testing.B) {
 	for _, n := range []int{10, 50, 200} {
 		b.Run(fmt.Sprint("instances=", n), func(b *testing.B) { benchSpread(b, n) })
 	}
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -219,20 +219,3 @@
 	is.Equal(bytes, 0)
 	is.True(len(cell[0].held[0].order) <= 16)
 }
-
-func BenchmarkRecord(b *testing.B) {
-	for _, n := range []int{1, 3, 5, 7} {
-		b.Run(string(rune('0'+n))+"slots", func(b *testing.B) {
-			cell := newCell(b, n, &fakeLog{})
-			b.ResetTimer()
-			for i := range b.N {
-				ev := event(string(rune(i)))
-				ev.Id = ev.Id + string(rune(i>>16))
-				if err := cell[0].Record(context.Background(), 0, 1, ev); err != nil {
-					b.Fatal(err)
-				}
-				cell[0].Seen(0, ev.Id)
-			}
-		})
-	}
-}
--- a/internal/program/bench_test.go
+++ b/internal/program/bench_test.go
@@ -22,6 +22,10 @@
 	return nil
 }
 
+func (r *countingRecorder) RecordHeld(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
+	return r.Record(ctx, part, term, ev)
+}
+
 // onePart is a cell whose only part is held for good.
 type onePart struct{}
 
