Let any instance log withdrawals that their taker did not

Cause: a withdrawal or drain taken while the log is away was appended only by the instance that took it; if that one died, a drain or withdrawal stood in the log only with the next refresh.

Conclusion: what peers told of and the log has not shown by the second check is appended by whoever checks first.

--- a/internal/config/controller.go
+++ b/internal/config/controller.go
@@ -118,6 +118,7 @@
 	progress chan struct{}
 	// unlogged are records that took effect here and still have to reach the log.
 	unlogged []*configv1.Record
+	unseen   unseen
 	// refreshed tells when a team's state was last seen in the log, by team name; "" stands for the drains.
 	refreshed map[string]time.Time
 	// reconciled is set once a peer was reconciled with.
@@ -155,6 +156,7 @@
 		state:     NewState(),
 		views:     map[string]*teamView{},
 		progress:  make(chan struct{}),
+		unseen:    unseen{},
 		refreshed: map[string]time.Time{},
 		wake:      make(chan struct{}, 1),
 		append:    make(chan struct{}, 1),
--- a/internal/config/controller_test.go
+++ b/internal/config/controller_test.go
@@ -340,6 +340,35 @@
 	})
 }
 
+// The instance that took a withdrawal dies before the log is back: another one appends it.
+func TestWithdrawalOutlivesItsInstance(t *testing.T) {
+	is := is.New(t)
+	log := newFakeLog()
+	cfg := fast()
+	cfg.RefreshEvery = 200 * time.Millisecond
+	net, cs := newSite(3, log, cfg)
+	run(t, cs[1:]...)
+	_, err := cs[1].Apply(context.Background(), nile, 0, exampleDocument(t), "op")
+	is.NoErr(err)
+	log.away.Store(true)
+	is.NoErr(cs[0].Withdraw(context.Background(), nile, "k1")) // cs[0] does not run: it never appends
+	is.NoErr(cs[0].DrainBackend(context.Background(), "10.0.0.1:80", true))
+	is.NoErr(cs[0].reconcile(context.Background(), cs[1].table.Self().PeerAddr))
+	net.mu.Lock()
+	delete(net.nodes, cs[0].table.Self().PeerAddr)
+	net.mu.Unlock()
+	log.away.Store(false)
+	eventually(t, "withdrawal and drain are on the log", func() bool {
+		for _, data := range log.all() {
+			if cs[1].decode(Record{Data: data}).GetWithdrawal().GetKeyId() == "k1" { // its own record, not a copy
+				s, _ := readAll(log, cs[1])
+				return s.Drained()["10.0.0.1:80"]
+			}
+		}
+		return false
+	})
+}
+
 func TestLiveStateIsRefreshed(t *testing.T) {
 	is := is.New(t)
 	log := newFakeLog()
--- a/internal/config/follow.go
+++ b/internal/config/follow.go
@@ -104,6 +104,7 @@
 
 // noteLogged notes that a team's state stands in the log anew. c.mu is held.
 func (c *Controller) noteLogged(r *configv1.Record) {
+	c.unseen.seen(r)
 	switch k := r.GetKind().(type) {
 	case *configv1.Record_Edit:
 		c.refreshed[k.Edit.Team] = time.Now()
@@ -126,7 +127,7 @@
 			continue
 		}
 		c.mu.Lock()
-		records := c.dueCopies(time.Now())
+		records := append(c.dueCopies(time.Now()), c.unseen.due()...)
 		c.mu.Unlock()
 		if len(records) > 0 {
 			_ = c.appendRecords(ctx, records) // Counted there; the next check tries again.
--- a/internal/config/spread.go
+++ b/internal/config/spread.go
@@ -109,8 +109,7 @@
 
 // Push implements the Peer service.
 func (p peerServer) Push(_ context.Context, req *configv1.PushRequest) (*configv1.PushResponse, error) {
-	complete := true
-	p.c.update(func(s *State) { complete = s.Merge(req.Delta) })
+	complete := p.c.mergePeer(req.Delta)
 	return &configv1.PushResponse{Missing: !complete}, nil
 }
 
@@ -176,7 +175,7 @@
 		return err
 	}
 	c.metrics.reconciles.WithLabelValues("exchanged").Inc()
-	c.update(func(s *State) { s.Merge(resp.Delta) })
+	c.mergePeer(resp.Delta)
 	return nil
 }
 
@@ -191,7 +190,7 @@
 func (p peerServer) Reconcile(_ context.Context, req *configv1.ReconcileRequest) (*configv1.ReconcileResponse, error) {
 	c := p.c
 	if req.Digest != nil {
-		c.update(func(s *State) { s.Merge(req.Delta) })
+		c.mergePeer(req.Delta)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
