Test keyed hashes of keys; print an empty list of changes as JSON

Before: only a wrong HMAC was tested, and no change printed null.

Conclusion: both forms of hashes that documents may hold are covered.

--- a/internal/ctl/config_diff.go
+++ b/internal/ctl/config_diff.go
@@ -60,7 +60,7 @@
 
 func (a *app) printChanges(changes []document.Change) error {
 	if a.output == outputJSON {
-		return a.printJSON(changes)
+		return a.printJSON(append([]document.Change{}, changes...))
 	}
 	for _, c := range changes {
 		fmt.Fprintln(a.out, c)
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -1,6 +1,9 @@
 package document
 
 import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"os"
 	"path/filepath"
@@ -175,9 +178,13 @@
 	again, err := HashKey(key)
 	is.NoErr(err)
 	is.True(again.Hash != hashed.Hash) // each hash has its own salt
-	hmacKey := Key{ID: "k", Salt: "00112233445566778899aabbccddeeff",
-		Hash: "hmac-sha256:" + "24b1c8bb5a63d8ad3b2f4d6d0f3c0a8a2b1a4d6a0c1f4d6e8a9b0c1d2e3f4a5b"}
-	is.True(!VerifyKey(key, hmacKey))
+	salt := []byte("sixteen bytes !!")
+	mac := hmac.New(sha256.New, salt)
+	mac.Write([]byte(key))
+	keyed := Key{ID: id, Salt: hex.EncodeToString(salt), Hash: "hmac-sha256:" + hex.EncodeToString(mac.Sum(nil))}
+	is.True(VerifyKey(key, keyed))
+	is.True(!VerifyKey(key+"x", keyed))
+	is.True(!VerifyKey(key, Key{ID: id, Salt: keyed.Salt, Hash: keyed.Hash[len("hmac-"):]})) // not its scheme
 	for _, bad := range []string{"", "bp_", "bp_x", "bp__y", "sk_x_y"} {
 		_, ok := KeyID(bad)
 		is.True(!ok)
