Log the end of each request with its fields and without what callers sent

One line for each request: request, program, account, route, verdict, reason, status and seconds. Failures with status 500 and more at verbosity 0, all at verbosity 1.

Found while reading the log lines: the line for failures held the refusal's detail, which quotes the caller's path and head, so a key in a path got into the log. The detail is now logged for status 500 and more only. The path, query and anything in the program header that is no program id are not logged either; a panic is logged by type and stack.

--- a/internal/document/validate.go
+++ b/internal/document/validate.go
@@ -73,7 +73,7 @@
 	for i, k := range keys {
 		path := fmt.Sprintf("%s.keys[%d]", at, i)
 		if seen[k.ID] {
-			v.Fail(path+".id", "key %q stands twice", k.ID)
+			v.Fail(path+".id", "the key's id stands twice")
 		}
 		seen[k.ID] = true
 		if strings.Contains(k.ID, "_") {
--- a/internal/frontend/problem.go
+++ b/internal/frontend/problem.go
@@ -52,7 +52,6 @@
 	e := asVerdict(err)
 	s.metrics.refusals.WithLabelValues(string(e.Reason), e.Verdict.String()).Inc()
 	id := RequestID(c)
-	klog.V(1).InfoS("Request failed", "request", id, "reason", e.Reason, "verdict", e.Verdict.String(), "detail", e.Detail)
 	res, uerr := echo.UnwrapResponse(c.Response())
 	if uerr == nil && res.Committed {
 		// A streamed answer has begun; its handler has written the error as the last event.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/uuid"
@@ -101,7 +104,7 @@
 	return func(c *echo.Context) (err error) {
 		defer func() {
 			if p := recover(); p != nil {
-				klog.ErrorS(nil, "Request panicked", "request", request.ID(c), "panic", p)
+				klog.ErrorS(nil, "Request panicked", "request", request.ID(c), "panic", panicText(p), "stack", string(debug.Stack()))
 				err = verdict.Fail(http.StatusInternalServerError, verdict.ReasonInternal, "internal error")
 			}
 		}()
@@ -109,14 +112,24 @@
 	}
 }
 
-// observe counts requests and measures them by route.
+// panicText names a panic without what it may quote of a request: the text of errors of the Go runtime, else the type.
+func panicText(p any) string {
+	if err, ok := p.(runtime.Error); ok {
+		return err.Error()
+	}
+	return fmt.Sprintf("%T", p)
+}
+
+// observe measures requests by route and logs their ends.
 func (s *Server) observe(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c *echo.Context) error {
 		begun := time.Now()
 		s.metrics.inFlight.Inc()
 		defer s.metrics.inFlight.Dec()
 		err := next(c)
-		s.metrics.duration.WithLabelValues(c.Path()).Observe(time.Since(begun).Seconds())
+		took := time.Since(begun)
+		s.metrics.duration.WithLabelValues(c.Path()).Observe(took.Seconds())
+		logAccess(c, err, took)
 		return err
 	}
 }
