Test the access line with a refusal that quotes the path

The new case, a refusal that quotes the path, was seen failing with the detail logged for all, and passes now.

--- a/internal/frontend/access_test.go
+++ b/internal/frontend/access_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 
+	"github.com/labstack/echo/v5"
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -16,6 +17,7 @@
 	"github.com/berylpond/berylpond/internal/frontend/queries"
 	"github.com/berylpond/berylpond/internal/frontend/request"
 	"github.com/berylpond/berylpond/internal/logging"
+	"github.com/berylpond/berylpond/internal/verdict"
 )
 
 const (
@@ -33,11 +35,20 @@
 	})
 }
 
+// refusing serves one more route, whose refusal quotes the caller's path as those of services do.
+func refusing() *Server {
+	s := unconfigured()
+	s.echo.GET("/refused/:name", func(c *echo.Context) error {
+		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownRoute, 0, "no route for %s", c.Request().URL.Path)
+	})
+	return s
+}
+
 func logOf(t *testing.T, verbosity int, r *http.Request) string {
 	t.Helper()
 	var out bytes.Buffer
 	logging.Setup(&out, "giza-0", verbosity)
-	unconfigured().ServeHTTP(httptest.NewRecorder(), r)
+	refusing().ServeHTTP(httptest.NewRecorder(), r)
 	return out.String()
 }
 
@@ -70,6 +81,7 @@
 		"failure":           chatRequest(testProgram),
 		"key as a program":  chatRequest(testKey),
 		"text as a program": chatRequest("prg_giza_SECRET"),
+		"quoted path":       httptest.NewRequest(http.MethodGet, "/refused/SECRET", nil),
 		"unknown route":     httptest.NewRequest(http.MethodGet, "/SECRET/"+testKey, nil),
 	} {
 		t.Run(name, func(t *testing.T) {
