--- a/internal/tomlfile/reader.go
+++ b/internal/tomlfile/reader.go
@@ -10,6 +10,8 @@
 
 // Reader gathers the problems of one text.
 type Reader struct {
+	data []byte
+	// index is made at the first problem: a valid text does without it.
 	index    *index
 	values   map[string]any
 	problems Problems
@@ -17,16 +19,15 @@
 
 // NewReader decodes a text. The error is Problems: a text that is not TOML has one.
 func NewReader(data []byte) (*Reader, error) {
-	r := &Reader{}
+	r := &Reader{data: data}
 	if err := toml.Unmarshal(data, &r.values); err != nil {
 		return nil, Problems{syntaxProblem(err)}
 	}
-	r.index = newIndex(data)
 	return r, nil
 }
 
 // Empty returns a reader of no text. Its problems have no lines of their own.
-func Empty() *Reader { return &Reader{index: newIndex(nil)} }
+func Empty() *Reader { return &Reader{} }
 
 func syntaxProblem(err error) Problem {
 	var de *toml.DecodeError
@@ -50,6 +51,9 @@
 
 // Fail adds a problem. Its line is that of the path, or of the nearest enclosing path that is written out.
 func (r *Reader) Fail(path, format string, args ...any) {
+	if r.index == nil {
+		r.index = newIndex(r.data)
+	}
 	r.problems = append(r.problems, Problem{Line: r.index.at(path), Path: path, Text: fmt.Sprintf(format, args...)})
 }
 
