--- a/internal/document/edit.go
+++ b/internal/document/edit.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/berylpond/berylpond/internal/tomlfile"
 )
 
 // AddKey returns the text of a document with a key added to an account. Comments and layout stay as they are.
@@ -18,7 +20,7 @@
 		return nil, errors.Newf("there is no account %q", account)
 	}
 	lines := strings.SplitAfter(string(src), "\n")
-	out, err := insertKey(lines, newIndex(src), account, k)
+	out, err := insertKey(lines, tomlfile.NewIndex(src), account, k)
 	if err != nil {
 		return nil, err
 	}
@@ -36,20 +38,20 @@
 // keyFields is the number of values that one key adds to a document.
 const keyFields = 3
 
-func insertKey(lines []string, x *index, account string, k Key) ([]string, error) {
+func insertKey(lines []string, x *tomlfile.Index, account string, k Key) ([]string, error) {
 	name := fmt.Sprintf("%q", account)
-	for i := 0; i < x.counts["account"]; i++ {
+	for i := 0; i < x.Count("account"); i++ {
 		at := fmt.Sprintf("account[%d]", i)
-		line, ok := x.lines[at+".name"]
+		line, ok := x.Line(at + ".name")
 		if !ok || !strings.Contains(lines[line-1], name) {
 			continue
 		}
 		inline := fmt.Sprintf("{ id = %q, salt = %q, hash = %q }", k.ID, k.Salt, k.Hash)
-		if l, ok := x.lines[at+".keys"]; ok {
+		if l, ok := x.Line(at + ".keys"); ok {
 			head, tail, _ := strings.Cut(lines[l-1], "[")
 			return slices.Replace(slices.Clone(lines), l-1, l, head+"[\n  "+inline+","+tail), nil
 		}
-		if l, ok := x.lines[at+".keys[0]"]; ok {
+		if l, ok := x.Line(at + ".keys[0]"); ok {
 			table := fmt.Sprintf("[[account.keys]]\nid = %q\nsalt = %q\nhash = %q\n\n", k.ID, k.Salt, k.Hash)
 			return slices.Insert(slices.Clone(lines), l-1, table), nil
 		}
--- a/internal/tomlfile/index.go
+++ b/internal/tomlfile/index.go
@@ -7,16 +7,17 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
-// index maps the path of each key in a TOML text, such as "account[2].rate", to its line, from 1.
-type index struct {
+// Index maps the path of each key in a TOML text, such as "account[2].rate", to its line, from 1.
+type Index struct {
 	// starts holds the offset at which each line after the first begins.
 	starts []int
 	lines  map[string]int
 	counts map[string]int
 }
 
-func newIndex(data []byte) *index {
-	x := &index{lines: map[string]int{}, counts: map[string]int{}}
+// NewIndex returns the index of a text. Of a text that is not TOML it holds what comes before the first error.
+func NewIndex(data []byte) *Index {
+	x := &Index{lines: map[string]int{}, counts: map[string]int{}}
 	for i, b := range data {
 		if b == '\n' {
 			x.starts = append(x.starts, i+1)
@@ -39,7 +40,7 @@
 }
 
 // tablePath returns the path of a [table] or [[array table]] and notes its line.
-func (x *index) tablePath(n *unstable.Node, array bool) string {
+func (x *Index) tablePath(n *unstable.Node, array bool) string {
 	path, line := "", 0
 	for it := n.Key(); it.Next(); {
 		k := it.Node()
@@ -57,7 +58,7 @@
 	return path
 }
 
-func (x *index) keyValue(prefix string, n *unstable.Node) {
+func (x *Index) keyValue(prefix string, n *unstable.Node) {
 	path, line := prefix, 0
 	for it := n.Key(); it.Next(); {
 		path = Join(path, string(it.Node().Data))
@@ -68,7 +69,7 @@
 }
 
 // value notes the keys inside inline tables and arrays.
-func (x *index) value(path string, n *unstable.Node) {
+func (x *Index) value(path string, n *unstable.Node) {
 	switch n.Kind {
 	case unstable.InlineTable:
 		for it := n.Children(); it.Next(); {
@@ -82,12 +83,21 @@
 	}
 }
 
-func (x *index) line(n *unstable.Node) int {
+func (x *Index) line(n *unstable.Node) int {
 	return 1 + sort.SearchInts(x.starts, int(n.Raw.Offset)+1)
 }
 
+// Line returns the line of a key that is written out.
+func (x *Index) Line(path string) (line int, ok bool) {
+	line, ok = x.lines[path]
+	return line, ok
+}
+
+// Count returns the number of tables in an array of tables.
+func (x *Index) Count(path string) int { return x.counts[path] }
+
 // at returns the line of a path, or of the nearest enclosing one that is written out.
-func (x *index) at(path string) int {
+func (x *Index) at(path string) int {
 	for path != "" {
 		if line, ok := x.lines[path]; ok {
 			return line
--- a/internal/tomlfile/reader.go
+++ b/internal/tomlfile/reader.go
@@ -12,7 +12,7 @@
 type Reader struct {
 	data []byte
 	// index is made at the first problem: a valid text does without it.
-	index    *index
+	index    *Index
 	values   map[string]any
 	problems Problems
 }
@@ -52,7 +52,7 @@
 // Fail adds a problem. Its line is that of the path, or of the nearest enclosing path that is written out.
 func (r *Reader) Fail(path, format string, args ...any) {
 	if r.index == nil {
-		r.index = newIndex(r.data)
+		r.index = NewIndex(r.data)
 	}
 	r.problems = append(r.problems, Problem{Line: r.index.at(path), Path: path, Text: fmt.Sprintf(format, args...)})
 }
