--- a/internal/program/bench_test.go
+++ b/internal/program/bench_test.go
@@ -9,8 +9,9 @@
 	"testing"
 	"time"
 
-	programv1 "github.com/berylpond/berylpond/api/program/v1"
 	"google.golang.org/protobuf/proto"
+
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
 )
 
 // countingRecorder accepts every event and counts the bytes that it would send.
