--- a/internal/keeper/poll.go
+++ b/internal/keeper/poll.go
@@ -22,6 +22,10 @@
 // maxPolls bounds the polls of one round that run at once.
 const maxPolls = 32
 
+// loadTimeouts times LoadInterval bounds each poll, so that an engine that hangs does not make the reports of the others
+// stale.
+const loadTimeouts = 5
+
 // Run polls engines and lets time pass for queued calls until ctx ends. It then drops the queue, so that calls of
 // other instances ask the next keeper.
 func (c *Controller) Run(ctx context.Context) error {
@@ -76,6 +80,7 @@
 
 // poll runs f for each engine of each group that this instance keeps, or serves degraded.
 func (c *Controller) poll(ctx context.Context, f func(ctx context.Context, g *engineGroup, r *runner, address string)) {
+	timeout := min(c.cfg.PollTimeout, loadTimeouts*c.cfg.LoadInterval)
 	var eg errgroup.Group
 	eg.SetLimit(maxPolls)
 	for _, g := range c.allGroups() {
@@ -88,7 +93,7 @@
 		}
 		for _, e := range g.engines() {
 			eg.Go(func() error {
-				ctx, cancel := context.WithTimeout(ctx, c.cfg.PollTimeout)
+				ctx, cancel := context.WithTimeout(ctx, timeout)
 				defer cancel()
 				f(ctx, g, r, e.Address)
 				return nil
