--- a/internal/fakes/fault/fault.go
+++ b/internal/fakes/fault/fault.go
@@ -3,6 +3,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"sync"
@@ -138,8 +139,10 @@
 // Drop closes the connection of the current request without an answer. It does not return.
 func Drop() { panic(http.ErrAbortHandler) }
 
-// Block holds the request without an answer until the client gives up, then drops it. It does not return.
+// Block holds the request without an answer until the client gives up, then drops it. It does not return. It reads the
+// body first, because the server notices only after its end that the client has gone.
 func Block(r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
 	<-r.Context().Done()
 	Drop()
 }
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -300,13 +300,20 @@
 			return true
 		}
 		w.fail(v, entries[0].at)
-		if !w.pause(max(v.RetryAfter, backoff/2+rand.N(backoff/2+1))) {
+		if !w.pause(w.retryPause(v, backoff)) {
 			return false
 		}
 		backoff = min(w.backoffMax, 2*backoff)
 	}
 }
 
+// retryPause returns the time until the next attempt. It is random, so that writers that were refused together do not
+// come back together. The log's own Retry-After, in whole seconds, counts up to the longest window.
+func (w *Writer) retryPause(v *verdict.Error, backoff time.Duration) time.Duration {
+	least := max(min(v.RetryAfter, w.maxWindow), backoff)
+	return least/2 + rand.N(least/2+1)
+}
+
 // next forms a batch from the head of the queue.
 func (w *Writer) next() (*journalv1.Batch, []*entry) {
 	w.sequence++
