Test tool and weight store; answer engine reports without the lock

A slow reader of load, events or orders held the engine's lock while its answer was written; the answer is now copied first.

--- a/internal/fakes/engine/control.go
+++ b/internal/fakes/engine/control.go
@@ -49,7 +49,10 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) {
+func (s *Server) handleLoad(w http.ResponseWriter, _ *http.Request) { fault.JSON(w, s.load()) }
+
+// load returns the load as it was last measured, at most one lag ago.
+func (s *Server) load() Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if now := time.Now(); now.Sub(s.reportedAt) >= s.loadLag {
@@ -59,11 +62,15 @@
 			KVCapacityTokens: s.capacity, AtMS: now.UnixMilli(),
 		}
 	}
-	fault.JSON(w, s.reported)
+	return s.reported
 }
 
 func (s *Server) handleEvents(w http.ResponseWriter, r *http.Request) {
 	after, _ := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	fault.JSON(w, s.eventsAfter(after))
+}
+
+func (s *Server) eventsAfter(after int64) Events {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	out := Events{Events: []Event{}, Next: after}
@@ -74,7 +81,7 @@
 			out.Next = e.Seq
 		}
 	}
-	fault.JSON(w, out)
+	return out
 }
 
 func (s *Server) handleKeys(w http.ResponseWriter, _ *http.Request) {
@@ -180,6 +187,7 @@
 
 func (s *Server) handleOrders(w http.ResponseWriter, _ *http.Request) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	fault.JSON(w, Orders{Orders: append([]Order{}, s.orders...)})
+	orders := append([]Order{}, s.orders...)
+	s.mu.Unlock()
+	fault.JSON(w, Orders{Orders: orders})
 }
--- a/internal/fakes/engine/engine_test.go
+++ b/internal/fakes/engine/engine_test.go
@@ -352,3 +352,27 @@
 		}
 	})
 }
+
+func TestCacheEventsAreLateAndHaveGaps(t *testing.T) {
+	is := is.New(t)
+	s, url := start(t, WithEvents(50*time.Millisecond, 2))
+	for _, id := range []string{"r1", "r2", "r3"} {
+		do(t.Context(), http.DefaultClient, "POST", url+"/v1/chat/completions", chat(id, false, user(id)...))
+	}
+	events := func() Events {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, httptest.NewRequest("GET", "/v1/cache/events?after=0", nil))
+		var out Events
+		is.NoErr(json.Unmarshal(w.Body.Bytes(), &out))
+		return out
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for len(events().Events) < 2 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	got := events()
+	is.Equal(len(got.Events), 2) // the second of three is lost
+	is.Equal(got.Events[0].Seq, int64(1))
+	is.Equal(got.Events[1].Seq, int64(3))
+	is.Equal(got.Next, int64(3))
+}
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -172,7 +172,7 @@
 			continue
 		}
 		if rec.Offset > next {
-			next = r.gap(next, rec.Offset)
+			r.gap(next, rec.Offset)
 		}
 		r.applyBatch(rec)
 		r.began = true
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -78,6 +78,7 @@
 
 	// Only run's goroutine uses what follows.
 	sequence     uint64
+	committed    uint64
 	lastOffset   int64
 	lastAppend   time.Time
 	penalty      time.Duration
@@ -118,7 +119,7 @@
 
 // Append queues a record and waits until it is durable. The position is that of a copy that readers reach no earlier
 // than the record itself: after a lost answer they may have found it before. On ErrNotDurable the record stays queued;
-// on all other errors it does not.
+// on all other errors it does not. The caller must not change the record afterwards.
 func (w *Writer) Append(ctx context.Context, rec *journalv1.Record) (Position, error) {
 	e := &entry{rec: rec, done: make(chan result, 1)}
 	away, err := w.enqueue(e)
@@ -347,6 +348,8 @@
 
 func (w *Writer) succeed(entries []*entry, offset int64) {
 	invariant.Check(offset > w.lastOffset, "journal.offsets_rise", "stream", w.stream, "offset", offset, "last", w.lastOffset)
+	invariant.Check(w.sequence > w.committed, "journal.sequence_rises", "stream", w.stream, "sequence", w.sequence, "last", w.committed)
+	w.committed = w.sequence
 	w.lastOffset = max(w.lastOffset, offset)
 	w.failingSince = time.Time{}
 	w.penalty /= 2
