--- a/internal/keeper/controller.go
+++ b/internal/keeper/controller.go
@@ -97,7 +97,9 @@
 }
 
 // Collectors returns the controller's metrics.
-func (c *Controller) Collectors() []prometheus.Collector { return c.metrics.collectors() }
+func (c *Controller) Collectors() []prometheus.Collector {
+	return append(c.metrics.collectors(), groupGauges{c})
+}
 
 // Register adds the keeper service to a gRPC server.
 func (c *Controller) Register(s grpc.ServiceRegistrar) {
--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -142,7 +142,9 @@
 func (c *Controller) Register(s grpc.ServiceRegistrar) { quotav1.RegisterQuotaServer(s, &server{c: c}) }
 
 // Collectors returns the metrics.
-func (c *Controller) Collectors() []prometheus.Collector { return c.metrics.collectors() }
+func (c *Controller) Collectors() []prometheus.Collector {
+	return append(c.metrics.collectors(), shares{c})
+}
 
 // Run follows demand until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
