Take over the claims of a slot's previous occupant; tell the keeper what a retry is

Cause: a slot that was stopped gracefully left its claims with the cell, but its successor did not know whose to ask for; retries named no earlier verdict, which the keeper refuses; accounts were weighed alike whatever their rates. Ruled out: reading the predecessor from the own table (an instance never stores another incarnation of itself). Before: a restarted slot abstained for the whole claim window.

--- a/internal/cell/controller.go
+++ b/internal/cell/controller.go
@@ -95,6 +95,9 @@
 	}
 }
 
+// SetPredecessor is WithPredecessor for an incarnation that is learned after New. It must be called before Run.
+func (c *Controller) SetPredecessor(incarnation uint64) { c.predecessor = incarnation }
+
 // Controller is one slot of a cell. It is safe for concurrent use.
 type Controller struct {
 	cfg         Config
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,6 +71,8 @@
 
 	draining          atomic.Bool
 	platformReachable atomic.Bool
+	// predecessor is the newest known earlier incarnation of this instance's slot.
+	predecessor atomic.Uint64
 	// joined is set once every part of the cell had a holder.
 	joined     atomic.Bool
 	drainOnce  sync.Once
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -30,10 +30,12 @@
 	peerv1.RegisterPeerServer(s, &peerServer{d: d})
 }
 
-// Exchange merges the caller's table and returns this instance's.
+// Exchange returns this instance's table and merges the caller's. The answer is from before the merge, so that a new
+// incarnation learns of its predecessor.
 func (p *peerServer) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeReply, error) {
+	reply := &peerv1.ExchangeReply{Instances: p.d.instancesToWire()}
 	p.d.mergeInstances(req.Instances)
-	return &peerv1.ExchangeReply{Instances: p.d.instancesToWire()}, nil
+	return reply, nil
 }
 
 // Call runs or passes on one call.
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -14,6 +14,7 @@
 	"github.com/berylpond/berylpond/internal/config"
 	"github.com/berylpond/berylpond/internal/frontend/request"
 	"github.com/berylpond/berylpond/internal/keeper"
+	"github.com/berylpond/berylpond/internal/member"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/platform"
 	"github.com/berylpond/berylpond/internal/program"
@@ -45,6 +46,7 @@
 		return ctx.Err()
 	}
 	d.ledger.SetReady()
+	d.cell.SetPredecessor(d.predecessor.Load())
 	return d.cell.Run(ctx)
 }
 
@@ -262,7 +264,22 @@
 
 func (d *Daemon) mergeInstances(list []*peerv1.Instance) {
 	for _, in := range list {
-		d.table.Merge(peer.InstanceFromWire(in))
+		m := peer.InstanceFromWire(in)
+		d.noticePredecessor(m)
+		d.table.Merge(m)
+	}
+}
+
+// noticePredecessor remembers the newest earlier occupant of this instance's slot.
+func (d *Daemon) noticePredecessor(in member.Instance) {
+	self := d.table.Self()
+	if in.DataCentre != self.DataCentre || in.Slot != self.Slot || in.Incarnation >= self.Incarnation {
+		return
+	}
+	for old := d.predecessor.Load(); in.Incarnation > old; old = d.predecessor.Load() {
+		if d.predecessor.CompareAndSwap(old, in.Incarnation) {
+			return
+		}
 	}
 }
 
--- a/internal/executor/model.go
+++ b/internal/executor/model.go
@@ -43,6 +43,8 @@
 	// written is set once something was written to an engine.
 	written bool
 	avoid   []string
+	// prior is the verdict of the last attempt.
+	prior verdict.Verdict
 }
 
 func (x *Executor) model(ctx context.Context, snap *config.Snapshot, r *peerv1.CallRequest, emit Emit) error {
@@ -215,6 +217,7 @@
 			return res, nil
 		}
 		e := verdict.From(err)
+		c.prior = e.Verdict
 		if e.Verdict != verdict.NotRun {
 			c.written = true
 		}
@@ -286,6 +289,7 @@
 	call := keeper.Call{Team: c.req.Account.Team, Model: c.chat.Model, Call: framework.Call{
 		ID: id, Program: c.req.Program, Account: c.req.Account.Name, Weight: c.req.Account.Weight,
 		NewTokens: engine.PromptBound(c.fresh) / bytesPerToken, ExpectedOutput: c.chat.MaxTokens, Avoid: c.avoid,
+		Prior: c.prior, Repeatable: true,
 	}}
 	if c.turn == nil {
 		call.Program = id
--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -18,6 +18,9 @@
 // allRequests is the verbosity from which every request is logged; below it only failures with a status of 500 and more.
 const allRequests = 1
 
+// probes is the verbosity from which the balancer's probes are logged.
+const probes = 2
+
 // logAccess writes one line for a request that has ended. It holds neither the key nor the path, the query, the body or
 // the answer, since any of these may hold secrets or message text. The detail of a refusal may quote what the caller
 // sent, so it is left out where the request was at fault.
@@ -34,7 +37,9 @@
 		}
 	}
 	level := klog.V(allRequests)
-	if status >= http.StatusInternalServerError {
+	if c.Path() == pathReady {
+		level = klog.V(probes)
+	} else if status >= http.StatusInternalServerError {
 		level = klog.V(0)
 	}
 	fields := []any{
--- a/internal/frontend/request/request.go
+++ b/internal/frontend/request/request.go
@@ -100,7 +100,10 @@
 		return withdrawn()
 	}
 	c.SetRequest(c.Request().WithContext(ctx))
-	c.Set(accountKey, &peerv1.Account{Team: account.Team, Name: account.Name, KeyId: account.KeyID, Weight: account.Weight})
+	// Engines are shared in proportion to the agreed rates, weighed by the document.
+	c.Set(accountKey, &peerv1.Account{
+		Team: account.Team, Name: account.Name, KeyId: account.KeyID, Weight: account.Weight * account.Rate,
+	})
 	if c.Request().Method != http.MethodGet || !strings.HasPrefix(c.Request().URL.Path, "/v1/") {
 		if err := a.quota.Take(ctx, QuotaName(account.Team, account.Name), 1); err != nil {
 			return err
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -23,6 +23,8 @@
 )
 
 const (
+	// pathReady tells the platform's balancer whether the instance should get traffic.
+	pathReady = "/readyz"
 	// maxBodyBytes bounds every request body; routes may set less.
 	maxBodyBytes = 8 << 20
 	// retryDraining is the time after which another instance serves a caller that this one refuses.
@@ -62,7 +64,7 @@
 func (s *Server) routes(d Deps) {
 	e := s.echo
 	e.GET("/healthz", d.Queries.Health)
-	e.GET("/readyz", d.Queries.Ready)
+	e.GET(pathReady, d.Queries.Ready)
 	e.GET("/metrics", echo.WrapHandler(promhttp.HandlerFor(d.Registry, promhttp.HandlerOpts{Registry: d.Registry})))
 
 	keyed := e.Group("/v1", d.Auth.Required, s.refuseDraining)
