Give orders to engines, fenced by their place on the log

Ruled out: sending from the instance that was asked (operators race) and a lease alone (a thawed holder sends late). Before: no orders. After: internal/orders passes its five tests; berylctl engine order and orders use it.

--- a/internal/backends/directory.go
+++ b/internal/backends/directory.go
@@ -17,6 +17,8 @@
 	// Name is the model or service that the backend server works for.
 	Name  string
 	Model bool
+	// ChecksFence is set when the backend server refuses orders with an old fencing number.
+	ChecksFence bool
 	// Leaving is set when the platform's list or an operator says that it gets no new work.
 	Leaving bool
 }
@@ -58,6 +60,22 @@
 	return out
 }
 
+// ChecksFence reports whether the engine refuses orders with an old fencing number. One that serves several pools must
+// do so in each.
+func (d *Directory) ChecksFence(addr string) bool {
+	found := false
+	for _, b := range d.All() {
+		if b.Address != addr {
+			continue
+		}
+		if !b.ChecksFence {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
 // All returns every backend server of the data centre.
 func (d *Directory) All() []Backend {
 	d.mu.Lock()
@@ -87,6 +105,7 @@
 		for _, addr := range d.addresses(p) {
 			b.Address = addr
 			b.Leaving = d.leaving(addr)
+			b.ChecksFence = p.ChecksFence
 			out = append(out, b)
 		}
 	}
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -39,7 +39,7 @@
 
 func (a *app) root() *cobra.Command {
 	root := a.group("berylctl", "Operate berylpond",
-		a.configCommand(), a.keyCommand(), a.backendCommand(), a.instanceCommand(), a.programCommand(),
+		a.configCommand(), a.keyCommand(), a.backendCommand(), a.engineCommand(), a.instanceCommand(), a.programCommand(),
 		a.statusCommand(), a.versionCommand())
 	root.Long = `Operate berylpond.
 
--- a/internal/daemon/adminserver.go
+++ b/internal/daemon/adminserver.go
@@ -140,6 +140,29 @@
 	return &adminv1.CancelProgramResponse{State: request.State(p)}, nil
 }
 
+// OrderEngine puts an order to an engine on the log.
+func (a *adminServer) OrderEngine(ctx context.Context, req *adminv1.OrderEngineRequest) (*adminv1.OrderEngineResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, adminTimeout)
+	defer cancel()
+	id, err := a.d.orders.Submit(ctx, req.Engine, req.Kind, req.Name, req.Author)
+	if err != nil {
+		return nil, adminStatus(err)
+	}
+	return &adminv1.OrderEngineResponse{Id: id}, nil
+}
+
+// ListOrders lists the remembered orders of this data centre.
+func (a *adminServer) ListOrders(context.Context, *adminv1.ListOrdersRequest) (*adminv1.ListOrdersResponse, error) {
+	out := &adminv1.ListOrdersResponse{}
+	for _, e := range a.d.orders.List() {
+		out.Orders = append(out.Orders, &adminv1.Order{
+			Id: e.ID, Engine: e.Engine, Kind: e.Kind, Name: e.Name, Author: e.Author, Fence: e.Fence,
+			Outcome: e.Outcome, Detail: e.Detail, UnixMs: e.At.UnixMilli(),
+		})
+	}
+	return out, nil
+}
+
 // adminStatus maps a verdict to the nearest gRPC code.
 func adminStatus(err error) error {
 	e := verdict.From(err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/berylpond/berylpond/internal/keeper"
 	"github.com/berylpond/berylpond/internal/ledger"
 	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/orders"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/platform"
 	"github.com/berylpond/berylpond/internal/program"
@@ -59,6 +60,7 @@
 	journal  *streams
 	programs *program.Controller
 	executor *executor.Executor
+	orders   *orders.Controller
 	router   *router.Router
 	auth     *request.Authenticator
 	frontend *frontend.Server
@@ -177,6 +179,10 @@
 	d.journal.apply = d.applyEvent
 	d.journal.partOf = d.partOf
 	d.backends = backends.New(self.DataCentre)
+	d.orders = orders.New(d.parts, d.journal.orders, d.backends.ChecksFence, &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: platformTimeout, LocalAddr: localAddr(d.source())}).DialContext,
+	}})
+	d.journal.followOrders(d.orders)
 	d.executor = executor.New(executor.Deps{
 		Snapshot: d.config.Snapshot, Programs: d.programs, Keeper: d.keeper,
 		Client: engine.New(engine.Timeouts{FirstToken: time.Duration(t.FirstToken), Progress: time.Duration(t.Progress)}, d.source()),
@@ -204,7 +210,7 @@
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		invariant.Collector())
 	for _, c := range []interface{ Collectors() []prometheus.Collector }{
-		d.config, d.cell, d.quota, d.keeper, d.executor, d.router, d.journal,
+		d.config, d.cell, d.quota, d.keeper, d.executor, d.router, d.journal, d.orders,
 	} {
 		d.registry.MustRegister(c.Collectors()...)
 	}
@@ -249,7 +255,7 @@
 func (d *Daemon) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
 	for name, run := range map[string]func(context.Context) error{
 		"config": d.config.Run, "quota": d.quota.Run, "keeper": d.keeper.Run, "journal": d.journal.Run,
-		"cell": d.runCell, "membership": d.runMembership, "gather": d.runGather, "sweep": d.runSweep,
+		"cell": d.runCell, "membership": d.runMembership, "gather": d.runGather, "sweep": d.runSweep, "orders": d.orders.Run,
 	} {
 		tasks.Go(func() {
 			if err := run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -25,14 +25,19 @@
 // voteTimeout bounds the wait for the log where its vote is needed.
 const voteTimeout = 2 * time.Second
 
-// streams writes and follows the two streams of the data centre: events of programs and intents.
+// streams writes and follows the streams of the data centre: events of programs, intents, and orders to engines.
 type streams struct {
 	metrics *journal.Metrics
 	index   *intent.Index
 	events  *journal.Writer
 	intents *journal.Writer
+	orders  *journal.Writer
 	eventR  *journal.Reader
 	intentR *journal.Reader
+	// orderR is set by followOrders, before Run.
+	orderR *journal.Reader
+	log    *platform.Client
+	dc     string
 	// apply takes each event read from the log; it is set before Run.
 	apply  func(*programv1.Event)
 	partOf func(program string) int
@@ -43,24 +48,33 @@
 }
 
 func newStreams(log *platform.Client, self member.Instance, onIntent func(id string)) *streams {
-	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent), marks: map[int]uint64{}}
+	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent), marks: map[int]uint64{}, log: log, dc: self.DataCentre}
 	id := journal.WriterID{Instance: self.ID, Incarnation: self.Incarnation}
 	events, intents := "journal/"+self.DataCentre, "intents/"+self.DataCentre
 	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics))
 	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics))
+	s.orders = journal.New(log, ordersStream(self.DataCentre), id, journal.WithMetrics(s.metrics))
 	s.eventR = journal.NewReader(log, events, s, journal.WithReaderMetrics(s.metrics))
 	s.intentR = journal.NewReader(log, intents, s.index, journal.WithReaderMetrics(s.metrics))
 	return s
 }
 
+func ordersStream(dc string) string { return "orders/" + dc }
+
+// followOrders passes the stream of orders to h.
+func (s *streams) followOrders(h journal.Handler) {
+	s.orderR = journal.NewReader(s.log, ordersStream(s.dc), h, journal.WithReaderMetrics(s.metrics))
+}
+
 // Collectors returns the metrics of the journal.
 func (s *streams) Collectors() []prometheus.Collector { return s.metrics.Collectors() }
 
-// Run follows both streams.
+// Run follows the streams.
 func (s *streams) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.eventR.Run(ctx) })
 	g.Go(func() error { return s.intentR.Run(ctx) })
+	g.Go(func() error { return s.orderR.Run(ctx) })
 	return g.Wait()
 }
 
@@ -184,5 +198,5 @@
 
 // Drain waits until everything queued is on the log.
 func (s *streams) Drain(ctx context.Context) error {
-	return errors.CombineErrors(s.events.Drain(ctx), s.intents.Drain(ctx))
+	return errors.Join(s.events.Drain(ctx), s.intents.Drain(ctx), s.orders.Drain(ctx))
 }
--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -63,6 +63,8 @@
 	FromList bool `json:"from_list"`
 	// Name is the pool's name in the platform's instance list.
 	Name string `json:"name"`
+	// ChecksFence is set when the pool's engines refuse orders with an old fencing number.
+	ChecksFence bool `json:"checks_fence"`
 }
 
 // Model is a model that the team's programs may call.
--- a/internal/document/parse.go
+++ b/internal/document/parse.go
@@ -90,6 +90,8 @@
 			Backends:   t.Texts("backends"),
 			FromList:   t.Flag("from_list"),
 			Name:       t.Text("name", false),
+			// Not all backend servers check who gives them an order.
+			ChecksFence: t.Flag("checks_fence"),
 		})
 	})
 	return pools
--- /dev/null
+++ b/internal/orders/orders_test.go
@@ -0,0 +1,191 @@
+package orders
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	journalv1 "github.com/berylpond/berylpond/api/journal/v1"
+	ordersv1 "github.com/berylpond/berylpond/api/orders/v1"
+	"github.com/berylpond/berylpond/internal/journal"
+)
+
+func order(id, engine, kind, name string) *ordersv1.Order {
+	return &ordersv1.Order{Id: id, Engine: engine, Kind: kind, Name: name}
+}
+
+func TestBook(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	now := time.Now()
+	b.Add(1, order("a", "e1", KindSetRole, "prefill"))
+	b.Add(2, order("b", "e1", KindSetRole, "decode"))
+	b.Add(2, order("b", "e1", KindSetRole, "decode")) // a repeat
+	b.Add(3, order("c", "e1", KindLoadModel, "m"))
+	b.Add(4, order("d", "e1", "paint", "blue")) // unknown kind
+	is.Equal(len(b.List()), 3)
+	is.Equal(b.List()[0].Outcome, Superseded)
+	is.Equal(b.Next("e1", now).ID, "b")
+	b.Report(&ordersv1.Report{Id: "b", Outcome: Done})
+	b.Report(&ordersv1.Report{Id: "b", Outcome: Failed}) // the first report counts
+	is.Equal(b.List()[1].Outcome, Done)
+	is.Equal(b.Next("e1", now).ID, "c")
+	is.True(b.Next("e2", now) == nil)
+}
+
+// stream is the data centre's stream of orders with its readers.
+type stream struct {
+	mu      sync.Mutex
+	n       int64
+	readers []*Controller
+}
+
+func (s *stream) Append(_ context.Context, rec *journalv1.Record) (journal.Position, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := journal.Position{Offset: s.n}
+	s.n++
+	for _, r := range s.readers {
+		r.Apply(p, rec)
+	}
+	return p, nil
+}
+
+func (s *stream) Enqueue(rec *journalv1.Record) error {
+	go s.Append(context.Background(), rec)
+	return nil
+}
+
+// onePart is a part that is held under a term, or not.
+type onePart struct {
+	mu   sync.Mutex
+	term uint64
+}
+
+func (p *onePart) Parts() int { return 1 }
+
+func (p *onePart) Holds(int) (uint64, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.term, p.term > 0
+}
+
+func (p *onePart) set(term uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.term = term
+}
+
+// engine records the orders that it gets and answers with the given status.
+type engine struct {
+	mu     sync.Mutex
+	got    []orderBody
+	status int
+	url    string
+}
+
+func newEngine(t *testing.T) *engine {
+	e := &engine{status: http.StatusNoContent}
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var o orderBody
+		_ = json.NewDecoder(r.Body).Decode(&o)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.got = append(e.got, o)
+		w.WriteHeader(e.status)
+	}))
+	t.Cleanup(srv.Close)
+	e.url = strings.TrimPrefix(srv.URL, "http://")
+	return e
+}
+
+func await(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatal(what)
+}
+
+func run(t *testing.T, c *Controller) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		_ = c.Run(ctx)
+		close(done)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func TestOrderIsSentByTheHolderOnly(t *testing.T) {
+	is := is.New(t)
+	s, e := &stream{}, newEngine(t)
+	fenced := func(string) bool { return true }
+	holder := New(&onePart{term: 7}, s, fenced, http.DefaultClient)
+	other := New(&onePart{}, s, fenced, http.DefaultClient)
+	s.readers = []*Controller{holder, other}
+	run(t, holder)
+	run(t, other)
+	id, err := other.Submit(context.Background(), e.url, KindLoadModel, "small", "ops")
+	is.NoErr(err)
+	await(t, "the order to be done at both", func() bool {
+		a, b := holder.List(), other.List()
+		return a[0].ID == id && a[0].Outcome == Done && b[0].Outcome == Done
+	})
+	is.Equal(len(e.got), 1)
+	_, err = other.Submit(context.Background(), e.url, KindSetRole, "decode", "ops")
+	is.NoErr(err)
+	await(t, "the second order", func() bool { e.mu.Lock(); defer e.mu.Unlock(); return len(e.got) == 2 })
+	is.True(e.got[1].Fence > e.got[0].Fence)
+}
+
+// TestUnfencedEngineWaitsForEarlierOrders: an engine that ignores fencing numbers gets no order from a new holder while
+// one of the previous holder's could still be under way.
+func TestUnfencedEngineWaitsForEarlierOrders(t *testing.T) {
+	is := is.New(t)
+	parts := &onePart{term: 1}
+	c := New(parts, &stream{}, func(string) bool { return false }, http.DefaultClient, WithTimeLimit(time.Second))
+	c.book.Add(1, order("a", "e1", KindLoadModel, "m"))
+	start := time.Now()
+	_, ok := c.due(start)
+	is.Equal(ok, false)
+	_, ok = c.due(start.Add(time.Second + clockMargin/2))
+	is.Equal(ok, false)
+	parts.set(2) // another holding in between starts the wait anew
+	_, ok = c.due(start.Add(2 * time.Second))
+	is.Equal(ok, false)
+	e, ok := c.due(start.Add(4 * time.Second))
+	is.True(ok)
+	is.Equal(e.ID, "a")
+}
+
+func TestOldFenceEndsTheOrder(t *testing.T) {
+	is := is.New(t)
+	s, e := &stream{}, newEngine(t)
+	e.status = http.StatusConflict
+	c := New(&onePart{term: 1}, s, func(string) bool { return true }, http.DefaultClient)
+	s.readers = []*Controller{c}
+	run(t, c)
+	_, err := c.Submit(context.Background(), e.url, KindSetRole, "decode", "ops")
+	is.NoErr(err)
+	await(t, "the order to be superseded", func() bool { return c.List()[0].Outcome == Superseded })
+}
+
+func TestBadOrderIsRefused(t *testing.T) {
+	is := is.New(t)
+	c := New(&onePart{term: 1}, &stream{}, func(string) bool { return true }, http.DefaultClient)
+	_, err := c.Submit(context.Background(), "e1", "paint", "blue", "ops")
+	is.True(err != nil)
+}
