Name the term of the holding before in a cell's grant

Cause: state that a holder hands over may be taken in only by the holder right after it, but terms only rise, so a holder could not tell whether another one had the part in between. Each acceptor tells, with a grant, the term that it supported before; the highest among a majority is that of the last holding or of a later attempt. Ruled out: the highest term seen, since every refused attempt would void a hand-over. A new acceptor names nothing for three promises, since a vote of its earlier incarnation may have elected a holder. Before: no predecessor known.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -94,6 +94,8 @@
 	cfg   Config
 	slots []*testSlot
 	bytes atomic.Int64
+	// started is when the first slot started.
+	started time.Time
 }
 
 func testConfig(slots int) Config {
@@ -106,7 +108,7 @@
 // newTestCell starts a cell whose voters abstain.
 func newTestCell(tb testing.TB, cfg Config, opts ...func(slot int) Option) *testCell {
 	invariant.PanicOnViolation(true)
-	c := &testCell{tb: tb, cfg: cfg, slots: make([]*testSlot, cfg.Slots)}
+	c := &testCell{tb: tb, started: time.Now(), cfg: cfg, slots: make([]*testSlot, cfg.Slots)}
 	for i := range c.slots {
 		var options []Option
 		for _, o := range opts {
@@ -191,12 +193,14 @@
 	c.settleIn()
 	changes := make(chan []int, 8)
 	c.slots[2].OnChange(func(held []int) { changes <- held })
+	c.eventually("every slot's acceptor knows what it supported", func() bool { return time.Since(c.started) > 3*(c.cfg.Lease+c.cfg.Margin) })
 	before, _ := c.slots[1].Holds(1)
 	c.slots[1].kill()
 	took := c.eventually("slot 2 takes part 1", c.holds(2, 1))
 	t.Logf("taken over after %v; lease+margin+heartbeat is %v", took, c.cfg.Lease+c.cfg.Margin+c.cfg.Heartbeat)
 	after, _ := c.slots[2].Holds(1)
 	is.True(after.Term > before.Term)
+	is.Equal(after.Previous, before.Term)
 	is.Equal(<-changes, []int{1, 2})
 	c.eventually("slot 0 knows the holder", func() bool {
 		in, ok := c.slots[0].Holder(1)
--- a/internal/cell/controller.go
+++ b/internal/cell/controller.go
@@ -66,6 +66,9 @@
 	Part int
 	// Term is the fencing number: it rises with each holding of the part.
 	Term uint64
+	// Previous is the term of the part's holding right before this one, or a later one that nobody held; 0 when it
+	// isn't known. It may become known after the part is held.
+	Previous uint64
 	// Until is when the grant runs out unless it is renewed.
 	Until time.Time
 }
@@ -186,7 +189,7 @@
 	if !ok {
 		return Grant{}, false
 	}
-	return Grant{Part: part, Term: g.Term, Until: until}, true
+	return Grant{Part: part, Term: g.Term, Previous: c.proposer.Previous(part), Until: until}, true
 }
 
 // Holder returns the instance that is best known to hold the part. It serves routing only.
--- a/internal/cell/convert.go
+++ b/internal/cell/convert.go
@@ -23,7 +23,7 @@
 
 // stateProto leaves the highest term out where it is the holder's.
 func stateProto(s lease.State) *cellv1.PartState {
-	p := &cellv1.PartState{Part: uint32(s.Part), Granted: s.Granted, MaxTerm: s.MaxTerm}
+	p := &cellv1.PartState{Part: uint32(s.Part), Granted: s.Granted, MaxTerm: s.MaxTerm, Previous: s.Previous, PreviousKnown: s.PreviousKnown}
 	if s.Held {
 		p.Holder, p.Term = ownerProto(s.Holder), s.Term
 	}
@@ -36,6 +36,6 @@
 func stateFrom(p *cellv1.PartState) lease.State {
 	return lease.State{
 		Part: int(p.Part), Granted: p.Granted, Held: p.Holder != nil, Holder: ownerFrom(p.Holder),
-		Term: p.Term, MaxTerm: max(p.MaxTerm, p.Term),
+		Term: p.Term, MaxTerm: max(p.MaxTerm, p.Term), Previous: p.Previous, PreviousKnown: p.PreviousKnown,
 	}
 }
--- a/internal/lease/acceptor.go
+++ b/internal/lease/acceptor.go
@@ -2,15 +2,24 @@
 
 import "time"
 
+// knownPromises is the time, in promises, after which a new acceptor names the predecessors of holdings. A vote of its
+// earlier incarnation counted for one promise at most; what the holder elected by it left behind is used within
+// MaxOfferAge, and the third promise covers the transit.
+const knownPromises = 3
+
 // Acceptor is one slot's voter for all parts.
 type Acceptor struct {
 	cfg          Config
 	abstainUntil time.Time
-	parts        []acceptedPart
+	// knownFrom is when no grant that an earlier incarnation supported can be the predecessor of a new holding.
+	knownFrom time.Time
+	parts     []acceptedPart
 }
 
 type acceptedPart struct {
 	grant    Grant
+	previous uint64
+	known    bool
 	expires  time.Time
 	released bool
 	renewed  time.Time
@@ -21,7 +30,10 @@
 
 // NewAcceptor returns an acceptor that starts at now and abstains for the time of a promise.
 func NewAcceptor(cfg Config, now time.Time) *Acceptor {
-	a := &Acceptor{cfg: cfg, abstainUntil: now.Add(cfg.Promise()), parts: make([]acceptedPart, cfg.Slots)}
+	a := &Acceptor{
+		cfg: cfg, abstainUntil: now.Add(cfg.Promise()), knownFrom: now.Add(knownPromises * cfg.Promise()),
+		parts: make([]acceptedPart, cfg.Slots),
+	}
 	for i := range a.parts {
 		a.parts[i].renewed = a.abstainUntil
 	}
@@ -40,11 +52,17 @@
 	granted := !a.Abstaining(now) && p.mayGrant(now, g)
 	p.see(g)
 	if granted {
+		if g != p.grant {
+			p.previous, p.known = p.grant.Term, !now.Before(a.knownFrom)
+		}
 		p.grant, p.released = g, false
 		p.renewed, p.expires = now, now.Add(a.cfg.Promise())
 	}
 	s := a.State(now, g.Part)
 	s.Granted = granted
+	if granted {
+		s.Previous, s.PreviousKnown = p.previous, p.known
+	}
 	return s
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -31,6 +31,9 @@
 // Promise is the time for which an acceptor supports a grant.
 func (c Config) Promise() time.Duration { return c.Lease + c.Margin }
 
+// MaxOfferAge is the time for which the state that a holder hands over may be taken in by the next one.
+func (c Config) MaxOfferAge() time.Duration { return c.Promise() }
+
 // Voters is the number of voters: the slots, and the extra voter if there is one.
 func (c Config) Voters() int {
 	if c.ExtraVoter {
@@ -66,4 +69,8 @@
 	Holder  Owner
 	Term    uint64
 	MaxTerm uint64
+	// Previous is the term of the grant that the acceptor supported before the one that it grants now; 0 if none.
+	// PreviousKnown is unset while an earlier incarnation of the acceptor may have supported another one.
+	Previous      uint64
+	PreviousKnown bool
 }
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -59,7 +59,9 @@
 	log, landing              []*logRecord
 	cut                       []bool
 	lastOwner                 []Grant
+	ended                     []map[uint64]time.Duration // by part and term: when a holding was last seen
 	holdings, logGrants       int
+	named                     int // holdings whose predecessor was named
 }
 
 var epoch = time.UnixMilli(1_700_000_000_000)
@@ -79,7 +81,7 @@
 		restart: float64(rapid.IntRange(0, 30).Draw(t, "restart")) / 1000,
 		pause:   float64(rapid.IntRange(0, 30).Draw(t, "pause")) / 1000,
 		delay:   time.Duration(rapid.IntRange(1, 3000).Draw(t, "delay")) * time.Millisecond,
-		cut:     make([]bool, slots*slots), lastOwner: make([]Grant, slots),
+		cut:     make([]bool, slots*slots), lastOwner: make([]Grant, slots), ended: make([]map[uint64]time.Duration, slots),
 	}
 	n.cfg.ExtraVoter = slots%2 == 0 && rapid.Bool().Draw(t, "extra")
 	for i := range slots {
@@ -291,6 +293,9 @@
 		if len(holders) == 1 && holders[0] != n.lastOwner[part] {
 			n.changeHolder(part, holders[0])
 		}
+		if len(holders) == 1 {
+			n.checkPrevious(part, holders[0])
+		}
 	}
 }
 
@@ -302,8 +307,28 @@
 	n.holdings++
 }
 
+// checkPrevious asserts that a holding never names one before the last, whose state could still be taken in.
+func (n *network) checkPrevious(part int, g Grant) {
+	if n.ended[part] == nil {
+		n.ended[part] = map[uint64]time.Duration{}
+	}
+	n.ended[part][g.Term] = n.now
+	previous := n.nodes[g.Owner.Slot].proposer.Previous(part)
+	if previous == 0 {
+		return
+	}
+	if end, ok := n.ended[part][previous]; ok {
+		n.named++
+		for term, later := range n.ended[part] {
+			if term > previous && term < g.Term && n.now-end < n.cfg.MaxOfferAge() {
+				n.t.Fatalf("part %d: %+v names %d, which ended at %v, but %d ended at %v; now %v", part, g, previous, end, term, later, n.now)
+			}
+		}
+	}
+}
+
 func TestNeverTwoHolders(t *testing.T) {
-	holdings, logGrants := 0, 0
+	holdings, logGrants, named := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		n := newNetwork(t)
 		for range 1200 {
@@ -311,9 +336,10 @@
 		}
 		holdings += n.holdings
 		logGrants += n.logGrants
+		named += n.named
 	})
-	t.Logf("%d holdings, %d grants by the log", holdings, logGrants)
-	is.New(t).True(holdings > 100 && logGrants > 100) // the runs have to reach the state that they check
+	t.Logf("%d holdings, %d grants by the log, %d times a predecessor named", holdings, logGrants, named)
+	is.New(t).True(holdings > 100 && logGrants > 100 && named > 100) // the runs have to reach the state that they check
 }
 
 func TestEveryHomeHoldsItsPartWithoutFaults(t *testing.T) {
@@ -401,3 +427,24 @@
 		}
 	})
 }
+
+func TestAcceptorNamesTheTermBefore(t *testing.T) {
+	is := is.New(t)
+	cfg := config(3)
+	a := NewAcceptor(cfg, epoch)
+	first := Grant{Owner: Owner{Slot: 0, Incarnation: 1}, Term: 8, Attempt: 1}
+	second := Grant{Owner: Owner{Slot: 1, Incarnation: 1}, Term: 17, Attempt: 1}
+	third := Grant{Owner: Owner{Slot: 0, Incarnation: 1}, Term: 24, Attempt: 2}
+	young := epoch.Add(cfg.Promise())
+	is.True(a.Acquire(young, first).Granted)
+	a.Release(first)
+	st := a.Acquire(young, second)
+	is.True(st.Granted && !st.PreviousKnown) // an earlier incarnation may have supported another grant in between
+	a.Release(second)
+	old := epoch.Add(knownPromises * cfg.Promise())
+	st = a.Acquire(old, third)
+	is.True(st.Granted && st.PreviousKnown)
+	is.Equal(st.Previous, second.Term)
+	st = a.Acquire(old.Add(time.Second), third) // a renewal
+	is.Equal(st.Previous, second.Term)
+}
--- a/internal/lease/proposer.go
+++ b/internal/lease/proposer.go
@@ -31,9 +31,12 @@
 	started time.Time
 	held    bool
 	until   [maxVoters]time.Time
-	maxTerm uint64
-	retryAt time.Time
-	offered time.Time
+	// previous holds what the voters that granted named as the term before; known tells which of them know it.
+	previous [maxVoters]uint64
+	known    [maxVoters]bool
+	maxTerm  uint64
+	retryAt  time.Time
+	offered  time.Time
 	// contending is set after an attempt that fell short while no other holder was seen: the next one waits only for
 	// retryAt, so that two slots that shared the votes do not meet again.
 	contending bool
@@ -125,6 +128,7 @@
 	s.maxTerm = counter<<slotBits | uint64(p.self.Slot)
 	s.grant = Grant{Part: part, Owner: p.self, Term: s.maxTerm, Attempt: p.attempt}
 	s.active, s.held, s.started = true, false, now
+	s.previous, s.known = [maxVoters]uint64{}, [maxVoters]bool{}
 	s.until = [maxVoters]time.Time{}
 }
 
@@ -142,6 +146,9 @@
 	if !st.Granted || !s.active || asked != s.grant {
 		return
 	}
+	if st.PreviousKnown {
+		s.previous[slot], s.known[slot] = st.Previous, true
+	}
 	if until := sentAt.Add(p.cfg.Lease); until.After(s.until[slot]) {
 		s.until[slot] = until
 	}
@@ -205,6 +212,24 @@
 	return s.grant, p.majorityUntil(s.until), true
 }
 
+// Previous returns the term of the holding right before the present grant of the part, or a later term that no one
+// held; 0 when it isn't known. Every holding was granted by a majority, so among the terms that a majority supported
+// before this grant is that of the last holding.
+func (p *Proposer) Previous(part int) uint64 {
+	s := &p.parts[part]
+	count, highest := 0, uint64(0)
+	for voter, known := range s.known {
+		if known {
+			count++
+			highest = max(highest, s.previous[voter])
+		}
+	}
+	if !s.active || count < p.cfg.Majority() {
+		return 0
+	}
+	return highest
+}
+
 func (p *Proposer) holds(now time.Time, s *proposedPart) bool {
 	return s.active && p.majorityUntil(s.until).After(now)
 }
