Take a hand-over from the holder right before, whatever its term

Cause: a new holder wanted a hand-over of its own term less one, but the cell's terms are clock readings that rise by millions, so in the daemon no hand-over was ever taken in; and loan ids shifted the term by 32 bits and lost its head. A hand-over now counts if its term is the one that the cell names as previous, for a lease's term and margin; loan ids hold the term apart. Before: with terms 2^40 apart every state handed over is dropped. After: TestLeaveHandsTokensOver keeps the level with terms 2^40 apart; the models of safety draw terms up to 2^30 apart and unknown predecessors, and pass.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -8,6 +8,7 @@
 	"github.com/berylpond/berylpond/internal/config"
 	"github.com/berylpond/berylpond/internal/member"
 	"github.com/berylpond/berylpond/internal/platform"
+	"github.com/berylpond/berylpond/internal/quota"
 )
 
 // parts shows the cell's leases in the forms that the other packages ask for.
@@ -25,6 +26,12 @@
 	return g.Term, ok
 }
 
+// Lease reports the lease by which this instance holds the part.
+func (p *parts) Lease(part int) (quota.Lease, bool) {
+	g, ok := p.cell.Holds(part)
+	return quota.Lease{Term: g.Term, Previous: g.Previous}, ok
+}
+
 // Holder returns the instance that is believed to hold the part.
 func (p *parts) Holder(part int) (member.Instance, bool) { return p.cell.Holder(part) }
 
--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -16,11 +16,13 @@
 	Loan time.Duration
 	// Margin is what a lender waits beyond a loan's term, for clocks that run at different speeds.
 	Margin time.Duration
+	// HandOver is how long the state that a holder hands over may be taken in: a lease's term plus its margin.
+	HandOver time.Duration
 }
 
 // DefaultTerms let shares follow demand within 10 s.
 func DefaultTerms() Terms {
-	return Terms{Transfer: 2 * time.Second, Loan: 4 * time.Second, Margin: 200 * time.Millisecond}
+	return Terms{Transfer: 2 * time.Second, Loan: 4 * time.Second, Margin: 200 * time.Millisecond, HandOver: 2200 * time.Millisecond}
 }
 
 const (
@@ -41,7 +43,7 @@
 type loan struct {
 	// lender is empty for what is lent from the own share.
 	lender string
-	id     uint64
+	id     LoanID
 	// peer and granted say to whom and when the own share was lent first.
 	peer    string
 	granted time.Time
@@ -71,15 +73,15 @@
 	pending  map[uint64]pending
 	demand   float64
 	demandAt time.Time
-	nextLoan uint64
+	lastLoan LoanID
 	since    time.Time
 }
 
 // NewAccount returns an account in data centre dc whose holder has had the part since the given time, from an unknown predecessor: the
 // bucket is empty, and all that the predecessor may have lent counts as lent until the longest term has passed.
-// Loan ids start from term, which no other holder shares.
+// Loan ids carry term, which no other holder of the part has.
 func NewAccount(dc string, share Share, terms Terms, term uint64, since time.Time) *Account {
-	a := &Account{dc: dc, share: share, terms: terms, nextLoan: term << 32, since: since}
+	a := &Account{dc: dc, share: share, terms: terms, lastLoan: LoanID{Term: term}, since: since}
 	a.bucket.at = since
 	return a
 }
@@ -267,7 +269,7 @@
 	a.bucket.level = min(a.bucket.level+p.Tokens, a.Current().Burst)
 }
 
-func (a *Account) extend(id uint64, lender string, expires time.Time) {
+func (a *Account) extend(id LoanID, lender string, expires time.Time) {
 	for i, l := range a.borrowed {
 		if l.id != id || l.lender != lender || l.expires.After(expires) {
 			continue
--- a/internal/quota/bench_test.go
+++ b/internal/quota/bench_test.go
@@ -28,7 +28,7 @@
 		limits = append(limits, Limit{Account: fmt.Sprint("account-", i), Rate: 1000, Burst: 1000})
 	}
 	h.SetLimits(now, 1, limits)
-	h.Observe(now, 0, 1, true)
+	h.Observe(now, 0, Lease{Term: 1}, true)
 	var peers []string
 	for dc := 1; dc < dcs; dc++ {
 		peers = append(peers, dcName(dc))
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -55,7 +55,7 @@
 	dcs      int
 	nodes    []*node
 	holding  []*node // by data centre; nil while there is none
-	terms    []uint64
+	leases   []Lease
 	versions []Limit
 	flight   []message
 	admitted []admission
@@ -72,12 +72,12 @@
 func dcName(dc int) string { return fmt.Sprintf("dc%d", dc) }
 
 func newModel(t *rapid.T, dcs int, l Limit) *model {
-	m := &model{t: t, now: time.Unix(1e6, 0), dcs: dcs, holding: make([]*node, dcs), terms: make([]uint64, dcs), rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), versions: []Limit{l}, offered: map[int]offer{}}
+	m := &model{t: t, now: time.Unix(1e6, 0), dcs: dcs, holding: make([]*node, dcs), leases: make([]Lease, dcs), rng: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)), versions: []Limit{l}, offered: map[int]offer{}}
 	for dc := range dcs {
 		for range instances {
 			m.nodes = append(m.nodes, m.start(dc))
 		}
-		m.holding[dc], m.terms[dc] = m.nodes[dc*instances], 1
+		m.holding[dc], m.leases[dc] = m.nodes[dc*instances], Lease{Term: 1 << 50}
 	}
 	return m
 }
@@ -102,7 +102,7 @@
 func (m *model) clock(n *node) time.Time { return m.now.Add(n.offset) }
 
 func (m *model) account(n *node) *Account {
-	if !n.holder.Observe(m.clock(n), 0, m.terms[n.dc], m.holding[n.dc] == n) {
+	if !n.holder.Observe(m.clock(n), 0, m.leases[n.dc], m.holding[n.dc] == n) {
 		return nil
 	}
 	a, _ := n.holder.Account(0, account)
@@ -250,7 +250,7 @@
 				continue
 			}
 		}
-		if o, ok := m.offered[dc]; ok && o.state.Term == m.terms[dc] && len(o.state.Accounts) > 0 {
+		if o, ok := m.offered[dc]; ok && o.state.Term == m.leases[dc].Term && len(o.state.Accounts) > 0 {
 			stock += o.state.Accounts[0].Level
 		}
 	}
@@ -289,14 +289,19 @@
 	}
 }
 
-// lapse ends the lease of a data centre's holder, or gives it to some instance under the next term.
+// lapse ends the lease of a data centre's holder, or gives it to some instance under a later term.
 func (m *model) lapse(n *node) {
 	if m.holding[n.dc] != nil {
 		m.holding[n.dc] = nil
 		return
 	}
 	m.holding[n.dc] = n
-	m.terms[n.dc]++
+	l := &m.leases[n.dc]
+	l.Previous = l.Term
+	if m.between(0, 3) == 0 {
+		l.Previous = uint64(m.between(0, 1)) * (l.Term + 1) // unknown, or an attempt that fell short
+	}
+	l.Term += uint64(m.between(2, 1<<30))
 	m.lastCheck = time.Time{} // a state handed over has filled up on its way
 }
 
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -38,7 +38,7 @@
 
 // LentState is one loan handed over.
 type LentState struct {
-	Loan   uint64
+	Loan   LoanID
 	Amount Amount
 	Left   time.Duration
 	Long   bool
@@ -134,10 +134,18 @@
 	}
 }
 
-// Observe tells the holder whether it has the lease of part, under which term, as of now. The lease must have been
-// looked up after now was read. It reports whether the part may be used.
-func (h *Holder) Observe(now time.Time, part int, term uint64, held bool) bool {
-	p := h.parts[part]
+// Lease is the holding of one part.
+type Lease struct {
+	// Term rises with each holding of the part.
+	Term uint64
+	// Previous is the term of the holding right before, or a later one that nobody held; 0 when it isn't known.
+	Previous uint64
+}
+
+// Observe tells the holder whether it has the lease of part as of now. The lease must have been looked up after now
+// was read. It reports whether the part may be used.
+func (h *Holder) Observe(now time.Time, part int, l Lease, held bool) bool {
+	p, term := h.parts[part], l.Term
 	if !held || (h.left[part] == term && term != 0) {
 		delete(h.parts, part)
 		return false
@@ -146,7 +154,7 @@
 		return true
 	}
 	p = &heldPart{term: term, since: now, accounts: map[string]*Account{}}
-	if o, ok := h.offers[part]; ok && o.state.Term+1 == term {
+	if o, ok := h.offers[part]; ok && h.follows(now, o, l) {
 		h.restore(p, o)
 	}
 	delete(h.offers, part)
@@ -154,6 +162,11 @@
 	return true
 }
 
+// follows reports whether the sender of an offer was the last holder before l.
+func (h *Holder) follows(now time.Time, o offer, l Lease) bool {
+	return l.Previous != 0 && o.state.Term == l.Previous && now.Sub(o.at) < h.terms.HandOver
+}
+
 func (h *Holder) restore(p *heldPart, o offer) {
 	p.since = o.at.Add(-o.state.Since)
 	for _, s := range o.state.Accounts {
@@ -171,8 +184,8 @@
 	}
 }
 
-// Offer keeps a predecessor's state until this instance gets the next term of the part. At most one instance gets
-// that term, so the state is used once at most.
+// Offer keeps a predecessor's state for the case that this instance becomes the next holder of the part. Only one
+// holder has that predecessor, so the state is used once at most.
 func (h *Holder) Offer(now time.Time, s PartState) {
 	if o, ok := h.offers[s.Part]; ok && o.state.Term >= s.Term {
 		return
--- a/internal/quota/holder_test.go
+++ b/internal/quota/holder_test.go
@@ -19,7 +19,7 @@
 	p.borrower = NewHolder("nasr", DefaultTerms(), 2, 0)
 	for _, h := range []*Holder{p.lender, p.borrower} {
 		h.SetLimits(p.now, 1, []Limit{l})
-		h.Observe(p.now, 0, 1, true)
+		h.Observe(p.now, 0, Lease{Term: 1 << 50}, true)
 	}
 	p.now = p.now.Add(time.Minute)
 	return p
@@ -60,8 +60,8 @@
 	for _, s := range p.lender.Leave(p.now) {
 		successor.Offer(p.now, s)
 	}
-	is.True(!p.lender.Observe(p.now, 0, 1, true)) // the lender that left admits nothing under its old term
-	is.True(successor.Observe(p.now, 0, 2, true))
+	is.True(!p.lender.Observe(p.now, 0, Lease{Term: 1 << 50}, true)) // the lender that left admits nothing under its old term
+	is.True(successor.Observe(p.now, 0, Lease{Term: 1<<50 + 17, Previous: 1 << 50}, true))
 	a, _ := successor.Account(0, account)
 	a.Advance(p.now)
 	level, lent := a.Level(), a.Lent()
@@ -80,7 +80,7 @@
 	for _, s := range p.lender.Leave(p.now) {
 		successor.Offer(p.now, s)
 	}
-	is.True(successor.Observe(p.now, 0, 3, true)) // some other holder had term 2
+	is.True(successor.Observe(p.now, 0, Lease{Term: 1<<50 + 17, Previous: 1<<50 + 9}, true)) // some other holder was between
 	a, _ := successor.Account(0, account)
 	a.Advance(p.now)
 	is.Equal(a.Level(), 0.0)
@@ -98,3 +98,19 @@
 	is.True(f.Take(start.Add(wait+time.Second), account, share, 1))
 	is.True(!f.Take(start.Add(3*wait), account, share, 1)) // paused for longer than the wait
 }
+
+func TestOldOfferIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	p := newPair(Limit{Account: account, Rate: 10, Burst: 20})
+	p.ask(1)
+	successor := NewHolder("giza", DefaultTerms(), 2, 0)
+	successor.SetLimits(p.now, 1, []Limit{{Account: account, Rate: 10, Burst: 20}})
+	for _, s := range p.lender.Leave(p.now) {
+		successor.Offer(p.now, s)
+	}
+	later := p.now.Add(DefaultTerms().HandOver)
+	is.True(successor.Observe(later, 0, Lease{Term: 1<<50 + 17, Previous: 1 << 50}, true))
+	a, _ := successor.Account(0, account)
+	a.Advance(later)
+	is.Equal(a.Level(), 0.0)
+}
--- a/internal/quota/lend.go
+++ b/internal/quota/lend.go
@@ -7,6 +7,13 @@
 	"github.com/berylpond/berylpond/internal/invariant"
 )
 
+// LoanID names a loan among all that the holders of an account's part in one data centre ever make.
+type LoanID struct {
+	// Term is that of the holder that made the loan.
+	Term   uint64
+	Number uint64
+}
+
 // Request asks a lender for tokens now, for rate over a longer term, or to renew a loan; or it gives a loan back.
 type Request struct {
 	// Sender and Sequence identify the request. Sender names one run of one process.
@@ -14,7 +21,7 @@
 	Sequence uint64
 	Tokens   float64
 	Rate     float64
-	Renew    uint64
+	Renew    LoanID
 	Return   *Piece
 }
 
@@ -22,7 +29,7 @@
 type Piece struct {
 	// Lender is the data centre whose share the piece belongs to, and Loan its name there.
 	Lender string
-	Loan   uint64
+	Loan   LoanID
 	Amount Amount
 	Tokens float64
 	// Term counts from the sending of the request that the piece answers.
@@ -38,7 +45,7 @@
 	Pieces   []Piece
 	// Renewed is set when the loan in Request.Renew has got Term anew.
 	Renewed bool
-	Loan    uint64
+	Loan    LoanID
 	Term    time.Duration
 	// Level and LevelRate are the lender's after the grant; hints only.
 	Level     float64
@@ -68,7 +75,7 @@
 		if a.giveBack(*r.Return, returnKey{r.Sender, r.Sequence}) {
 			a.bucket.level = min(a.bucket.level+r.Return.Tokens, a.Current().Burst)
 		}
-	case r.Renew != 0:
+	case r.Renew != (LoanID{}):
 		g.Renewed = a.renew(now, r.Renew)
 		g.Loan, g.Term = r.Renew, a.terms.Loan
 	case r.Tokens > 0:
@@ -108,7 +115,7 @@
 	return false
 }
 
-func (a *Account) renew(now time.Time, id uint64) bool {
+func (a *Account) renew(now time.Time, id LoanID) bool {
 	if a.Demand(now) > a.own().Rate {
 		return false
 	}
@@ -195,8 +202,8 @@
 		sortLoans(a.lent)
 		return p
 	}
-	a.nextLoan++
-	p.Loan = a.nextLoan
+	a.lastLoan.Number++
+	p.Loan = a.lastLoan
 	a.addLoan(&a.lent, loan{id: p.Loan, peer: peer, granted: now, amount: p.Amount, expires: expires, long: p.Long})
 	return p
 }
--- a/internal/quota/quotactl/bench_test.go
+++ b/internal/quota/quotactl/bench_test.go
@@ -88,7 +88,7 @@
 		runtime.ReadMemStats(&before)
 		limits := manyLimits(accounts)
 		h.SetLimits(time.Now(), 1, limits)
-		h.Observe(time.Now(), 0, 1, true)
+		h.Observe(time.Now(), 0, quota.Lease{Term: 1}, true)
 		for _, l := range limits {
 			a, _ := h.Account(0, l.Account)
 			a.Ask(time.Now(), 1)
--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -25,9 +25,8 @@
 type Parts interface {
 	// Parts is the number of parts. It never changes while the process runs.
 	Parts() int
-	// Holds reports whether this instance holds part now, and under which term. The holder after term T has term
-	// T+1 or later; only a holder with term T+1 can take in what the holder of term T hands over.
-	Holds(part int) (term uint64, ok bool)
+	// Lease reports whether this instance holds part now, and its lease. Terms only rise.
+	Lease(part int) (quota.Lease, bool)
 	// Holder returns the instance that is believed to hold part.
 	Holder(part int) (member.Instance, bool)
 }
@@ -115,6 +114,7 @@
 	if cfg.Terms == (quota.Terms{}) {
 		cfg.Terms = quota.DefaultTerms()
 	}
+	cfg.Terms.HandOver = cfg.SlotWait
 	c := &Controller{
 		cfg: cfg, table: table, parts: parts, dial: dial, now: time.Now, metrics: newMetrics(), sender: uuid.NewString(),
 		holder:  quota.NewHolder(cfg.DataCentre, cfg.Terms, len(cfg.DataCentres), cfg.Slots),
@@ -174,8 +174,8 @@
 // observe looks up the lease of part and reports whether it may be used at the returned time. c.mu is held.
 func (c *Controller) observe(part int) (time.Time, bool) {
 	now := c.now()
-	term, held := c.parts.Holds(part)
-	return now, c.holder.Observe(now, part, term, held && !c.leaving)
+	l, held := c.parts.Lease(part)
+	return now, c.holder.Observe(now, part, l, held && !c.leaving)
 }
 
 // account returns the state of an account whose part is held here. c.mu is held.
--- a/internal/quota/quotactl/controller_test.go
+++ b/internal/quota/quotactl/controller_test.go
@@ -23,14 +23,14 @@
 type cellParts struct {
 	mu      sync.Mutex
 	holders []member.Instance
-	terms   []uint64
+	leases  []quota.Lease
 }
 
 func (p *cellParts) set(part int, in member.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.holders[part] = in
-	p.terms[part]++
+	p.leases[part] = quota.Lease{Term: p.leases[part].Term + termStep, Previous: p.leases[part].Term}
 }
 
 type instanceParts struct {
@@ -40,10 +40,13 @@
 
 func (p instanceParts) Parts() int { return len(p.holders) }
 
-func (p instanceParts) Holds(part int) (uint64, bool) {
+// termStep is the distance of two terms in a row; those of a cell are far apart.
+const termStep = 1 << 40
+
+func (p instanceParts) Lease(part int) (quota.Lease, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.terms[part], p.holders[part].ID == p.id
+	return p.leases[part], p.holders[part].ID == p.id
 }
 
 func (p instanceParts) Holder(part int) (member.Instance, bool) {
@@ -116,7 +119,7 @@
 			p = &cellParts{}
 			f.cells[in.DataCentre] = p
 		}
-		p.holders, p.terms = append(p.holders, in), append(p.terms, 1)
+		p.holders, p.leases = append(p.holders, in), append(p.leases, quota.Lease{Term: 1 << 43})
 	}
 	for i, in := range f.self {
 		table := member.NewTable(in)
--- a/internal/quota/quotactl/wire.go
+++ b/internal/quota/quotactl/wire.go
@@ -9,22 +9,34 @@
 	return &quotav1.TakeResult{Outcome: r.outcome, RetryAfterUs: r.retryAfter.Microseconds()}
 }
 
+// toLoanID leaves the zero id out.
+func toLoanID(id quota.LoanID) *quotav1.LoanID {
+	if id == (quota.LoanID{}) {
+		return nil
+	}
+	return &quotav1.LoanID{Term: id.Term, Number: id.Number}
+}
+
+func fromLoanID(id *quotav1.LoanID) quota.LoanID {
+	return quota.LoanID{Term: id.GetTerm(), Number: id.GetNumber()}
+}
+
 func toPiece(p quota.Piece) *quotav1.Piece {
 	return &quotav1.Piece{
-		Lender: p.Lender, Loan: p.Loan, Rate: p.Amount.Rate, Burst: p.Amount.Burst,
+		Lender: p.Lender, Loan: toLoanID(p.Loan), Rate: p.Amount.Rate, Burst: p.Amount.Burst,
 		Tokens: p.Tokens, TermUs: p.Term.Microseconds(), Long: p.Long,
 	}
 }
 
 func fromPiece(p *quotav1.Piece) quota.Piece {
 	return quota.Piece{
-		Lender: p.Lender, Loan: p.Loan, Amount: quota.Amount{Rate: p.Rate, Burst: p.Burst},
+		Lender: p.Lender, Loan: fromLoanID(p.Loan), Amount: quota.Amount{Rate: p.Rate, Burst: p.Burst},
 		Tokens: p.Tokens, Term: micros(p.TermUs), Long: p.Long,
 	}
 }
 
 func toItem(account string, r quota.Request) *quotav1.LendItem {
-	it := &quotav1.LendItem{Account: account, Sequence: r.Sequence, Tokens: r.Tokens, Rate: r.Rate, Renew: r.Renew}
+	it := &quotav1.LendItem{Account: account, Sequence: r.Sequence, Tokens: r.Tokens, Rate: r.Rate, Renew: toLoanID(r.Renew)}
 	if r.Return != nil {
 		it.Return = toPiece(*r.Return)
 	}
@@ -32,7 +44,7 @@
 }
 
 func fromItem(sender string, it *quotav1.LendItem) quota.Request {
-	r := quota.Request{Sender: sender, Sequence: it.Sequence, Tokens: it.Tokens, Rate: it.Rate, Renew: it.Renew}
+	r := quota.Request{Sender: sender, Sequence: it.Sequence, Tokens: it.Tokens, Rate: it.Rate, Renew: fromLoanID(it.Renew)}
 	if it.Return != nil {
 		p := fromPiece(it.Return)
 		r.Return = &p
@@ -42,7 +54,7 @@
 
 func toGrant(g quota.Grant) *quotav1.Grant {
 	out := &quotav1.Grant{
-		Sequence: g.Sequence, Version: g.Version, Renewed: g.Renewed, Loan: g.Loan, TermUs: g.Term.Microseconds(),
+		Sequence: g.Sequence, Version: g.Version, Renewed: g.Renewed, Loan: toLoanID(g.Loan), TermUs: g.Term.Microseconds(),
 		Level: g.Level, LevelRate: g.LevelRate,
 	}
 	for _, p := range g.Pieces {
@@ -53,7 +65,7 @@
 
 func fromGrant(g *quotav1.Grant) quota.Grant {
 	out := quota.Grant{
-		Sequence: g.Sequence, Version: g.Version, Renewed: g.Renewed, Loan: g.Loan, Term: micros(g.TermUs),
+		Sequence: g.Sequence, Version: g.Version, Renewed: g.Renewed, Loan: fromLoanID(g.Loan), Term: micros(g.TermUs),
 		Level: g.Level, LevelRate: g.LevelRate,
 	}
 	for _, p := range g.Pieces {
@@ -62,14 +74,28 @@
 	return out
 }
 
+func toLent(loans []quota.LentState) []*quotav1.Lent {
+	var out []*quotav1.Lent
+	for _, l := range loans {
+		// Rounded up: a loan must not end at the new holder before it ends at its borrower.
+		out = append(out, &quotav1.Lent{Loan: toLoanID(l.Loan), Rate: l.Amount.Rate, Burst: l.Amount.Burst, LeftUs: l.Left.Microseconds() + 1, Long: l.Long})
+	}
+	return out
+}
+
+func fromLent(loans []*quotav1.Lent) []quota.LentState {
+	var out []quota.LentState
+	for _, l := range loans {
+		out = append(out, quota.LentState{Loan: fromLoanID(l.Loan), Amount: quota.Amount{Rate: l.Rate, Burst: l.Burst}, Left: micros(l.LeftUs), Long: l.Long})
+	}
+	return out
+}
+
 func toHandOver(s quota.PartState) *quotav1.HandOverRequest {
 	req := &quotav1.HandOverRequest{Part: int32(s.Part), Term: s.Term, SinceUs: s.Since.Microseconds()}
 	for _, a := range s.Accounts {
 		st := &quotav1.AccountState{Account: a.Account, Level: a.Level, SinceUs: a.Since.Microseconds()}
-		for _, l := range a.Lent {
-			// Rounded up: a loan must not end at the new holder before it ends at its borrower.
-			st.Lent = append(st.Lent, &quotav1.Lent{Loan: l.Loan, Rate: l.Amount.Rate, Burst: l.Amount.Burst, LeftUs: l.Left.Microseconds() + 1, Long: l.Long})
-		}
+		st.Lent = toLent(a.Lent)
 		req.Accounts = append(req.Accounts, st)
 	}
 	return req
@@ -79,9 +105,7 @@
 	s := quota.PartState{Part: int(req.Part), Term: req.Term, Since: micros(req.SinceUs)}
 	for _, a := range req.Accounts {
 		st := quota.State{Account: a.Account, Level: a.Level, Since: micros(a.SinceUs)}
-		for _, l := range a.Lent {
-			st.Lent = append(st.Lent, quota.LentState{Loan: l.Loan, Amount: quota.Amount{Rate: l.Rate, Burst: l.Burst}, Left: micros(l.LeftUs), Long: l.Long})
-		}
+		st.Lent = fromLent(a.Lent)
 		s.Accounts = append(s.Accounts, st)
 	}
 	return s
