Serve calls at once after the start of a one-data-centre site

Cause, seen in the first session of the README and in TestFirstSession, which fails on main: a holder of tokens without its predecessor's state waits 4.2 s for loans that may be out, and refuses until then as rate_limited with 60 s to come back. With one data centre nobody can have borrowed, so there is nothing to wait for. The first call then still came before the account had its first token; the development site now waits for that before it prints its commands.

Before: TestFirstSession failed with 429. TestOnlyDataCentreServesAtOnce covers the holder. Left: with several data centres the refusal still names 60 s where 4.2 s would do.

--- a/internal/dev/site.go
+++ b/internal/dev/site.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	engines    = 2
 	// readyTimeout bounds the start of the site.
 	readyTimeout = 20 * time.Second
+	pollPause    = 50 * time.Millisecond
 )
 
 // Options are the addresses of the daemon; the stand-ins take free ports.
@@ -184,31 +186,44 @@
 	var err error
 	for ctx.Err() == nil {
 		if _, err = s.daemon.Apply(ctx, team, 0, doc); err == nil {
-			return s.awaitReady(ctx)
+			return s.awaitCalls(ctx)
 		}
 		var conflict *config.ConflictError
 		if errors.As(err, &conflict) {
 			return err
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(pollPause)
 	}
 	return errors.CombineErrors(err, ctx.Err())
 }
 
-func (s *Site) awaitReady(ctx context.Context) error {
+// awaitCalls waits until the site is ready and the development account has tokens: an account new to an instance starts
+// without any.
+func (s *Site) awaitCalls(ctx context.Context) error {
 	for ctx.Err() == nil {
-		resp, err := http.Get("http://" + s.Callers + "/readyz")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
+		if s.answers("GET", "/readyz") == http.StatusOK && s.answers("POST", "/v1/programs") == http.StatusBadRequest {
+			return nil
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(pollPause)
 	}
 	return errors.Wrap(ctx.Err(), "the site did not become ready")
 }
 
+// answers returns the status of a request whose body is no JSON, or 0. An account's key comes with it.
+func (s *Site) answers(method, path string) int {
+	req, err := http.NewRequest(method, "http://"+s.Callers+path, strings.NewReader("-"))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
 // Wait returns when the daemon ends.
 func (s *Site) Wait() error { return <-s.done }
 
--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,9 @@
 // allRequests is the verbosity from which every request is logged; below it only failures with a status of 500 and more.
 const allRequests = 1
 
+// probes are the routes of load balancers and monitors, whose 503 is an answer and no failure.
+var probes = []string{"/healthz", "/readyz", "/metrics"}
+
 // logAccess writes one line for a request that has ended. It holds neither the key nor the path, the query, the body or
 // the answer, since any of these may hold secrets or message text. The detail of a refusal may quote what the caller
 // sent, so it is left out where the request was at fault.
@@ -34,7 +38,7 @@
 		}
 	}
 	level := klog.V(allRequests)
-	if status >= http.StatusInternalServerError {
+	if status >= http.StatusInternalServerError && !slices.Contains(probes, c.Path()) {
 		level = klog.V(0)
 	}
 	fields := []any{
--- /dev/null
+++ b/internal/quota/alone_test.go
@@ -0,0 +1,35 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestOnlyDataCentreServesAtOnce starts a holder without its predecessor's state. With other data centres its own rate
+// may be lent, so it waits; alone it fills from the start and never has more than rate and burst.
+func TestOnlyDataCentreServesAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		dcs  int
+		want bool
+	}{{1, true}, {3, false}} {
+		is := is.New(t)
+		now := time.Unix(1e6, 0)
+		h := NewHolder("giza", DefaultTerms(), tc.dcs, 1)
+		h.SetLimits(now, 1, []Limit{{Account: account, Rate: 50, Burst: 100}})
+		h.Observe(now, 0, 2, true)
+		a, ok := h.Account(0, account)
+		is.True(ok)
+		now = now.Add(100 * time.Millisecond)
+		admitted := 0
+		for {
+			if ok, _, _ := a.Take(now, 1); !ok {
+				break
+			}
+			admitted++
+		}
+		is.Equal(admitted > 0, tc.want)
+		is.True(admitted <= 5) // 100 ms of 50 requests per second, from empty
+	}
+}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -85,6 +85,10 @@
 
 // NewHolder returns a holder in dc, one of dcs data centres, whose cell has the given number of slots.
 func NewHolder(dc string, terms Terms, dcs, slots int) *Holder {
+	if dcs == 1 {
+		// No other data centre can have borrowed from a predecessor, so there is nothing to wait for.
+		terms = Terms{}
+	}
 	return &Holder{
 		dc: dc, terms: terms, dcs: dcs, slots: slots,
 		limits: map[string]limitEntry{}, parts: map[int]*heldPart{}, left: map[int]uint64{}, offers: map[int]offer{},
