--- a/internal/dev/site.go
+++ b/internal/dev/site.go
@@ -31,7 +31,7 @@
 	engines    = 2
 	// readyTimeout bounds the start of the site.
 	readyTimeout = 20 * time.Second
-	pollPause    = 50 * time.Millisecond
+	pollPause    = 100 * time.Millisecond
 )
 
 // Options are the addresses of the daemon; the stand-ins take free ports.
@@ -197,11 +197,11 @@
 	return errors.CombineErrors(err, ctx.Err())
 }
 
-// awaitCalls waits until the site is ready and the development account has tokens: an account new to an instance starts
-// without any.
+// awaitCalls waits until the site serves every kind of call. After an instance's start its accounts have no tokens, and
+// its cell votes on no claims until the claim window has passed, so one effect of its own is run to see that both do.
 func (s *Site) awaitCalls(ctx context.Context) error {
 	for ctx.Err() == nil {
-		if s.answers("GET", "/readyz") == http.StatusOK && s.answers("POST", "/v1/programs") == http.StatusBadRequest {
+		if s.status(http.MethodGet, "/readyz") == http.StatusOK && s.status(http.MethodPost, "/effects/site-start") == http.StatusOK {
 			return nil
 		}
 		time.Sleep(pollPause)
@@ -209,13 +209,15 @@
 	return errors.Wrap(ctx.Err(), "the site did not become ready")
 }
 
-// answers returns the status of a request whose body is no JSON, or 0. An account's key comes with it.
-func (s *Site) answers(method, path string) int {
-	req, err := http.NewRequest(method, "http://"+s.Callers+path, strings.NewReader("-"))
+// status returns the status of the answer to a request with the site's key, or 0.
+func (s *Site) status(method, path string) int {
+	req, err := http.NewRequest(method, "http://"+s.Callers+path, strings.NewReader("{}"))
 	if err != nil {
 		return 0
 	}
 	req.Header.Set("Authorization", "Bearer "+s.Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", "site-start")
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
