--- a/internal/dev/site.go
+++ b/internal/dev/site.go
@@ -31,6 +31,7 @@
 	engines    = 2
 	// readyTimeout bounds the start of the site.
 	readyTimeout = 20 * time.Second
+	claimWindow  = 2 * time.Second
 	pollPause    = 100 * time.Millisecond
 )
 
@@ -47,6 +48,7 @@
 	Callers string
 	Peers   string
 
+	begun   time.Time
 	servers []*http.Server
 	closers []func()
 	daemon  *daemon.Daemon
@@ -56,7 +58,7 @@
 
 // Start brings the site up and returns once it serves calls.
 func Start(ctx context.Context, o Options) (*Site, error) {
-	s := &Site{done: make(chan error, 1)}
+	s := &Site{begun: time.Now(), done: make(chan error, 1)}
 	set, doc, err := s.standIns()
 	if err != nil {
 		return nil, err
@@ -79,7 +81,7 @@
 	set.Instance = settings.Instance{ID: "local-0", DataCentre: dataCentre, DataCentres: []string{dataCentre}, CellSlots: 1}
 	// Nothing ran before, so there are no claims and promises to wait for.
 	set.Timing.Lease, set.Timing.Margin = settings.Duration(time.Second), settings.Duration(100*time.Millisecond)
-	set.Timing.Heartbeat, set.Timing.ClaimWindow = settings.Duration(250*time.Millisecond), settings.Duration(2*time.Second)
+	set.Timing.Heartbeat, set.Timing.ClaimWindow = settings.Duration(250*time.Millisecond), settings.Duration(claimWindow)
 	logAddr, err := s.serve(logsvc.New())
 	if err != nil {
 		return set, nil, err
@@ -200,6 +202,7 @@
 // awaitCalls waits until the site serves every kind of call. After an instance's start its accounts have no tokens, and
 // its cell votes on no claims until the claim window has passed, so one effect of its own is run to see that both do.
 func (s *Site) awaitCalls(ctx context.Context) error {
+	time.Sleep(time.Until(s.begun.Add(claimWindow)))
 	for ctx.Err() == nil {
 		if s.status(http.MethodGet, "/readyz") == http.StatusOK && s.status(http.MethodPost, "/effects/site-start") == http.StatusOK {
 			return nil
