--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -426,13 +426,9 @@
 	s.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	admin := configv1.NewAdminClient(s.adminConn(s.instances[0]))
 	var err error
 	for ctx.Err() == nil {
-		var reply *configv1.ApplyResponse
-		reply, err = admin.Apply(ctx, &configv1.ApplyRequest{Team: testTeam, BaseVersion: s.version, Document: s.document(), Author: "test"})
-		if err == nil {
-			s.version = reply.Version
+		if s.version, err = s.applyAt(ctx, s.instances[0], s.version, "test"); err == nil {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -440,6 +436,16 @@
 	s.t.Fatalf("apply: %v", err)
 }
 
+// applyAt publishes the document at one instance over the given version. It returns the version in force.
+func (s *site) applyAt(ctx context.Context, in *instance, base uint64, author string) (uint64, error) {
+	reply, err := configv1.NewAdminClient(s.adminConn(in)).Apply(ctx,
+		&configv1.ApplyRequest{Team: testTeam, BaseVersion: base, Document: s.document(), Author: author})
+	if err != nil {
+		return base, err
+	}
+	return reply.Version, nil
+}
+
 // withdraw withdraws an account's key at one instance.
 func (s *site) withdraw(in *instance, account string) {
 	s.t.Helper()
