--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -38,6 +38,9 @@
 	"github.com/berylpond/berylpond/internal/settings"
 )
 
+// refreshShare is the part of the log's retention after which the configuration is put on the log again.
+const refreshShare = 4
+
 // idlePlatform bounds the idle connections kept to the platform.
 const idlePlatform = 16
 
@@ -157,7 +160,7 @@
 // build makes the parts, each from those before it.
 func (d *Daemon) build() {
 	t, self := d.set.Timing, d.table.Self()
-	d.config = config.New(config.Config{}, d.table, d.pool, configLog{d.platform})
+	d.config = config.New(config.Config{RefreshEvery: time.Duration(d.set.Platform.Retention) / refreshShare}, d.table, d.pool, configLog{d.platform})
 	cellConfig := cell.Config{
 		DataCentre: self.DataCentre, Slot: self.Slot, Slots: d.set.Instance.CellSlots, Incarnation: self.Incarnation,
 		Lease: time.Duration(t.Lease), Margin: time.Duration(t.Margin), Heartbeat: time.Duration(t.Heartbeat),
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -30,6 +30,10 @@
 	exchangeFanout  = 3
 	exchangeTimeout = time.Second
 	sweepInterval   = time.Second
+	// republishShare is the part of the log's retention after which a program's events are put on the log again.
+	republishShare = 2
+	// republishBatch is the number of programs republished in one sweep.
+	republishBatch = 50
 	// gatherPause is the pause before a part whose events could not be gathered is tried again.
 	gatherPause = 100 * time.Millisecond
 )
@@ -124,10 +128,26 @@
 		if n := d.programs.Sweep(ctx); n > 0 {
 			klog.InfoS("Ended programs past their deadline", "programs", n)
 		}
+		d.republish()
 		d.pool.Trim()
 	}
 }
 
+// republish keeps the events of long-lived programs on the log, a few programs at a time.
+func (d *Daemon) republish() {
+	if d.journal.events.Away() {
+		return
+	}
+	before := time.Now().Add(-time.Duration(d.set.Platform.Retention) / republishShare)
+	n, err := d.programs.Republish(before, republishBatch, d.journal.Enqueue)
+	if err != nil {
+		klog.ErrorS(err, "Program is not republished")
+	}
+	if n > 0 {
+		klog.V(1).InfoS("Republished programs", "programs", n)
+	}
+}
+
 // configChanged puts a new configuration into force here.
 func (d *Daemon) configChanged(s *config.Snapshot) {
 	var version uint64
--- a/internal/dev/site.go
+++ b/internal/dev/site.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return set, nil, err
 	}
-	set.Platform = settings.Platform{Log: "http://" + logAddr, Instances: "http://" + listAddr}
+	set.Platform.Log, set.Platform.Instances = "http://"+logAddr, "http://"+listAddr
 	doc, err := s.backendServers()
 	return set, doc, err
 }
--- a/internal/program/bench_test.go
+++ b/internal/program/bench_test.go
@@ -134,7 +134,7 @@
 			c := benchController(b, &countingRecorder{})
 			id, _ := benchProgram(b, c, turns, 4000)
 			p, _ := c.lookup(id)
-			events := p.Events()
+			events := p.Events(time.Time{})
 			var raw [][]byte
 			for _, ev := range events {
 				data, err := proto.Marshal(ev)
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -331,6 +331,44 @@
 	return n
 }
 
+// Republish puts the events of up to limit held programs, whose events went on the log before the given time, on the log
+// again, so that an instance that starts later finds them whole. It returns the number of programs.
+func (c *Controller) Republish(before time.Time, limit int, publish func(*programv1.Event) error) (int, error) {
+	for n := 0; n < limit; n++ {
+		events := c.oldest(before)
+		if events == nil {
+			return n, nil
+		}
+		for _, ev := range events {
+			if err := publish(ev); err != nil {
+				return n, err
+			}
+		}
+	}
+	return limit, nil
+}
+
+// oldest returns the events of one held program that is due, and marks it published.
+func (c *Controller) oldest(before time.Time) []*programv1.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var due *Program
+	c.store.Each(func(p *Program) bool {
+		if p.Ended || !p.published.Before(before) {
+			return true
+		}
+		if _, ok := c.parts.Holds(PartOf(p.ID, c.parts.Parts())); ok {
+			due = p
+		}
+		return due == nil
+	})
+	if due == nil {
+		return nil
+	}
+	due.published = c.now()
+	return due.Events(due.published)
+}
+
 // Alive reports whether the program is known and has not ended.
 func (c *Controller) Alive(id string) bool {
 	p, ok := c.lookup(id)
--- a/internal/program/controller_test.go
+++ b/internal/program/controller_test.go
@@ -164,3 +164,41 @@
 	is.Equal(ended, []string{id})
 	is.Equal(c.Alive(id), false)
 }
+
+// TestLongProgramOutlivesTheLog: the log keeps records for a limited time, so a program that lives longer is put on it
+// again; an instance that reads only the copy has the whole program.
+func TestLongProgramOutlivesTheLog(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	now := time.Now()
+	c, _, id := newTestController(t, WithClock(func() time.Time { return now }))
+	turn, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
+	is.NoErr(err)
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "x", PromptTokens: 10})
+	is.NoErr(err)
+	var copies []*programv1.Event
+	publish := func(ev *programv1.Event) error {
+		copies = append(copies, ev)
+		return nil
+	}
+	now = now.Add(time.Minute)
+	n, err := c.Republish(now.Add(-2*time.Minute), 10, publish)
+	is.NoErr(err)
+	is.Equal(n, 0) // not due yet
+	n, err = c.Republish(now.Add(-time.Second), 10, publish)
+	is.NoErr(err)
+	is.Equal(n, 1)
+	n, _ = c.Republish(now.Add(-time.Second), 10, publish)
+	is.Equal(n, 0) // published just now
+
+	late := NewStore()
+	for _, ev := range copies {
+		late.Apply(ev)
+	}
+	is.Equal(late.Get(id).Head, head)
+	is.Equal(late.Get(id).SpentTokens, int64(10))
+	is.Equal(late.Get(id).Created.UnixMilli(), now.Add(-time.Minute).UnixMilli())
+	for _, ev := range copies {
+		is.True(c.Apply(ev) != Accepted) // a copy never beats what is known
+	}
+}
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -68,6 +68,9 @@
 	EndCause    string
 	EndedAt     time.Time
 
+	// published is when the program's events were last put on the log from the first on.
+	published time.Time
+
 	// reserved holds the tokens of started turns that are not settled, by event id; reservedSum is their sum and open
 	// their number.
 	reserved    map[string]int64
@@ -172,7 +175,8 @@
 }
 
 func (s *Store) create(ev *programv1.Event, c *programv1.Created) Outcome {
-	if s.programs[ev.Program] != nil {
+	if p := s.programs[ev.Program]; p != nil {
+		p.published = maxTime(p.published, time.UnixMilli(ev.UnixMs))
 		return Repeat
 	}
 	p := &Program{
@@ -182,12 +186,16 @@
 		Parent:       c.Parent,
 		Root:         c.Root,
 		Head:         FirstHead(ev.Program),
-		Created:      time.UnixMilli(ev.UnixMs),
+		Created:      time.UnixMilli(c.CreatedUnixMs),
+		published:    time.UnixMilli(ev.UnixMs),
 		BudgetTokens: c.BudgetTokens,
 		BudgetCalls:  c.BudgetCalls,
 		reserved:     map[string]int64{},
 		settled:      map[string]struct{}{},
 	}
+	if c.CreatedUnixMs == 0 {
+		p.Created = p.published
+	}
 	if c.DeadlineUnixMs > 0 {
 		p.Deadline = time.UnixMilli(c.DeadlineUnixMs)
 	}
@@ -195,6 +203,13 @@
 	return Accepted
 }
 
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (p *Program) start(ev *programv1.Event, b *programv1.TurnStarted) Outcome {
 	if _, ok := p.reserved[ev.Id]; ok {
 		return Repeat
@@ -292,18 +307,19 @@
 	return nil
 }
 
-// Events returns events that rebuild the program from nothing. Applying them to a store that has the program changes
+// Events returns events that rebuild the program from nothing, as published now. Applying them to a store that has the program changes
 // nothing, so they can be appended again before the originals expire.
-func (p *Program) Events() []*programv1.Event {
+func (p *Program) Events(now time.Time) []*programv1.Event {
 	created := &programv1.Created{
-		Team: p.Team, Account: p.Account, Parent: p.Parent, Root: p.Root,
+		CreatedUnixMs: p.Created.UnixMilli(),
+		Team:          p.Team, Account: p.Account, Parent: p.Parent, Root: p.Root,
 		BudgetTokens: p.BudgetTokens, BudgetCalls: p.BudgetCalls,
 	}
 	if !p.Deadline.IsZero() {
 		created.DeadlineUnixMs = p.Deadline.UnixMilli()
 	}
 	out := []*programv1.Event{{
-		Id: p.ID, Program: p.ID, UnixMs: p.Created.UnixMilli(),
+		Id: p.ID, Program: p.ID, UnixMs: now.UnixMilli(),
 		Body: &programv1.Event_Created{Created: created},
 	}}
 	for _, t := range p.Turns {
--- a/internal/program/store_test.go
+++ b/internal/program/store_test.go
@@ -133,7 +133,7 @@
 
 func checkRebuild(t *rapid.T, p *Program) {
 	again := NewStore()
-	for _, ev := range p.Events() {
+	for _, ev := range p.Events(time.UnixMilli(9)) {
 		raw, err := proto.Marshal(ev)
 		if err != nil {
 			t.Fatal(err)
@@ -148,7 +148,7 @@
 	if q.Head != p.Head || q.SpentTokens != p.SpentTokens || q.Reserved() != p.Reserved() || q.Calls() != p.Calls() {
 		t.Fatalf("rebuilt %+v from %+v", q, p)
 	}
-	for _, ev := range p.Events() {
+	for _, ev := range p.Events(time.UnixMilli(9)) {
 		if out := again.Apply(ev); out == Accepted {
 			t.Fatalf("event %s changed the program that it rebuilt", ev.Id)
 		}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -6,6 +6,7 @@
 	"net/url"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/berylpond/berylpond/internal/tomlfile"
 )
@@ -33,6 +34,9 @@
 	}
 }
 
+// minRetention leaves time to put live state on the log again.
+const minRetention = Duration(time.Minute)
+
 func (c checker) check(s *Settings) {
 	c.instance(s.Instance)
 	c.listen(s.Listen)
@@ -41,6 +45,7 @@
 	}
 	c.url("platform.log", s.Platform.Log)
 	c.url("platform.instances", s.Platform.Instances)
+	c.need(s.Platform.Retention >= minRetention, "platform.retention", "must be at least 1m")
 	c.timing(s.Timing)
 	c.need(slices.Contains(policies, s.Scheduling.Policy), "scheduling.policy", "must be one of "+strings.Join(policies, ", "))
 }
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -70,6 +70,7 @@
 func (p *Platform) read(t tomlfile.Table) {
 	readText(t, "log", &p.Log)
 	readText(t, "instances", &p.Instances)
+	readDuration(t, "retention", &p.Retention)
 }
 
 func (g *Timing) read(t tomlfile.Table) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -53,6 +53,8 @@
 	Log string `toml:"log"`
 	// Instances is the base URL of the instance list.
 	Instances string `toml:"instances"`
+	// Retention is how long the log keeps records. What lives longer is put on the log again.
+	Retention Duration `toml:"retention"`
 }
 
 // Peers names instances that are asked for the others at the start, beside the platform's list.
@@ -102,6 +104,7 @@
 func Default() Settings {
 	return Settings{
 		Instance: Instance{CellSlots: 1},
+		Platform: Platform{Retention: Duration(time.Hour)},
 		Timing: Timing{
 			Lease: Duration(2 * time.Second), Margin: Duration(200 * time.Millisecond), Heartbeat: Duration(500 * time.Millisecond),
 			ClaimWindow: Duration(time.Minute), FirstToken: Duration(20 * time.Second), Progress: Duration(5 * time.Second),
--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -293,7 +293,7 @@
 	set.Timing.Heartbeat, set.Timing.ClaimWindow = settings.Duration(testHeartbeat), settings.Duration(testWindow)
 	set.Timing.FirstToken, set.Timing.Progress = settings.Duration(3*time.Second), settings.Duration(time.Second)
 	set.Timing.Shutdown = settings.Duration(10 * time.Second)
-	set.Platform = settings.Platform{Log: "http://" + s.logRelays[dc.name].addr(), Instances: "http://" + s.listRelays[dc.name].addr()}
+	set.Platform.Log, set.Platform.Instances = "http://"+s.logRelays[dc.name].addr(), "http://"+s.listRelays[dc.name].addr()
 	set.Listen = settings.Listen{Callers: ip + ":0", Peers: ip + ":0", AdvertisePeers: in.relay.addr()}
 	set.Faults.PanicOnViolation = true
 	set.Log.Verbosity = 1
