Keep a book of loans at the slots of the cell, read by a new holder

Cause: a holder without hand-over did not know what its predecessor had lent, so its floor was empty for 2.2 s and the rest of its share for 4.2 s. The state machine: a loan is recorded at a majority of slots under the holder's term before the borrower hears of it; a new holder reads the records of so many slots that they meet each majority, and these promise its term. A slot's book is ready once all that an earlier occupant may have recorded has ended. A holder that has not read lends nothing of its own share, since its record would stand in for those of its predecessor. Loans of an account that is dropped and added again stay known, and loan ids differ between its two states.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -75,10 +75,13 @@
 	demandAt time.Time
 	lastLoan LoanID
 	since    time.Time
+	// known is set when all loans of earlier holders are in lent.
+	known bool
 }
 
-// NewAccount returns an account in data centre dc whose holder has had the part since the given time, from an unknown predecessor: the
-// bucket is empty, and all that the predecessor may have lent counts as lent until the longest term has passed.
+// NewAccount returns an account in data centre dc whose holder has had the part since the given time, from an unknown
+// predecessor: the bucket is empty, and all that the predecessor may have lent counts as lent until the longest term
+// has passed.
 // Loan ids carry term, which no other holder of the part has.
 func NewAccount(dc string, share Share, terms Terms, term uint64, since time.Time) *Account {
 	a := &Account{dc: dc, share: share, terms: terms, lastLoan: LoanID{Term: term}, since: since}
@@ -87,10 +90,18 @@
 }
 
 // loansUnknownUntil is when all long loans of an unknown predecessor have ended.
-func (a *Account) loansUnknownUntil() time.Time { return a.since.Add(a.terms.Loan + a.terms.Margin) }
+func (a *Account) loansUnknownUntil() time.Time {
+	if a.known {
+		return a.since
+	}
+	return a.since.Add(a.terms.Loan + a.terms.Margin)
+}
 
 // transfersUnknownUntil is when all transfers of an unknown predecessor have ended.
 func (a *Account) transfersUnknownUntil() time.Time {
+	if a.known {
+		return a.since
+	}
 	return a.since.Add(a.terms.Transfer + a.terms.Margin)
 }
 
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -26,9 +26,11 @@
 	dc      int
 	name    string
 	holder  *Holder
+	book    *Book
 	floor   *SlotFloor
 	version int
 	paused  bool
+	gone    bool
 	offset  time.Duration
 }
 
@@ -40,6 +42,10 @@
 	request   *Request
 	grant     *Grant
 	offer     *PartState
+	record    *recordCall
+	learn     *learnCall
+	answered  bool // the slot has answered the record or learn call
+	records   []LoanRecord
 }
 
 // admission is one take that was let through, under the largest limits in force anywhere.
@@ -66,7 +72,11 @@
 	lastCheck time.Time
 	lastLimit Limit
 	offered   map[int]offer
-	rng       *rand.Rand
+	// withheld are grants whose records have not reached WriteQuorum slots.
+	withheld []*Grant
+	// learned counts the takings over that needed no wait.
+	learned int
+	rng     *rand.Rand
 }
 
 func dcName(dc int) string { return fmt.Sprintf("dc%d", dc) }
@@ -86,6 +96,7 @@
 	m.runs++
 	n := &node{dc: dc, name: fmt.Sprint("run", m.runs), offset: time.Duration(m.runs) * time.Hour}
 	n.holder = NewHolder(dcName(dc), DefaultTerms(), m.dcs, instances)
+	n.book = NewBook(m.clock(n), DefaultTerms())
 	n.floor = NewSlotFloor(m.clock(n), 3*time.Second)
 	m.configure(n, len(m.versions)-1)
 	return n
@@ -158,6 +169,7 @@
 	if a == nil {
 		return
 	}
+	m.learn(n)
 	var peers []string
 	for dc := range m.dcs {
 		if dc != n.dc {
@@ -177,6 +189,10 @@
 		}
 	case msg.request != nil:
 		m.deliverRequest(msg)
+	case msg.record != nil:
+		m.deliverRecord(msg)
+	case msg.learn != nil:
+		m.deliverLearn(msg)
 	case !msg.to.paused:
 		if a := m.account(msg.to); a != nil {
 			*msg.delivered = true
@@ -195,7 +211,7 @@
 	}
 	*msg.delivered = true
 	g := to.holder.Lend(m.clock(to), 0, account, dcName(msg.from.dc), msg.version, *msg.request)
-	m.flight = append(m.flight, message{delivered: new(bool), from: to, to: msg.from, grant: &g})
+	m.answer(message{delivered: new(bool), from: to, to: msg.from, grant: &g})
 }
 
 // someHolder returns a holder that runs, or any running instance.
@@ -254,6 +270,9 @@
 			stock += o.state.Accounts[0].Level
 		}
 	}
+	for _, g := range m.withheld {
+		stock += g.Tokens()
+	}
 	for _, msg := range m.flight {
 		if *msg.delivered {
 			continue
@@ -302,6 +321,8 @@
 		l.Previous = uint64(m.between(0, 1)) * (l.Term + 1) // unknown, or an attempt that fell short
 	}
 	l.Term += uint64(m.between(2, 1<<30))
+	m.account(n)
+	m.learn(n)
 	m.lastCheck = time.Time{} // a state handed over has filled up on its way
 }
 
@@ -326,6 +347,7 @@
 	for i, o := range m.nodes {
 		if o == n {
 			m.nodes[i] = m.start(n.dc)
+			n.gone = true
 		}
 	}
 	if m.holding[n.dc] == n {
@@ -339,7 +361,12 @@
 }
 
 func (m *model) step(edits bool) {
+	m.rush()
 	n := m.pick()
+	if m.between(0, 99) == 0 {
+		m.usurp(n)
+		return
+	}
 	if edits && m.between(0, 14) == 0 {
 		m.editOrConfigure(n)
 		return
@@ -406,6 +433,7 @@
 }
 
 func checkNeverOver(t *testing.T, edits bool) {
+	learned := 0
 	rapid.Check(t, func(t *rapid.T) {
 		l := Limit{Account: account, Rate: rapid.SampledFrom([]float64{1, 10, 300}).Draw(t, "rate"), Burst: rapid.SampledFrom([]float64{5, 40, 120}).Draw(t, "burst")}
 		m := newModel(t, rapid.SampledFrom([]int{2, 3, 4}).Draw(t, "dcs"), l)
@@ -429,7 +457,12 @@
 			m.drain()
 		}
 		m.check()
+		learned += m.learned
 	})
+	t.Logf("%d times the loans of earlier holders were read from the books", learned)
+	if learned < 100 {
+		t.Error("the runs did not reach the state that they check")
+	}
 }
 
 func TestNoWindowAdmitsMoreThanRateAndBurst(t *testing.T) { checkNeverOver(t, false) }
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -46,9 +46,11 @@
 
 // PartState is what a holder hands over of a part.
 type PartState struct {
-	Part     int
-	Term     uint64
-	Since    time.Duration
+	Part  int
+	Term  uint64
+	Since time.Duration
+	// Known is set when the states hold all loans of earlier holders.
+	Known    bool
 	Accounts []State
 }
 
@@ -62,6 +64,12 @@
 	term     uint64
 	since    time.Time
 	accounts map[string]*Account
+	// known is set when all loans of earlier holders are in accounts or inherited.
+	known bool
+	// inherited holds the running loans of accounts that have no state here yet.
+	inherited map[string][]loan
+	// made counts the accounts that got state under this term, so that the ids of their loans differ.
+	made uint64
 }
 
 type offer struct {
@@ -128,6 +136,7 @@
 			if e, ok := next[name]; ok {
 				a.SetShare(now, e.share)
 			} else {
+				p.inherited[name] = append(p.inherited[name], inheritable(a.lent)...)
 				delete(p.accounts, name)
 			}
 		}
@@ -153,7 +162,8 @@
 	if p != nil && p.term == term {
 		return true
 	}
-	p = &heldPart{term: term, since: now, accounts: map[string]*Account{}}
+	// Where there is one data centre nothing is ever lent.
+	p = &heldPart{term: term, since: now, accounts: map[string]*Account{}, inherited: map[string][]loan{}, known: h.dcs == 1}
 	if o, ok := h.offers[part]; ok && h.follows(now, o, l) {
 		h.restore(p, o)
 	}
@@ -169,15 +179,17 @@
 
 func (h *Holder) restore(p *heldPart, o offer) {
 	p.since = o.at.Add(-o.state.Since)
+	p.known = p.known || o.state.Known
 	for _, s := range o.state.Accounts {
 		e, ok := h.limits[s.Account]
 		if !ok {
+			p.inherit(o.at, s.Account, s.Lent)
 			continue
 		}
-		a := NewAccount(h.dc, e.share, h.terms, p.term, o.at.Add(-s.Since))
+		a := h.newAccount(p, e.share, o.at.Add(-s.Since))
 		a.bucket = Bucket{level: s.Level, at: o.at}
 		for _, l := range s.Lent {
-			a.addLoan(&a.lent, loan{id: l.Loan, amount: l.Amount, expires: o.at.Add(l.Left), long: l.Long, inherited: true})
+			a.addLoan(&a.lent, inheritedLoan(o.at, l))
 		}
 		a.bucket.level = min(a.bucket.level, a.Current().Burst)
 		p.accounts[s.Account] = a
@@ -198,7 +210,13 @@
 	var out []PartState
 	for part, p := range h.parts {
 		h.left[part] = p.term
-		ps := PartState{Part: part, Term: p.term, Since: now.Sub(p.since)}
+		_, unknown := h.Learning(now, part)
+		ps := PartState{Part: part, Term: p.term, Since: now.Sub(p.since), Known: !unknown}
+		for name, loans := range p.inherited {
+			if _, ok := h.Account(part, name); !ok {
+				ps.Accounts = append(ps.Accounts, State{Account: name, Lent: lentStates(now, loans)})
+			}
+		}
 		for name, a := range p.accounts {
 			a.Advance(now)
 			ps.Accounts = append(ps.Accounts, exportState(now, name, a))
@@ -213,9 +231,7 @@
 func exportState(now time.Time, name string, a *Account) State {
 	s := State{Account: name, Since: now.Sub(a.since)}
 	s.Level = min(a.bucket.level, a.own().Burst)
-	for _, l := range a.lent {
-		s.Lent = append(s.Lent, LentState{Loan: l.id, Amount: l.amount, Left: l.expires.Sub(now), Long: l.long})
-	}
+	s.Lent = a.lentStates(now)
 	return s
 }
 
@@ -236,11 +252,31 @@
 	if e.added.After(since) {
 		since = e.added
 	}
-	a := NewAccount(h.dc, e.share, h.terms, p.term, since)
+	a := h.newAccount(p, e.share, since)
+	a.lent = p.inherited[name]
+	sortLoans(a.lent)
+	delete(p.inherited, name)
 	p.accounts[name] = a
 	return a, true
 }
 
+func (h *Holder) newAccount(p *heldPart, share Share, since time.Time) *Account {
+	a := NewAccount(h.dc, share, h.terms, p.term, since)
+	a.known = p.known
+	a.lastLoan.Number = p.made << 32
+	p.made++
+	return a
+}
+
+// inheritable returns loans whose early return is no longer accepted.
+func inheritable(loans []loan) []loan {
+	out := slices.Clone(loans)
+	for i := range out {
+		out[i].inherited = true
+	}
+	return out
+}
+
 // Held calls f for each account with state in a part held here.
 func (h *Holder) Held(f func(part int, account string, a *Account)) {
 	for part, p := range h.parts {
--- a/internal/quota/lend.go
+++ b/internal/quota/lend.go
@@ -147,14 +147,23 @@
 	}
 	a.dropSpentLoans()
 	own := a.own()
+	if now.Before(a.loansUnknownUntil()) {
+		// A record of this loan would stand in for those of an earlier holder.
+		return spend(a, out)
+	}
 	if give := min(left, own.Burst); give > tolerance {
 		p := Piece{Amount: portion(own, give), Tokens: give, Term: a.terms.Transfer}
 		out, _ = appendPiece(out, left, a.lendOwn(now, peer, p))
 	}
-	for _, p := range out {
+	return spend(a, out)
+}
+
+// spend debits the tokens in pieces.
+func spend(a *Account, pieces []Piece) []Piece {
+	for _, p := range pieces {
 		a.bucket.level -= p.Tokens
 	}
-	return out
+	return pieces
 }
 
 func appendPiece(out []Piece, left float64, p Piece) ([]Piece, float64) {
