Record loans before they are told, and read them at a take-over

All loans that wait go in one message to each slot, one record for each account; a loan without a majority of records is withheld from its borrower, so its tokens are lost until it ends, never doubled. A newly held part is read at once; takes that are short wait for the first read. Cells of fewer than three slots keep no book: the loss of one slot would end their lending; their holders wait as before. A site of one data centre never waits. Before (books off, scratch): TestNewHolderKnowsLoansAndServesTheRestAtOnce fails, as the new holder's share is closed. After: it passes, the loan is known and the rest in use at the first take.

--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -277,6 +277,14 @@
 	return out
 }
 
+// Term returns the term under which the part is held.
+func (h *Holder) Term(part int) uint64 {
+	if p := h.parts[part]; p != nil {
+		return p.term
+	}
+	return 0
+}
+
 // Held calls f for each account with state in a part held here.
 func (h *Holder) Held(f func(part int, account string, a *Account)) {
 	for part, p := range h.parts {
--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -104,6 +104,13 @@
 	gathers map[string]*gather
 	peers   map[string]*peerState
 	batches map[string]*batcher
+	book    *quota.Book
+	// unrecorded are the loans for the next message to the slots; recording is set while messages are sent.
+	unrecorded []waitingLoan
+	recording  bool
+	// learning is the term under which the books of a part are or were read; tried is closed after the first read.
+	learning map[int]uint64
+	tried    map[int]chan struct{}
 }
 
 // New returns a controller without limits; it refuses every account until SetLimits.
@@ -119,10 +126,12 @@
 		cfg: cfg, table: table, parts: parts, dial: dial, now: time.Now, metrics: newMetrics(), sender: uuid.NewString(),
 		holder:  quota.NewHolder(cfg.DataCentre, cfg.Terms, len(cfg.DataCentres), cfg.Slots),
 		gathers: map[string]*gather{}, peers: map[string]*peerState{}, batches: map[string]*batcher{},
+		learning: map[int]uint64{}, tried: map[int]chan struct{}{},
 	}
 	for _, o := range opts {
 		o(c)
 	}
+	c.book = quota.NewBook(c.now(), cfg.Terms)
 	c.floor = quota.NewSlotFloor(c.now(), cfg.SlotWait)
 	for _, dc := range cfg.DataCentres {
 		if dc != cfg.DataCentre {
@@ -175,7 +184,9 @@
 func (c *Controller) observe(part int) (time.Time, bool) {
 	now := c.now()
 	l, held := c.parts.Lease(part)
-	return now, c.holder.Observe(now, part, l, held && !c.leaving)
+	usable := c.holder.Observe(now, part, l, held && !c.leaving)
+	c.learn(part)
+	return now, usable
 }
 
 // account returns the state of an account whose part is held here. c.mu is held.
--- a/internal/quota/quotactl/gather.go
+++ b/internal/quota/quotactl/gather.go
@@ -254,6 +254,7 @@
 	c.observeAll()
 	now := c.now()
 	c.floor.Alive(now)
+	c.book.Sweep(now)
 	if in, ok := c.table.AtSlot(c.cfg.DataCentre, c.cfg.Slot); c.cfg.Slots > 0 && ok && in.ID != c.table.Self().ID && in.Incarnation > c.table.Self().Incarnation {
 		c.floor.Stop()
 	}
--- a/internal/quota/quotactl/metrics.go
+++ b/internal/quota/quotactl/metrics.go
@@ -21,6 +21,8 @@
 	borrowedTokens prometheus.Counter
 	lendFailed     prometheus.Counter
 	handOverFailed prometheus.Counter
+	recordFailed   prometheus.Counter
+	booksRead      prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -35,10 +37,12 @@
 		refused:        vector("refused_total", "Takes refused, by cause.", "cause"),
 		borrowedTokens: counter("borrowed_tokens_total", "Tokens fetched from other data centres."),
 		lendFailed:     counter("lend_failed_total", "Requests to other data centres without an answer."),
+		recordFailed:   counter("record_failed_total", "Loans withheld as too few slots recorded them."),
+		booksRead:      counter("books_read_total", "Parts whose earlier loans were read from the books."),
 		handOverFailed: counter("hand_over_failed_total", "Offers of state that did not reach an instance."),
 	}
 }
 
 func (m *metrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.admitted, m.refused, m.borrowedTokens, m.lendFailed, m.handOverFailed}
+	return []prometheus.Collector{m.admitted, m.refused, m.borrowedTokens, m.lendFailed, m.handOverFailed, m.recordFailed, m.booksRead}
 }
--- a/internal/quota/quotactl/server.go
+++ b/internal/quota/quotactl/server.go
@@ -57,15 +57,14 @@
 
 // serveLend lends what is held here, and passes the rest on to its holder once.
 func (c *Controller) serveLend(req *quotav1.LendRequest) (*quotav1.LendResponse, error) {
-	resp := &quotav1.LendResponse{}
+	var made lent
 	elsewhere := map[string][]*quotav1.LendItem{}
 	for _, it := range req.Items {
-		g, held, err := c.lend(req, it)
+		held, err := c.lend(req, it, &made)
 		if err != nil {
 			return nil, err
 		}
 		if held {
-			resp.Grants = append(resp.Grants, g)
 			continue
 		}
 		part := quota.PartOf(it.Account, c.parts.Parts())
@@ -73,6 +72,7 @@
 			elsewhere[in.ID] = append(elsewhere[in.ID], it)
 		}
 	}
+	resp := &quotav1.LendResponse{Grants: c.recorded(made)}
 	for id, items := range elsewhere {
 		in, ok := c.table.Get(id)
 		if !ok {
@@ -86,31 +86,58 @@
 	return resp, nil
 }
 
-func (c *Controller) lend(req *quotav1.LendRequest, it *quotav1.LendItem) (*quotav1.Grant, bool, error) {
-	g, held := c.lendLocked(req, it)
-	if !held {
-		return nil, false, nil
+// lent holds grants, and which of them have to be recorded.
+type lent struct {
+	grants []quota.Grant
+	loans  []loanMade
+	// grant is the index of the grant for each loan.
+	grant []int
+}
+
+// recorded records the loans and empties the grants whose record failed.
+func (c *Controller) recorded(made lent) []*quotav1.Grant {
+	for i, ok := range c.record(made.loans) {
+		if !ok {
+			made.grants[made.grant[i]] = made.grants[made.grant[i]].Withheld()
+		}
+	}
+	var out []*quotav1.Grant
+	for _, g := range made.grants {
+		out = append(out, toGrant(g))
+	}
+	return out
+}
+
+// lend adds the grant for one item to made, unless the part is held elsewhere.
+func (c *Controller) lend(req *quotav1.LendRequest, it *quotav1.LendItem, made *lent) (held bool, err error) {
+	if !c.lendLocked(req, it, made) {
+		return false, nil
 	}
 	point := "quota.loan.granted"
 	if it.Tokens > 0 {
 		point = "quota.transfer.debited"
 	}
 	if err := failpoint.Hit(point); err != nil {
-		return nil, true, status.Error(codes.Unavailable, err.Error())
+		return true, status.Error(codes.Unavailable, err.Error())
 	}
-	return g, true, nil
+	return true, nil
 }
 
-func (c *Controller) lendLocked(req *quotav1.LendRequest, it *quotav1.LendItem) (*quotav1.Grant, bool) {
+func (c *Controller) lendLocked(req *quotav1.LendRequest, it *quotav1.LendItem, made *lent) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now, _, held := c.account(it.Account)
 	if !held {
-		return nil, false
+		return false
 	}
 	part := quota.PartOf(it.Account, c.parts.Parts())
 	g := c.holder.Lend(now, part, it.Account, req.DataCentre, req.Version, fromItem(req.Sender, it))
-	return toGrant(g), true
+	if c.keepsBook() && g.NeedsRecord(c.cfg.DataCentre) {
+		made.loans = append(made.loans, loanMade{part: part, term: c.holder.Term(part), account: it.Account})
+		made.grant = append(made.grant, len(made.grants))
+	}
+	made.grants = append(made.grants, g)
+	return true
 }
 
 // Leave stops the use of all parts held here and hands their state to the other instances of the data centre. Call
--- a/internal/quota/quotactl/take.go
+++ b/internal/quota/quotactl/take.go
@@ -92,6 +92,9 @@
 
 // takeShort goes on after a first try that gave r.
 func (c *Controller) takeShort(ctx context.Context, account string, n float64, r result, short float64) result {
+	if short > 0 && c.awaitBooks(ctx, quota.PartOf(account, c.parts.Parts())) {
+		r, short = c.tryTake(account, n, false)
+	}
 	for range maxGathers {
 		if short <= 0 || !c.gather(ctx, account, n) {
 			break
--- /dev/null
+++ b/internal/quota/quotactl/takeover_test.go
@@ -0,0 +1,68 @@
+package quotactl
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/quota"
+)
+
+// kill cuts an instance off from all others and takes its parts; none is held until they are set.
+func (f *fleet) kill(i int) (parts []int) {
+	f.net.mu.Lock()
+	f.net.cut[f.self[i].PeerAddr] = true
+	f.net.mu.Unlock()
+	cell := f.cells[f.self[i].DataCentre]
+	cell.mu.Lock()
+	defer cell.mu.Unlock()
+	for part, in := range cell.holders {
+		if in.ID == f.self[i].ID {
+			cell.holders[part].ID = ""
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+// holderOf returns the number of the instance that holds the account in a data centre.
+func (f *fleet) holderOf(dc, account string) int {
+	cell := f.cells[dc]
+	in := cell.holders[quota.PartOf(account, len(cell.holders))]
+	for i, o := range f.self {
+		if o.ID == in.ID {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestNewHolderKnowsLoansAndServesTheRestAtOnce(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	terms := quickTerms
+	terms.Transfer, terms.Loan = 700*time.Millisecond, 2*time.Second // loans outlast the test's steps
+	f := newFleet(t, 9, terms, []Limit{{Account: "kiosk", Rate: 300, Burst: 60}})
+	time.Sleep(2200 * time.Millisecond) // the books are ready
+	giza, nasr := f.holderOf("giza", "kiosk"), f.holderOf("nasr", "kiosk")
+	for range 30 {
+		is.NoErr(f.ctl[nasr].Take(context.Background(), "kiosk", 1)) // more than the share of nasr
+	}
+	parts := f.kill(giza)
+	next := (giza + 3) % 9
+	f.cells["giza"].set(parts[0], f.self[next])
+	c := f.ctl[next]
+	is.NoErr(c.Take(context.Background(), "kiosk", 1))
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now, a, held := c.account("kiosk")
+	is.True(held)
+	_, learning := c.holder.Learning(now, parts[0])
+	is.True(!learning)
+	is.True(a.Lent().Burst > 0.5)
+	a.Advance(now)
+	share, _ := c.holder.Share("kiosk")
+	is.True(a.Current().Burst >= share.Holder.Burst-a.Lent().Burst-1e-6) // all but the loans is in use
+}
--- a/internal/quota/quotactl/wire.go
+++ b/internal/quota/quotactl/wire.go
@@ -91,8 +91,25 @@
 	return out
 }
 
+func toLoanRecord(part int, r quota.LoanRecord) *quotav1.LoanRecord {
+	return &quotav1.LoanRecord{Part: int32(part), Account: r.Account, Term: r.Term, Sequence: r.Sequence, Loans: toLent(r.Loans)}
+}
+
+func fromLoanRecord(r *quotav1.LoanRecord) (part int, rec quota.LoanRecord) {
+	return int(r.Part), quota.LoanRecord{Account: r.Account, Term: r.Term, Sequence: r.Sequence, Loans: fromLent(r.Loans)}
+}
+
+func fromLoanRecords(list []*quotav1.LoanRecord) []quota.LoanRecord {
+	var out []quota.LoanRecord
+	for _, r := range list {
+		_, rec := fromLoanRecord(r)
+		out = append(out, rec)
+	}
+	return out
+}
+
 func toHandOver(s quota.PartState) *quotav1.HandOverRequest {
-	req := &quotav1.HandOverRequest{Part: int32(s.Part), Term: s.Term, SinceUs: s.Since.Microseconds()}
+	req := &quotav1.HandOverRequest{Part: int32(s.Part), Term: s.Term, SinceUs: s.Since.Microseconds(), Known: s.Known}
 	for _, a := range s.Accounts {
 		st := &quotav1.AccountState{Account: a.Account, Level: a.Level, SinceUs: a.Since.Microseconds()}
 		st.Lent = toLent(a.Lent)
@@ -102,7 +119,7 @@
 }
 
 func fromHandOver(req *quotav1.HandOverRequest) quota.PartState {
-	s := quota.PartState{Part: int(req.Part), Term: req.Term, Since: micros(req.SinceUs)}
+	s := quota.PartState{Part: int(req.Part), Term: req.Term, Since: micros(req.SinceUs), Known: req.Known}
 	for _, a := range req.Accounts {
 		st := quota.State{Account: a.Account, Level: a.Level, Since: micros(a.SinceUs)}
 		st.Lent = fromLent(a.Lent)
