--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -188,6 +189,8 @@
 	relay      *relay
 	platform   *relay
 	set        settings.Settings
+	// unhealthy is set while the platform's balancer would send no callers here.
+	unhealthy atomic.Bool
 }
 
 // dcSpec describes one data centre of a site.
