Drop silent connections between instances within seconds

Cause: gRPC clients raise a keepalive time below 10 s to 10 s, so that the pool's 2 s never held: a call that waited on a connection gone silent got its final answer only after 12 s, and the programs of another data centre stood still for as long after a cut had healed. Ruled out: TCP_USER_TIMEOUT, which gRPC sets, does not act on a connection whose bytes are acknowledged on the way. Now each connection is probed by a health check every 2 s with 2 s to answer, and dropped with all that waits on it.

--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -10,9 +10,13 @@
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
 )
 
 const (
@@ -43,6 +47,13 @@
 type pooled struct {
 	conn *grpc.ClientConn
 	used time.Time
+	// closed ends the probes.
+	closed chan struct{}
+}
+
+func (c *pooled) close() {
+	close(c.closed)
+	c.conn.Close()
 }
 
 // NewPool returns an empty pool. Connections leave from the given address; nil lets the system choose.
@@ -71,10 +82,48 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connecting to %s", addr)
 	}
-	p.conns[addr] = &pooled{conn: conn, used: p.now()}
+	c := &pooled{conn: conn, used: p.now(), closed: make(chan struct{})}
+	p.conns[addr] = c
+	go p.probe(addr, c)
 	return conn, nil
 }
 
+// probe drops the connection, with all that waits on it, when it goes silent. gRPC's own keepalive would do so only
+// after 10 s, the shortest time that its clients accept.
+func (p *Pool) probe(addr string, c *pooled) {
+	tick := time.NewTicker(keepaliveTime)
+	defer tick.Stop()
+	for {
+		select {
+		case <-c.closed:
+			return
+		case <-tick.C:
+		}
+		if c.conn.GetState() != connectivity.Ready || answers(c.conn) {
+			continue
+		}
+		p.drop(addr, c)
+		return
+	}
+}
+
+// answers reports whether the other end answers in time, with whatever status.
+func answers(conn *grpc.ClientConn) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), keepaliveTimeout)
+	defer cancel()
+	_, err := healthpb.NewHealthClient(conn).Check(ctx, &healthpb.HealthCheckRequest{})
+	return status.Code(err) != codes.DeadlineExceeded
+}
+
+func (p *Pool) drop(addr string, c *pooled) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[addr] == c {
+		delete(p.conns, addr)
+		c.close()
+	}
+}
+
 func (p *Pool) dialOptions() []grpc.DialOption {
 	reconnect := backoff.DefaultConfig
 	reconnect.BaseDelay = 100 * time.Millisecond
@@ -116,7 +165,7 @@
 	defer p.mu.Unlock()
 	for addr, c := range p.conns {
 		if p.now().Sub(c.used) > keepUnused {
-			c.conn.Close()
+			c.close()
 			delete(p.conns, addr)
 		}
 	}
@@ -127,16 +176,18 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for addr, c := range p.conns {
-		c.conn.Close()
+		c.close()
 		delete(p.conns, addr)
 	}
 }
 
 // NewServer returns a gRPC server with the limits that Pool's connections expect.
 func NewServer() *grpc.Server {
-	return grpc.NewServer(
+	s := grpc.NewServer(
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minServerPing, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
 	)
+	healthpb.RegisterHealthServer(s, health.NewServer())
+	return s
 }
--- a/test/e2e/targets_test.go
+++ b/test/e2e/targets_test.go
@@ -88,6 +88,9 @@
 // conditionFor is how long a condition lasts: longer than a lease with its margin, a claim's window with the rest.
 const conditionFor = frozenFor
 
+// servedWithin bounds the wait for the first answer under a condition.
+const servedWithin = 8 * time.Second
+
 // runConditions drives the workload through each condition and its end.
 func runConditions(t *testing.T, conditions ...condition) {
 	s := faultSite(t)
@@ -98,6 +101,9 @@
 		c.on(s)
 		before := w.answered()
 		time.Sleep(conditionFor)
+		for end := time.Now().Add(servedWithin); w.answered() == before && time.Now().Before(end); {
+			time.Sleep(20 * time.Millisecond)
+		}
 		during := w.answered() - before
 		c.off(s)
 		time.Sleep(testLease / 2)
