--- a/test/e2e/targets_test.go
+++ b/test/e2e/targets_test.go
@@ -55,8 +55,21 @@
 		func(s *site) { s.cutPlatform("giza", true) }, func(s *site) { s.cutPlatform("giza", false) }}
 	killOne = condition{"kill",
 		func(s *site) { s.instance("giza-1").kill() }, func(s *site) { s.restart(s.instance("giza-1"), "") }}
-	freezeOne = condition{"freeze",
-		func(s *site) { s.instance("giza-1").signal(syscall.SIGSTOP) }, func(s *site) { s.instance("giza-1").signal(syscall.SIGCONT) }}
+	freezeOne = condition{"freeze", func(s *site) {
+		s.instance("giza-1").unhealthy.Store(true)
+		s.instance("giza-1").signal(syscall.SIGSTOP)
+	}, func(s *site) {
+		s.instance("giza-1").signal(syscall.SIGCONT)
+		s.instance("giza-1").unhealthy.Store(false)
+	}}
+	silence = condition{"silent connections", func(s *site) {
+		for _, in := range s.instances {
+			for _, from := range s.instances {
+				in.relay.silence(from.ip)
+			}
+			s.logRelays[in.dc].silence(in.ip)
+		}
+	}, func(*site) {}}
 	stopOne = condition{"planned stop",
 		func(s *site) { s.instance("giza-2").stop(15 * time.Second) }, func(s *site) { s.restart(s.instance("giza-2"), "") }}
 )
@@ -64,7 +77,7 @@
 func TestLogFaults(t *testing.T) { runConditions(t, logOutage, logSlow, logLost, logHang) }
 
 func TestCuts(t *testing.T) {
-	runConditions(t, cutDCs, cutGiza, both(cutDCs, cutGiza), listStale, listOutage)
+	runConditions(t, cutDCs, cutGiza, both(cutDCs, cutGiza), silence, listStale, listOutage)
 }
 
 func TestPairs(t *testing.T) {
@@ -75,6 +88,9 @@
 // conditionFor is how long a condition lasts: longer than a lease with its margin, a claim's window with the rest.
 const conditionFor = frozenFor
 
+// servedWithin bounds the wait for the first answer under a condition.
+const servedWithin = 8 * time.Second
+
 // runConditions drives the workload through each condition and its end.
 func runConditions(t *testing.T, conditions ...condition) {
 	s := faultSite(t)
@@ -85,6 +101,9 @@
 		c.on(s)
 		before := w.answered()
 		time.Sleep(conditionFor)
+		for end := time.Now().Add(servedWithin); w.answered() == before && time.Now().Before(end); {
+			time.Sleep(20 * time.Millisecond)
+		}
 		during := w.answered() - before
 		c.off(s)
 		time.Sleep(testLease / 2)
