--- /dev/null
+++ b/internal/dev/bench_test.go
@@ -0,0 +1,48 @@
+package dev
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// BenchmarkTokens measures the processor time of streamed calls by the number of their tokens: daemon, stand-in engine
+// and caller together, several calls at a time. Run it with at most 60 calls, the development account's burst.
+func BenchmarkTokens(b *testing.B) {
+	for _, tokens := range []int{12, 100, 400} {
+		b.Run(fmt.Sprint("tokens=", tokens), func(b *testing.B) { benchTokens(b, tokens) })
+	}
+}
+
+func benchTokens(b *testing.B, tokens int) {
+	s, err := Start(context.Background(), Options{Callers: "127.0.0.1:0", Peers: "127.0.0.1:0"})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	body := fmt.Sprintf(`{"model":"small","max_tokens":%d,"stream":true,"messages":[{"role":"user","content":"hello"}]}`, tokens)
+	b.ResetTimer()
+	begun := processorTime()
+	var calls sync.WaitGroup
+	for range b.N {
+		calls.Go(func() {
+			resp, answer := post(b, s, "/v1/chat/completions", nil, body)
+			if resp.StatusCode != http.StatusOK || !bytes.HasSuffix(answer, []byte("data: [DONE]\n\n")) {
+				b.Errorf("status %d, %d bytes", resp.StatusCode, len(answer))
+			}
+		})
+	}
+	calls.Wait()
+	b.ReportMetric(float64((processorTime()-begun).Microseconds())/float64(b.N), "cpu-us/call")
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
