Serve Go's profiles on an address of their own; measure overhead with short programs

Cause: the overhead benchmark made 200 to 300 turns in one program, so most of what it measured was the history's transport and the engine's longer prompts; operators had no way to profile a daemon. Conclusion: listen.debug serves /debug/pprof/; the log no longer makes an error with a stack for calls without program.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -239,6 +239,9 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	d.startTasks(work, &tasks)
+	if d.set.Listen.Debug != "" {
+		tasks.Go(func() { serveDebug(work, d.set.Listen.Debug) })
+	}
 	failed := make(chan error, 2)
 	go func() { failed <- d.frontend.Serve(d.callers) }()
 	go func() { failed <- d.grpc.Serve(d.peers) }()
--- /dev/null
+++ b/internal/daemon/debug.go
@@ -0,0 +1,24 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"k8s.io/klog/v2"
+)
+
+// serveDebug serves Go's profiles until ctx ends.
+func serveDebug(ctx context.Context, addr string) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("/debug/pprof/trace", pprof.Trace)
+	srv := &http.Server{Addr: addr, Handler: mux, ReadHeaderTimeout: time.Second}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.ListenAndServe(); err != nil && err != http.ErrServerClosed {
+		klog.ErrorS(err, "Profiles are not served", "address", addr)
+	}
+}
--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -65,6 +65,9 @@
 
 // isProgramID reports whether id has the form of a program id: a data centre and a UUID.
 func isProgramID(id string) bool {
+	if id == "" {
+		return false
+	}
 	dc, err := program.HomeDataCentre(id)
 	if err != nil || len(dc) > maxDataCentreName {
 		return false
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -64,6 +64,9 @@
 func (c checker) listen(l Listen) {
 	c.address("listen.callers", l.Callers)
 	c.address("listen.peers", l.Peers)
+	if l.Debug != "" {
+		c.address("listen.debug", l.Debug)
+	}
 	c.advertised("listen.advertise_callers", l.AdvertiseCallers, l.Callers)
 	c.advertised("listen.advertise_peers", l.AdvertisePeers, l.Peers)
 }
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -65,6 +65,7 @@
 	readText(t, "peers", &l.Peers)
 	readText(t, "advertise_callers", &l.AdvertiseCallers)
 	readText(t, "advertise_peers", &l.AdvertisePeers)
+	readText(t, "debug", &l.Debug)
 }
 
 func (p *Platform) read(t tomlfile.Table) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,8 @@
 	// AdvertiseCallers and AdvertisePeers are told to others where they differ from what is bound.
 	AdvertiseCallers string `toml:"advertise_callers,omitempty"`
 	AdvertisePeers   string `toml:"advertise_peers,omitempty"`
+	// Debug is the host:port of Go's profiles; empty leaves them off. Keep it off every network but the operators'.
+	Debug string `toml:"debug,omitempty"`
 }
 
 // Platform holds the addresses of the platform's services.
--- a/test/e2e/overhead_test.go
+++ b/test/e2e/overhead_test.go
@@ -26,11 +26,7 @@
 	before := s.processorTime()
 	inProgram := map[string]time.Duration{}
 	for _, in := range s.instances {
-		p, a := c.create(s.instances[0], map[string]int{"tokens": 2_000_000, "calls": 1000})
-		if p.id == "" {
-			b.Fatal(a)
-		}
-		inProgram[in.id] = measure(b, func() answer { return c.turn(in, &p, "turn", true) })
+		inProgram[in.id] = measure(b, s.turns(b, in))
 	}
 	for _, phase := range []string{"begin", "queue", "first_token", "engine", "commit"} {
 		b.ReportMetric(s.phaseMean(phase)*1e6, phase+"-mean-us")
@@ -47,6 +43,26 @@
 	b.ReportMetric((s.processorTime()-before)*1e6/float64(calls), "daemon-cpu-us/call")
 }
 
+// turnsOfProgram is the length of the measured programs; a longer history would measure its transport.
+const turnsOfProgram = 10
+
+// turns returns a function that makes the next call of a program through the instance.
+func (s *site) turns(b *testing.B, in *instance) func() answer {
+	c := s.caller("big")
+	var p programRef
+	n := 0
+	return func() answer {
+		if n%turnsOfProgram == 0 {
+			var a answer
+			if p, a = c.create(s.instances[0], map[string]int{"tokens": 100_000, "calls": 100}); p.id == "" {
+				b.Fatalf("create: %d %s", a.status, a.body)
+			}
+		}
+		n++
+		return c.turn(in, &p, "turn", true)
+	}
+}
+
 // measure returns the median time of b.N calls.
 func measure(b *testing.B, call func() answer) time.Duration {
 	b.Helper()
