--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/berylpond/berylpond/internal/keeper"
 	"github.com/berylpond/berylpond/internal/ledger"
 	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/orders"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/platform"
 	"github.com/berylpond/berylpond/internal/program"
@@ -37,6 +38,9 @@
 	"github.com/berylpond/berylpond/internal/settings"
 )
 
+// refreshShare is the part of the log's retention after which the configuration is put on the log again.
+const refreshShare = 4
+
 // idlePlatform bounds the idle connections kept to the platform.
 const idlePlatform = 16
 
@@ -59,6 +63,7 @@
 	journal  *streams
 	programs *program.Controller
 	executor *executor.Executor
+	orders   *orders.Controller
 	router   *router.Router
 	auth     *request.Authenticator
 	frontend *frontend.Server
@@ -71,6 +76,8 @@
 
 	draining          atomic.Bool
 	platformReachable atomic.Bool
+	// predecessor is the newest known earlier incarnation of this instance's slot.
+	predecessor atomic.Uint64
 	// joined is set once every part of the cell had a holder.
 	joined     atomic.Bool
 	drainOnce  sync.Once
@@ -153,7 +160,7 @@
 // build makes the parts, each from those before it.
 func (d *Daemon) build() {
 	t, self := d.set.Timing, d.table.Self()
-	d.config = config.New(config.Config{}, d.table, d.pool, configLog{d.platform})
+	d.config = config.New(config.Config{RefreshEvery: time.Duration(d.set.Platform.Retention) / refreshShare}, d.table, d.pool, configLog{d.platform})
 	cellConfig := cell.Config{
 		DataCentre: self.DataCentre, Slot: self.Slot, Slots: d.set.Instance.CellSlots, Incarnation: self.Incarnation,
 		Lease: time.Duration(t.Lease), Margin: time.Duration(t.Margin), Heartbeat: time.Duration(t.Heartbeat),
@@ -173,7 +180,12 @@
 	d.programs = program.NewController(self.DataCentre, d.parts, d.ledger,
 		program.WithEnded(d.keeper.ProgramEnded), program.WithForward(d.forwardEvent), program.WithDraining(d.draining.Load))
 	d.journal.apply = d.applyEvent
+	d.journal.partOf = d.partOf
 	d.backends = backends.New(self.DataCentre)
+	d.orders = orders.New(d.parts, d.journal.orders, d.backends.ChecksFence, &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: platformTimeout, LocalAddr: localAddr(d.source())}).DialContext,
+	}})
+	d.journal.followOrders(d.orders)
 	d.executor = executor.New(executor.Deps{
 		Snapshot: d.config.Snapshot, Programs: d.programs, Keeper: d.keeper,
 		Client: engine.New(engine.Timeouts{FirstToken: time.Duration(t.FirstToken), Progress: time.Duration(t.Progress)}, d.source()),
@@ -201,7 +213,7 @@
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		invariant.Collector())
 	for _, c := range []interface{ Collectors() []prometheus.Collector }{
-		d.config, d.cell, d.quota, d.keeper, d.executor, d.router, d.journal,
+		d.config, d.cell, d.quota, d.keeper, d.executor, d.router, d.journal, d.orders,
 	} {
 		d.registry.MustRegister(c.Collectors()...)
 	}
@@ -227,6 +239,9 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	d.startTasks(work, &tasks)
+	if d.set.Listen.Debug != "" {
+		tasks.Go(func() { serveDebug(work, d.set.Listen.Debug) })
+	}
 	failed := make(chan error, 2)
 	go func() { failed <- d.frontend.Serve(d.callers) }()
 	go func() { failed <- d.grpc.Serve(d.peers) }()
@@ -246,7 +261,7 @@
 func (d *Daemon) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
 	for name, run := range map[string]func(context.Context) error{
 		"config": d.config.Run, "quota": d.quota.Run, "keeper": d.keeper.Run, "journal": d.journal.Run,
-		"cell": d.runCell, "membership": d.runMembership, "gather": d.runGather, "sweep": d.runSweep,
+		"cell": d.runCell, "membership": d.runMembership, "gather": d.runGather, "sweep": d.runSweep, "orders": d.orders.Run,
 	} {
 		tasks.Go(func() {
 			if err := run(ctx); err != nil && ctx.Err() == nil {
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -14,6 +14,7 @@
 	"github.com/berylpond/berylpond/internal/config"
 	"github.com/berylpond/berylpond/internal/frontend/request"
 	"github.com/berylpond/berylpond/internal/keeper"
+	"github.com/berylpond/berylpond/internal/member"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/platform"
 	"github.com/berylpond/berylpond/internal/program"
@@ -29,6 +30,10 @@
 	exchangeFanout  = 3
 	exchangeTimeout = time.Second
 	sweepInterval   = time.Second
+	// republishShare is the part of the log's retention after which a program's events are put on the log again.
+	republishShare = 2
+	// republishBatch is the number of programs republished in one sweep.
+	republishBatch = 50
 	// gatherPause is the pause before a part whose events could not be gathered is tried again.
 	gatherPause = 100 * time.Millisecond
 )
@@ -45,6 +50,7 @@
 		return ctx.Err()
 	}
 	d.ledger.SetReady()
+	d.cell.SetPredecessor(d.predecessor.Load())
 	return d.cell.Run(ctx)
 }
 
@@ -81,9 +87,11 @@
 // applyEvent takes in an event from the log.
 func (d *Daemon) applyEvent(ev *programv1.Event) {
 	d.programs.Apply(ev)
-	d.ledger.Seen(program.PartOf(ev.Program, d.parts.Parts()), ev.Id)
+	d.ledger.Seen(d.partOf(ev.Program), ev.Id)
 }
 
+func (d *Daemon) partOf(id string) int { return program.PartOf(id, d.parts.Parts()) }
+
 // forwardEvent passes an event of a turn that ended after its part moved to the part's new holder.
 func (d *Daemon) forwardEvent(ctx context.Context, part int, ev *programv1.Event) error {
 	in, ok := d.parts.Holder(part)
@@ -120,10 +128,26 @@
 		if n := d.programs.Sweep(ctx); n > 0 {
 			klog.InfoS("Ended programs past their deadline", "programs", n)
 		}
+		d.republish()
 		d.pool.Trim()
 	}
 }
 
+// republish keeps the events of long-lived programs on the log, a few programs at a time.
+func (d *Daemon) republish() {
+	if d.journal.events.Away() {
+		return
+	}
+	before := time.Now().Add(-time.Duration(d.set.Platform.Retention) / republishShare)
+	n, err := d.programs.Republish(before, republishBatch, d.journal.Enqueue)
+	if err != nil {
+		klog.ErrorS(err, "Program is not republished")
+	}
+	if n > 0 {
+		klog.V(1).InfoS("Republished programs", "programs", n)
+	}
+}
+
 // configChanged puts a new configuration into force here.
 func (d *Daemon) configChanged(s *config.Snapshot) {
 	var version uint64
@@ -260,7 +284,22 @@
 
 func (d *Daemon) mergeInstances(list []*peerv1.Instance) {
 	for _, in := range list {
-		d.table.Merge(peer.InstanceFromWire(in))
+		m := peer.InstanceFromWire(in)
+		d.noticePredecessor(m)
+		d.table.Merge(m)
+	}
+}
+
+// noticePredecessor remembers the newest earlier occupant of this instance's slot.
+func (d *Daemon) noticePredecessor(in member.Instance) {
+	self := d.table.Self()
+	if in.DataCentre != self.DataCentre || in.Slot != self.Slot || in.Incarnation >= self.Incarnation {
+		return
+	}
+	for old := d.predecessor.Load(); in.Incarnation > old; old = d.predecessor.Load() {
+		if d.predecessor.CompareAndSwap(old, in.Incarnation) {
+			return
+		}
 	}
 }
 
--- a/internal/dev/site.go
+++ b/internal/dev/site.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	engines    = 2
 	// readyTimeout bounds the start of the site.
 	readyTimeout = 20 * time.Second
+	claimWindow  = 2 * time.Second
+	pollPause    = 100 * time.Millisecond
 )
 
 // Options are the addresses of the daemon; the stand-ins take free ports.
@@ -45,6 +48,7 @@
 	Callers string
 	Peers   string
 
+	begun   time.Time
 	servers []*http.Server
 	closers []func()
 	daemon  *daemon.Daemon
@@ -54,7 +58,7 @@
 
 // Start brings the site up and returns once it serves calls.
 func Start(ctx context.Context, o Options) (*Site, error) {
-	s := &Site{done: make(chan error, 1)}
+	s := &Site{begun: time.Now(), done: make(chan error, 1)}
 	set, doc, err := s.standIns()
 	if err != nil {
 		return nil, err
@@ -77,7 +81,7 @@
 	set.Instance = settings.Instance{ID: "local-0", DataCentre: dataCentre, DataCentres: []string{dataCentre}, CellSlots: 1}
 	// Nothing ran before, so there are no claims and promises to wait for.
 	set.Timing.Lease, set.Timing.Margin = settings.Duration(time.Second), settings.Duration(100*time.Millisecond)
-	set.Timing.Heartbeat, set.Timing.ClaimWindow = settings.Duration(250*time.Millisecond), settings.Duration(2*time.Second)
+	set.Timing.Heartbeat, set.Timing.ClaimWindow = settings.Duration(250*time.Millisecond), settings.Duration(claimWindow)
 	logAddr, err := s.serve(logsvc.New())
 	if err != nil {
 		return set, nil, err
@@ -86,7 +90,7 @@
 	if err != nil {
 		return set, nil, err
 	}
-	set.Platform = settings.Platform{Log: "http://" + logAddr, Instances: "http://" + listAddr}
+	set.Platform.Log, set.Platform.Instances = "http://"+logAddr, "http://"+listAddr
 	doc, err := s.backendServers()
 	return set, doc, err
 }
@@ -184,31 +188,47 @@
 	var err error
 	for ctx.Err() == nil {
 		if _, err = s.daemon.Apply(ctx, team, 0, doc); err == nil {
-			return s.awaitReady(ctx)
+			return s.awaitCalls(ctx)
 		}
 		var conflict *config.ConflictError
 		if errors.As(err, &conflict) {
 			return err
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(pollPause)
 	}
 	return errors.CombineErrors(err, ctx.Err())
 }
 
-func (s *Site) awaitReady(ctx context.Context) error {
+// awaitCalls waits until the site serves every kind of call. After an instance's start its accounts have no tokens, and
+// its cell votes on no claims until the claim window has passed, so one effect of its own is run to see that both do.
+func (s *Site) awaitCalls(ctx context.Context) error {
+	time.Sleep(time.Until(s.begun.Add(claimWindow)))
 	for ctx.Err() == nil {
-		resp, err := http.Get("http://" + s.Callers + "/readyz")
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return nil
-			}
+		if s.status(http.MethodGet, "/readyz") == http.StatusOK && s.status(http.MethodPost, "/effects/site-start") == http.StatusOK {
+			return nil
 		}
-		time.Sleep(50 * time.Millisecond)
+		time.Sleep(pollPause)
 	}
 	return errors.Wrap(ctx.Err(), "the site did not become ready")
 }
 
+// status returns the status of the answer to a request with the site's key, or 0.
+func (s *Site) status(method, path string) int {
+	req, err := http.NewRequest(method, "http://"+s.Callers+path, strings.NewReader("{}"))
+	if err != nil {
+		return 0
+	}
+	req.Header.Set("Authorization", "Bearer "+s.Key)
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Idempotency-Key", "site-start")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode
+}
+
 // Wait returns when the daemon ends.
 func (s *Site) Wait() error { return <-s.done }
 
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -30,6 +30,8 @@
 // term, and the log too unless the log is away. After an error the event may be durable or not.
 type Recorder interface {
 	Record(ctx context.Context, part int, term uint64, ev *programv1.Event) error
+	// RecordHeld is Record without the wait for the log.
+	RecordHeld(ctx context.Context, part int, term uint64, ev *programv1.Event) error
 }
 
 // Parts tells which parts this instance holds.
@@ -179,7 +181,12 @@
 
 // record makes the event durable, then applies it. When recording fails the event stays pending.
 func (c *Controller) record(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
-	if err := c.rec.Record(ctx, part, term, ev); err != nil {
+	record := c.rec.Record
+	if ev.GetTurnCommitted() == nil && ev.GetCreated() == nil {
+		// Reservations and ends are bookkeeping between two turns; a majority of the cell is enough until the log has them.
+		record = c.rec.RecordHeld
+	}
+	if err := record(ctx, part, term, ev); err != nil {
 		c.mu.Lock()
 		c.pending[ev.Program] = ev
 		c.mu.Unlock()
@@ -324,6 +331,44 @@
 	return n
 }
 
+// Republish puts the events of up to limit held programs, whose events went on the log before the given time, on the log
+// again, so that an instance that starts later finds them whole. It returns the number of programs.
+func (c *Controller) Republish(before time.Time, limit int, publish func(*programv1.Event) error) (int, error) {
+	for n := 0; n < limit; n++ {
+		events := c.oldest(before)
+		if events == nil {
+			return n, nil
+		}
+		for _, ev := range events {
+			if err := publish(ev); err != nil {
+				return n, err
+			}
+		}
+	}
+	return limit, nil
+}
+
+// oldest returns the events of one held program that is due, and marks it published.
+func (c *Controller) oldest(before time.Time) []*programv1.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var due *Program
+	c.store.Each(func(p *Program) bool {
+		if p.Ended || !p.published.Before(before) {
+			return true
+		}
+		if _, ok := c.parts.Holds(PartOf(p.ID, c.parts.Parts())); ok {
+			due = p
+		}
+		return due == nil
+	})
+	if due == nil {
+		return nil
+	}
+	due.published = c.now()
+	return due.Events(due.published)
+}
+
 // Alive reports whether the program is known and has not ended.
 func (c *Controller) Alive(id string) bool {
 	p, ok := c.lookup(id)
--- a/internal/scheduler/framework/settings.go
+++ b/internal/scheduler/framework/settings.go
@@ -77,7 +77,7 @@
 	MaxConcurrency int
 	// ConcurrencyShare scales limits, for a scheduler that does not have the group to itself. Zero means 1.
 	ConcurrencyShare float64
-	// AgeingHalf is the wait after which a program's attained service counts half.
+	// AgeingHalf is the age after which a program's attained service counts half.
 	AgeingHalf time.Duration
 	// MaxQueueWait is the longest that a call stays queued.
 	MaxQueueWait time.Duration
@@ -121,3 +121,23 @@
 func (w CostWeights) Of(prompt, cached, completion int64) float64 {
 	return w.Prompt*float64(prompt-cached) + w.Cached*float64(cached) + w.Completion*float64(completion)
 }
+
+// Bounds of the factor by which the objective moves a parameter.
+const (
+	minFactor = 0.5
+	maxFactor = 2
+)
+
+// Patience is how long a call waits before it is refused: longer where refusals weigh more.
+func (s *Settings) Patience() time.Duration {
+	return time.Duration(s.refusalFactor() * float64(s.MaxQueueWait))
+}
+
+// QueueLimit is the number of calls that one account may queue: higher where refusals weigh more.
+func (s *Settings) QueueLimit() int {
+	return max(1, int(s.refusalFactor()*float64(s.MaxQueuedPerAccount)))
+}
+
+func (s *Settings) refusalFactor() float64 {
+	return min(maxFactor, max(minFactor, s.Objective.Share(s.Objective.RefusalsWithinRate)))
+}
--- a/test/e2e/overhead_test.go
+++ b/test/e2e/overhead_test.go
@@ -26,11 +26,10 @@
 	before := s.processorTime()
 	inProgram := map[string]time.Duration{}
 	for _, in := range s.instances {
-		p, a := c.create(s.instances[0], map[string]int{"tokens": 2_000_000, "calls": 1000})
-		if p.id == "" {
-			b.Fatal(a)
-		}
-		inProgram[in.id] = measure(b, func() answer { return c.turn(in, &p, "turn", true) })
+		inProgram[in.id] = measure(b, s.turns(b, in))
+	}
+	for _, phase := range []string{"begin", "queue", "first_token", "engine", "commit"} {
+		b.ReportMetric(s.phaseMean(phase)*1e6, phase+"-mean-us")
 	}
 	calls := b.N * len(s.instances)
 	b.ReportMetric(float64(direct.Microseconds()), "direct-p50-us")
@@ -44,6 +43,26 @@
 	b.ReportMetric((s.processorTime()-before)*1e6/float64(calls), "daemon-cpu-us/call")
 }
 
+// turnsOfProgram is the length of the measured programs; a longer history would measure its transport.
+const turnsOfProgram = 10
+
+// turns returns a function that makes the next call of a program through the instance.
+func (s *site) turns(b *testing.B, in *instance) func() answer {
+	c := s.caller("big")
+	var p programRef
+	n := 0
+	return func() answer {
+		if n%turnsOfProgram == 0 {
+			var a answer
+			if p, a = c.create(s.instances[0], map[string]int{"tokens": 100_000, "calls": 100}); p.id == "" {
+				b.Fatalf("create: %d %s", a.status, a.body)
+			}
+		}
+		n++
+		return c.turn(in, &p, "turn", true)
+	}
+}
+
 // measure returns the median time of b.N calls.
 func measure(b *testing.B, call func() answer) time.Duration {
 	b.Helper()
@@ -71,6 +90,15 @@
 
 // metric returns the sum of all series of one metric of a daemon.
 func (s *site) metric(in *instance, name string) float64 {
+	return s.sum(in, func(series string) bool { return series == name || strings.HasPrefix(series, name+"{") })
+}
+
+// series returns one series of a daemon.
+func (s *site) series(in *instance, name string) float64 {
+	return s.sum(in, func(series string) bool { return series == name })
+}
+
+func (s *site) sum(in *instance, match func(series string) bool) float64 {
 	s.t.Helper()
 	resp, err := http.Get("http://" + in.callers + "/metrics")
 	if err != nil {
@@ -81,7 +109,7 @@
 	sc := bufio.NewScanner(resp.Body)
 	for sc.Scan() {
 		series, value, ok := strings.Cut(sc.Text(), " ")
-		if ok && (series == name || strings.HasPrefix(series, name+"{")) {
+		if ok && match(series) {
 			v, err := strconv.ParseFloat(value, 64)
 			if err == nil {
 				sum += v
@@ -90,3 +118,14 @@
 	}
 	return sum
 }
+
+// phaseMean returns the mean time of a phase over all daemons, in seconds.
+func (s *site) phaseMean(phase string) float64 {
+	s.t.Helper()
+	var sum, count float64
+	for _, in := range s.instances {
+		sum += s.series(in, "berylpond_phase_seconds_sum{phase=\""+phase+"\"}")
+		count += s.series(in, "berylpond_phase_seconds_count{phase=\""+phase+"\"}")
+	}
+	return sum / max(count, 1)
+}
