Read a profile's times without the daemon's settings

main's settings.Duration no longer decodes itself, which broke every profile: 'cannot decode TOML string into struct field workload.Shape.Pause', seen in five tests of internal/load/workload after the merge. A profile has its own type now.

--- /dev/null
+++ b/internal/load/workload/duration.go
@@ -0,0 +1,13 @@
+package workload
+
+import "time"
+
+// Duration is a time that a profile gives with its unit, for example "500ms".
+type Duration time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (d *Duration) UnmarshalText(text []byte) error {
+	v, err := time.ParseDuration(string(text))
+	*d = Duration(v)
+	return err
+}
--- a/internal/load/workload/profile.go
+++ b/internal/load/workload/profile.go
@@ -9,8 +9,6 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
-
-	"github.com/berylpond/berylpond/internal/settings"
 )
 
 // Profile describes a deployment and what its callers do. Times and rates are in engine time; Scale turns them into
@@ -53,16 +51,16 @@
 	MinTurns int `toml:"min_turns"`
 	MaxTurns int `toml:"max_turns"`
 	// FirstTokens are the prompt tokens of the first turn, FreshTokens those that each further turn adds.
-	FirstTokens  float64           `toml:"first_tokens"`
-	FreshTokens  float64           `toml:"fresh_tokens"`
-	OutputTokens float64           `toml:"output_tokens"`
-	Pause        settings.Duration `toml:"pause"`
+	FirstTokens  float64  `toml:"first_tokens"`
+	FreshTokens  float64  `toml:"fresh_tokens"`
+	OutputTokens float64  `toml:"output_tokens"`
+	Pause        Duration `toml:"pause"`
 	// SubAgents is the share of turns that are followed by one or two sub-agents instead of a pause.
 	SubAgents float64 `toml:"sub_agents"`
 	// Effects is the share of turns that are followed by a service call that must not be repeated.
 	Effects float64 `toml:"effects"`
 	// Deadline is the time from a program's start after which its outcome is of no use.
-	Deadline settings.Duration `toml:"deadline"`
+	Deadline Duration `toml:"deadline"`
 }
 
 // Account is a client account and its part of the load.
