--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -22,6 +22,14 @@
 // kindProgram is the kind of journal records that hold an event of a program.
 const kindProgram = "program"
 
+const (
+	// lazyDelay is how long bookkeeping waits to go on the log with other records.
+	lazyDelay = 20 * time.Millisecond
+	// readPace is the least time between two reads of a stream. Nothing waits for what is read but a late start, a
+	// take-over in an even cell and the memory of held events.
+	readPace = 50 * time.Millisecond
+)
+
 // voteTimeout bounds the wait for the log where its vote is needed.
 const voteTimeout = 2 * time.Second
 
@@ -51,11 +59,11 @@
 	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent), marks: map[int]uint64{}, log: log, dc: self.DataCentre}
 	id := journal.WriterID{Instance: self.ID, Incarnation: self.Incarnation}
 	events, intents := "journal/"+self.DataCentre, "intents/"+self.DataCentre
-	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics))
-	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics))
+	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay))
+	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay))
 	s.orders = journal.New(log, ordersStream(self.DataCentre), id, journal.WithMetrics(s.metrics))
-	s.eventR = journal.NewReader(log, events, s, journal.WithReaderMetrics(s.metrics))
-	s.intentR = journal.NewReader(log, intents, s.index, journal.WithReaderMetrics(s.metrics))
+	s.eventR = journal.NewReader(log, events, s, journal.WithReaderMetrics(s.metrics), journal.WithPace(readPace))
+	s.intentR = journal.NewReader(log, intents, s.index, journal.WithReaderMetrics(s.metrics), journal.WithPace(readPace))
 	return s
 }
 
--- /dev/null
+++ b/internal/journal/batching_test.go
@@ -0,0 +1,108 @@
+package journal
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	journalv1 "github.com/berylpond/berylpond/api/journal/v1"
+	"github.com/berylpond/berylpond/internal/platform"
+)
+
+// countingLog takes every append at once and counts appends and reads.
+type countingLog struct {
+	mu             sync.Mutex
+	records        []platform.Record
+	appends, reads int
+	grown          chan struct{}
+}
+
+func (l *countingLog) Append(_ context.Context, _ string, records [][]byte) (int64, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first := int64(len(l.records))
+	for _, r := range records {
+		l.records = append(l.records, platform.Record{Offset: int64(len(l.records)), Data: r})
+	}
+	l.appends++
+	close(l.grown)
+	l.grown = make(chan struct{})
+	return first, nil
+}
+
+func (l *countingLog) Read(ctx context.Context, _ string, from int64, _ int, wait time.Duration) (platform.Page, error) {
+	l.mu.Lock()
+	l.reads++
+	grown, n := l.grown, int64(len(l.records))
+	l.mu.Unlock()
+	if from >= n {
+		select {
+		case <-grown:
+		case <-time.After(wait):
+		case <-ctx.Done():
+			return platform.Page{}, ctx.Err()
+		}
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return platform.Page{End: int64(len(l.records)), Records: append([]platform.Record(nil), l.records[from:]...)}, nil
+}
+
+type discard struct{}
+
+func (discard) Apply(Position, *journalv1.Record) {}
+func (discard) Gap(Gap)                           {}
+
+// TestLazyRecordsGoTogether: what nobody waits for rides along with what somebody waits for, or goes after its delay.
+func TestLazyRecordsGoTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &countingLog{grown: make(chan struct{})}
+		w := New(log, "s", WriterID{Instance: "a", Incarnation: 1}, WithLazyDelay(20*time.Millisecond))
+		defer w.Close()
+		for i := range 5 {
+			is.NoErr(w.Enqueue(&journalv1.Record{Key: fmt.Sprint(i)}))
+		}
+		time.Sleep(10 * time.Millisecond)
+		is.Equal(log.appends, 0)
+		_, err := w.Append(context.Background(), &journalv1.Record{Key: "awaited"})
+		is.NoErr(err)
+		is.Equal(log.appends, 1)
+		is.Equal(w.Pending(), 0)
+		is.NoErr(w.Enqueue(&journalv1.Record{Key: "alone"}))
+		time.Sleep(25 * time.Millisecond)
+		is.Equal(log.appends, 2)
+		is.NoErr(w.Enqueue(&journalv1.Record{Key: "last"}))
+		is.NoErr(w.Drain(context.Background())) // does not wait for the delay
+	})
+}
+
+// TestPacedReaderReadsFewPages: a busy stream is read at the pace, and at once when somebody waits.
+func TestPacedReaderReadsFewPages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &countingLog{grown: make(chan struct{})}
+		r := NewReader(log, "s", discard{}, WithPace(50*time.Millisecond))
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			_ = r.Run(ctx)
+			close(done)
+		}()
+		for range 100 {
+			_, _ = log.Append(ctx, "s", [][]byte{nil})
+			time.Sleep(time.Millisecond)
+		}
+		is.True(log.reads <= 4) // 100 ms at a pace of 50 ms
+		begun := time.Now()
+		is.NoErr(r.WaitFor(ctx, 99))
+		is.Equal(time.Since(begun), time.Duration(0))
+		cancel()
+		<-done
+	})
+}
--- a/internal/journal/options.go
+++ b/internal/journal/options.go
@@ -15,6 +15,8 @@
 	defaultBackoffMax      = time.Second
 	defaultReadMax         = 500
 	defaultReadWait        = time.Second
+	// idleWait is how long a writer without records sleeps unless it is woken.
+	idleWait = time.Hour
 )
 
 // WriterOption changes a Writer under construction.
@@ -68,3 +70,10 @@
 
 // WithReaderMetrics shares metrics between readers.
 func WithReaderMetrics(m *Metrics) ReaderOption { return func(r *Reader) { r.metrics = m } }
+
+// WithLazyDelay sets how long a record that nobody waits for is held back to go with others.
+func WithLazyDelay(d time.Duration) WriterOption { return func(w *Writer) { w.lazyDelay = d } }
+
+// WithPace sets the least time between two reads of the stream while nobody waits for the reader, so that a busy stream
+// is read in few pages.
+func WithPace(d time.Duration) ReaderOption { return func(r *Reader) { r.pace = d } }
--- a/internal/journal/reader.go
+++ b/internal/journal/reader.go
@@ -47,6 +47,7 @@
 	pageWait   time.Duration
 	backoffMin time.Duration
 	backoffMax time.Duration
+	pace       time.Duration
 
 	// last holds the last sequence of each writer. Only Run's goroutine uses it.
 	last  *lru.Cache[WriterID, uint64]
@@ -58,6 +59,9 @@
 	read     bool
 	failing  bool
 	progress chan struct{}
+	// waiters counts the calls that wait for progress; wake ends a pause when one comes.
+	waiters int
+	wake    chan struct{}
 }
 
 // NewReader returns a reader of a stream.
@@ -67,6 +71,7 @@
 		pageMax: defaultReadMax, pageWait: defaultReadWait,
 		backoffMin: defaultBackoffMin, backoffMax: defaultBackoffMax,
 		progress: make(chan struct{}),
+		wake:     make(chan struct{}, 1),
 	}
 	r.last, _ = lru.New[WriterID, uint64](maxKnownWriters)
 	for _, o := range opts {
@@ -107,6 +112,8 @@
 
 // wait calls reached with r.mu held.
 func (r *Reader) wait(ctx context.Context, reached func() bool) error {
+	r.count(1)
+	defer r.count(-1)
 	for {
 		r.mu.Lock()
 		ok, progress := reached(), r.progress
@@ -122,12 +129,45 @@
 	}
 }
 
+// count changes the number of waiters and wakes a pausing Run.
+func (r *Reader) count(n int) {
+	r.mu.Lock()
+	r.waiters += n
+	r.mu.Unlock()
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// rest pauses until the pace allows the next read, or somebody waits.
+func (r *Reader) rest(ctx context.Context, lastRead time.Time) {
+	end := time.NewTimer(time.Until(lastRead.Add(r.pace)))
+	defer end.Stop()
+	for {
+		r.mu.Lock()
+		awaited := r.waiters > 0
+		r.mu.Unlock()
+		if awaited {
+			return
+		}
+		select {
+		case <-r.wake:
+		case <-end.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Run follows the stream until ctx ends, while the log is away with backoff. It returns ErrLogWentBack if the stream is
 // no longer the one that was read.
 func (r *Reader) Run(ctx context.Context) error {
 	backoff := r.backoffMin
 	for ctx.Err() == nil {
 		page, err := r.log.Read(ctx, r.stream, r.Next(), r.pageMax, r.pageWait)
+		returned := time.Now()
 		if err != nil {
 			r.fail(ctx, err, backoff)
 			backoff = min(r.backoffMax, 2*backoff)
@@ -137,6 +177,9 @@
 		if err := r.apply(page); err != nil {
 			return err
 		}
+		if r.pace > 0 && len(page.Records) < r.pageMax {
+			r.rest(ctx, returned)
+		}
 	}
 	return ctx.Err()
 }
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +51,7 @@
 	metrics *Metrics
 
 	budget        float64
+	lazyDelay     time.Duration
 	maxWindow     time.Duration
 	awayAfter     time.Duration
 	backoffMin    time.Duration
@@ -191,6 +193,7 @@
 		return
 	}
 	w.closed = true
+	w.signal()
 	if len(w.queue) == 0 {
 		close(w.drained)
 	}
@@ -212,11 +215,16 @@
 	w.queue = append(w.queue, e)
 	w.bytes += e.size
 	w.metrics.pending.WithLabelValues(w.stream).Set(float64(len(w.queue)))
+	w.signal()
+	return w.away, nil
+}
+
+// signal makes awaitRecords look again.
+func (w *Writer) signal() {
 	select {
 	case w.wake <- struct{}{}:
 	default:
 	}
-	return w.away, nil
 }
 
 func (w *Writer) refuse(reason string, err error) error {
@@ -237,16 +245,37 @@
 	}
 }
 
-// awaitRecords returns false when the writer ends.
+// awaitRecords waits until a batch is due. It returns false when the writer ends.
 func (w *Writer) awaitRecords() bool {
-	for w.Pending() == 0 {
+	for {
+		d := w.untilDue(time.Now())
+		if d <= 0 {
+			return true
+		}
+		t := time.NewTimer(d)
 		select {
 		case <-w.wake:
+		case <-t.C:
 		case <-w.ctx.Done():
+			t.Stop()
 			return false
 		}
+		t.Stop()
+	}
+}
+
+// untilDue returns the time until a batch is due. A record that somebody waits for is due at once and takes the others
+// along; records that nobody waits for are due after lazyDelay.
+func (w *Writer) untilDue(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.queue) == 0 {
+		return idleWait
+	}
+	if w.closed || slices.ContainsFunc(w.queue, func(e *entry) bool { return e.done != nil }) {
+		return 0
 	}
-	return true
+	return w.queue[0].at.Add(w.lazyDelay).Sub(now)
 }
 
 // window is the least time between the starts of two appends. A record that comes after an idle window goes at once.
