Prefer gathered events by their terms; never record an event that does not fit

A pending event was also recorded again without a look at the state, so it could come first on the log for a later reader. Ruled out: dropping a slot's own events on a lost lease, since they may be the only copy of one that counted. Before: wrong_head on acknowledged heads of two programs. After: an event is taken by the newest term, copies keep the newest term, and what does not fit is not recorded. TestNewerTermBeatsAnEventThatNeverCounted fails without the order by term (trial) and passes with it.

--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -14,6 +14,7 @@
 	"github.com/berylpond/berylpond/internal/config"
 	"github.com/berylpond/berylpond/internal/frontend/request"
 	"github.com/berylpond/berylpond/internal/keeper"
+	"github.com/berylpond/berylpond/internal/ledger"
 	"github.com/berylpond/berylpond/internal/member"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/platform"
@@ -75,7 +76,7 @@
 	if !ok || d.programs.Ready(part, term) {
 		return
 	}
-	err := d.ledger.Gather(ctx, part, term, func(ev *programv1.Event) bool { return d.programs.Apply(ev) == program.Accepted })
+	err := d.ledger.Gather(ctx, part, term, d.applyGathered)
 	if err != nil {
 		klog.V(1).InfoS("Part is not ready", "part", part, "term", term, "err", err)
 		return
@@ -84,6 +85,16 @@
 	klog.InfoS("Part is ready", "part", part, "term", term)
 }
 
+func (d *Daemon) applyGathered(ev *programv1.Event) ledger.Applied {
+	switch d.programs.Apply(ev) {
+	case program.Accepted:
+		return ledger.Changed
+	case program.Repeat:
+		return ledger.Known
+	}
+	return ledger.Unfit
+}
+
 // applyEvent takes in an event from the log.
 func (d *Daemon) applyEvent(ev *programv1.Event) {
 	d.programs.Apply(ev)
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -15,7 +15,9 @@
 package ledger
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -252,7 +254,10 @@
 		return ErrStaleTerm
 	}
 	h.promised = term
-	if _, ok := h.byID[id]; ok {
+	if old, ok := h.byID[id]; ok {
+		// The copy under the newer term stays: a later holder prefers events by their terms.
+		h.byID[id] = raw
+		h.bytes += len(raw) - len(old)
 		return nil
 	}
 	if h.bytes+len(raw) > maxHeldBytes {
@@ -352,10 +357,12 @@
 	return events, bytes
 }
 
-// Gather collects the held events of a part from a majority of the cell, this instance included, and passes each to
-// apply. Events of one slot come in their order of arrival; an event that depends on one held elsewhere is offered
-// again until a pass changes nothing. The gathered events are recorded again under the new term.
-func (l *Ledger) Gather(ctx context.Context, part int, term uint64, apply func(*programv1.Event) bool) error {
+// Gather collects the held events of a part from a majority of the cell, this instance included, and passes them to
+// apply, which reports whether an event changed the state. Where two events exclude each other, the one with the newer
+// term counts: an event that counted under an older term was recorded again under each later one, so the other one was
+// never held by a majority. The gathered events that were applied here, now or before, are recorded again under the new
+// term.
+func (l *Ledger) Gather(ctx context.Context, part int, term uint64, apply func(*programv1.Event) Applied) error {
 	own, err := l.Promise(part, term)
 	if err != nil {
 		return err
@@ -369,16 +376,39 @@
 			return err
 		}
 	}
-	events := decode(append([][][]byte{own}, lists...))
-	for changed := true; changed; {
-		changed = false
-		for _, ev := range events {
-			if apply(ev) {
-				changed = true
-			}
+	var count []*programv1.Event
+	for _, events := range decode(append([][][]byte{own}, lists...)) {
+		count = append(count, applyNewestFirst(events, apply)...)
+	}
+	return l.recordAgain(ctx, part, term, count)
+}
+
+// Applied says what applying a gathered event did.
+type Applied int
+
+const (
+	// Changed means that the event changed the state.
+	Changed Applied = iota
+	// Known means that the state has the event already.
+	Known
+	// Unfit means that the event does not fit the state, now or at all.
+	Unfit
+)
+
+// applyNewestFirst applies the events of one program. After each change it starts again from the newest term, so that of
+// two events that fit the one with the newer term is taken. It returns the events that the state has at the end, in the
+// order in which they were found to be in it.
+func applyNewestFirst(events []*programv1.Event, apply func(*programv1.Event) Applied) []*programv1.Event {
+	slices.SortStableFunc(events, func(a, b *programv1.Event) int { return cmp.Compare(b.Term, a.Term) })
+	var in []*programv1.Event
+	for {
+		i := slices.IndexFunc(events, func(ev *programv1.Event) bool { return apply(ev) != Unfit })
+		if i < 0 {
+			return in
 		}
+		in = append(in, events[i])
+		events = slices.Delete(events, i, i+1)
 	}
-	return l.recordAgain(ctx, part, term, events)
 }
 
 // recordAgain makes gathered events durable under the new term, so that a later holder finds them at any majority.
@@ -391,9 +421,10 @@
 	return nil
 }
 
-func decode(lists [][][]byte) []*programv1.Event {
-	seen := map[string]struct{}{}
-	var out []*programv1.Event
+// decode returns the events of each program, of several copies the one with the newest term.
+func decode(lists [][][]byte) map[string][]*programv1.Event {
+	byID := map[string]*programv1.Event{}
+	var order []string
 	for _, list := range lists {
 		for _, raw := range list {
 			ev := &programv1.Event{}
@@ -401,12 +432,20 @@
 				klog.ErrorS(err, "Held event cannot be decoded")
 				continue
 			}
-			if _, ok := seen[ev.Id]; !ok {
-				seen[ev.Id] = struct{}{}
-				out = append(out, ev)
+			old, ok := byID[ev.Id]
+			if !ok {
+				order = append(order, ev.Id)
+			}
+			if !ok || ev.Term > old.Term {
+				byID[ev.Id] = ev
 			}
 		}
 	}
+	out := map[string][]*programv1.Event{}
+	for _, id := range order {
+		ev := byID[id]
+		out[ev.Program] = append(out[ev.Program], ev)
+	}
 	return out
 }
 
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 
 	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
 	programv1 "github.com/berylpond/berylpond/api/program/v1"
@@ -127,13 +128,13 @@
 	t.Helper()
 	var ids []string
 	seen := map[string]bool{}
-	err := s.Gather(context.Background(), 0, term, func(ev *programv1.Event) bool {
+	err := s.Gather(context.Background(), 0, term, func(ev *programv1.Event) Applied {
 		if seen[ev.Id] {
-			return false
+			return Known
 		}
 		seen[ev.Id] = true
 		ids = append(ids, ev.Id)
-		return true
+		return Changed
 	})
 	return ids, err
 }
@@ -161,6 +162,41 @@
 	is.NoErr(cell[1].Record(ctx, 0, 2, event("e2")))
 }
 
+// TestNewerTermBeatsAnEventThatNeverCounted: a holder that was cut off keeps an event of its own that no other slot has;
+// when it is the holder again, the event that its successor recorded in that place counts.
+func TestNewerTermBeatsAnEventThatNeverCounted(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	cell := newCell(t, 3, &fakeLog{away: true})
+	is.NoErr(cell[0].Record(ctx, 0, 1, event("base")))
+	raw, err := proto.Marshal(&programv1.Event{Id: "alone", Program: "p", Term: 1})
+	is.NoErr(err)
+	is.NoErr(cell[0].accept(0, 1, "alone", raw))
+	is.NoErr(cell[1].accept(0, 2, "base", mustMarshal(t, &programv1.Event{Id: "base", Program: "p", Term: 2})))
+	is.NoErr(cell[1].accept(0, 2, "counted", mustMarshal(t, &programv1.Event{Id: "counted", Program: "p", Term: 2})))
+	is.NoErr(cell[2].accept(0, 2, "counted", mustMarshal(t, &programv1.Event{Id: "counted", Program: "p", Term: 2})))
+	var order []string
+	err = cell[0].Gather(ctx, 0, 3, func(ev *programv1.Event) Applied {
+		fits := len(order) == 0 && ev.Id == "base" || len(order) == 1 && ev.Id != "base"
+		if !fits {
+			return Unfit
+		}
+		order = append(order, ev.Id)
+		return Changed
+	})
+	is.NoErr(err)
+	is.Equal(order, []string{"base", "counted"})
+}
+
+func mustMarshal(t *testing.T, ev *programv1.Event) []byte {
+	t.Helper()
+	raw, err := proto.Marshal(ev)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
 func TestNoMajorityNoRecord(t *testing.T) {
 	is := is.New(t)
 	cell := newCell(t, 3, &fakeLog{})
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -179,8 +179,15 @@
 	return parent
 }
 
-// record makes the event durable, then applies it. When recording fails the event stays pending.
+// record makes the event durable, then applies it. When recording fails the event stays pending. An event that does not
+// fit is never recorded: on the log it could come before the one that took its place.
 func (c *Controller) record(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
+	switch c.fits(ev) {
+	case Repeat:
+		return nil
+	case Rejected:
+		return verdict.Refuse(http.StatusConflict, verdict.ReasonWrongHead, 0, "the program has moved on")
+	}
 	record := c.rec.Record
 	if ev.GetTurnCommitted() == nil && ev.GetCreated() == nil {
 		// Reservations and ends are bookkeeping between two turns; a majority of the cell is enough until the log has them.
@@ -203,6 +210,12 @@
 	return nil
 }
 
+func (c *Controller) fits(ev *programv1.Event) Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Fits(ev)
+}
+
 // flush records the event left pending by an earlier failure, if there is one.
 func (c *Controller) flush(ctx context.Context, id string, part int, term uint64) error {
 	c.mu.Lock()
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -152,6 +152,34 @@
 	return n
 }
 
+// Fits returns what Apply would, without applying the event.
+func (s *Store) Fits(ev *programv1.Event) Outcome {
+	p := s.programs[ev.Program]
+	if ev.GetCreated() != nil {
+		if p != nil {
+			return Repeat
+		}
+		return Accepted
+	}
+	if p == nil {
+		return Rejected
+	}
+	switch b := ev.Body.(type) {
+	case *programv1.Event_TurnStarted:
+		return p.fitsStart(ev, b.TurnStarted)
+	case *programv1.Event_TurnCommitted:
+		return p.fitsCommit(b.TurnCommitted)
+	case *programv1.Event_TurnAbandoned:
+		return p.fitsAbandon(b.TurnAbandoned)
+	case *programv1.Event_Ended:
+		if p.Ended {
+			return Repeat
+		}
+		return Accepted
+	}
+	return Rejected
+}
+
 // Apply folds one event into the state. Events must come in log order; a repeated event changes nothing.
 func (s *Store) Apply(ev *programv1.Event) Outcome {
 	if c := ev.GetCreated(); c != nil {
@@ -210,7 +238,7 @@
 	return b
 }
 
-func (p *Program) start(ev *programv1.Event, b *programv1.TurnStarted) Outcome {
+func (p *Program) fitsStart(ev *programv1.Event, b *programv1.TurnStarted) Outcome {
 	if _, ok := p.reserved[ev.Id]; ok {
 		return Repeat
 	}
@@ -220,13 +248,20 @@
 	if p.Ended || b.Head != p.Head || b.ReserveTokens > p.TokensLeft() || p.Calls() >= p.BudgetCalls {
 		return Rejected
 	}
+	return Accepted
+}
+
+func (p *Program) start(ev *programv1.Event, b *programv1.TurnStarted) Outcome {
+	if out := p.fitsStart(ev, b); out != Accepted {
+		return out
+	}
 	p.reserved[ev.Id] = b.ReserveTokens
 	p.reservedSum += b.ReserveTokens
 	p.open++
 	return Accepted
 }
 
-func (p *Program) commit(ev *programv1.Event, b *programv1.TurnCommitted) Outcome {
+func (p *Program) fitsCommit(b *programv1.TurnCommitted) Outcome {
 	if p.findTurn(b.NewHead) != nil {
 		return Repeat
 	}
@@ -237,6 +272,13 @@
 	if !invariant.Check(b.NewHead == NextHead(b.Head, b.Request, b.Answer), "program_head_chain", "program", p.ID) {
 		return Rejected
 	}
+	return Accepted
+}
+
+func (p *Program) commit(ev *programv1.Event, b *programv1.TurnCommitted) Outcome {
+	if out := p.fitsCommit(b); out != Accepted {
+		return out
+	}
 	p.settle(b.StartedId, b.PromptTokens+b.CompletionTokens)
 	p.Turns = append(p.Turns, Turn{
 		Request:          b.Request,
@@ -256,13 +298,20 @@
 	return Accepted
 }
 
-func (p *Program) abandon(b *programv1.TurnAbandoned) Outcome {
+func (p *Program) fitsAbandon(b *programv1.TurnAbandoned) Outcome {
 	if _, ok := p.settled[b.StartedId]; ok {
 		return Repeat
 	}
 	if _, ok := p.reserved[b.StartedId]; !ok {
 		return Rejected
 	}
+	return Accepted
+}
+
+func (p *Program) abandon(b *programv1.TurnAbandoned) Outcome {
+	if out := p.fitsAbandon(b); out != Accepted {
+		return out
+	}
 	p.settle(b.StartedId, b.SpentTokens)
 	return Accepted
 }
