Let takes wait for the next holder of their part

Cause: from the death of a holder until its lease has passed, every take of its part was refused. A take that finds no holder, or one that does not answer, looks again every 20 ms for at most the lease's term, its margin and two heartbeats (one until the lease is asked for, one until the holder is known), and no longer than its call. A holder that may have spent tokens for the take is not asked again. A lack of tokens is answered at once as before.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,7 +167,7 @@
 	}, d.table, d.pool, d.journal)
 	d.quota = quotactl.New(quotactl.Config{
 		DataCentre: self.DataCentre, DataCentres: d.set.Instance.DataCentres, Slot: self.Slot, Slots: d.set.Instance.CellSlots,
-		SlotWait: time.Duration(t.Lease + t.Margin),
+		SlotWait: time.Duration(t.Lease + t.Margin), HolderWait: time.Duration(t.Lease + t.Margin + 2*t.Heartbeat),
 	}, d.table, d.parts, d.pool)
 	d.keeper = keeper.New(keeper.Config{DataCentre: self.DataCentre, Policy: d.set.Scheduling.Policy}, d.table, d.parts, d.pool)
 	d.programs = program.NewController(self.DataCentre, d.parts, d.ledger,
--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -6,6 +6,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -48,6 +49,9 @@
 	SlotWait time.Duration
 	// TakeTimeout bounds the wait for the holder's answer. Default 250 ms.
 	TakeTimeout time.Duration
+	// HolderWait bounds the wait of a take for a holder of the account's part: the time in which a lease passes to
+	// another instance and that becomes known. Default SlotWait and 1 s.
+	HolderWait time.Duration
 	// LendTimeout bounds the wait for another data centre's answer. Default 30 ms.
 	LendTimeout time.Duration
 	// Terms of loans. Default quota.DefaultTerms.
@@ -55,7 +59,9 @@
 }
 
 const (
-	defaultSlotWait    = 5 * time.Second
+	defaultSlotWait = 5 * time.Second
+	// defaultHolderNews is two heartbeats: one until a lease is asked for, and one until its new holder is known.
+	defaultHolderNews  = time.Second
 	defaultTakeTimeout = 250 * time.Millisecond
 	defaultLendTimeout = 30 * time.Millisecond
 	// tickInterval is the time between looks at demand.
@@ -75,6 +81,9 @@
 	silentHolderCalls = 2
 	// overBurstRetry is the time to come back given when a take is larger than the account's burst.
 	overBurstRetry = time.Minute
+	// holderPoll is the time between two looks for a holder, by at most maxHolderWaits takes at once.
+	holderPoll     = 20 * time.Millisecond
+	maxHolderWaits = 4096
 	// noHolderRetry is the time to come back given when no holder can be reached.
 	noHolderRetry = time.Second
 )
@@ -93,6 +102,8 @@
 	dial    Dialer
 	now     func() time.Time
 	metrics *metrics
+	// waiting counts the takes that wait for a holder.
+	waiting atomic.Int64
 	// sender names this run of this process.
 	sender string
 
@@ -116,6 +127,7 @@
 // New returns a controller without limits; it refuses every account until SetLimits.
 func New(cfg Config, table *member.Table, parts Parts, dial Dialer, opts ...Option) *Controller {
 	setDefault(&cfg.SlotWait, defaultSlotWait)
+	setDefault(&cfg.HolderWait, cfg.SlotWait+defaultHolderNews)
 	setDefault(&cfg.TakeTimeout, defaultTakeTimeout)
 	setDefault(&cfg.LendTimeout, defaultLendTimeout)
 	if cfg.Terms == (quota.Terms{}) {
--- a/internal/quota/quotactl/metrics.go
+++ b/internal/quota/quotactl/metrics.go
@@ -23,6 +23,7 @@
 	handOverFailed prometheus.Counter
 	recordFailed   prometheus.Counter
 	booksRead      prometheus.Counter
+	holderWaits    prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -39,10 +40,11 @@
 		lendFailed:     counter("lend_failed_total", "Requests to other data centres without an answer."),
 		recordFailed:   counter("record_failed_total", "Loans withheld as too few slots recorded them."),
 		booksRead:      counter("books_read_total", "Parts whose earlier loans were read from the books."),
+		holderWaits:    counter("holder_waits_total", "Takes that found no holder and waited for one."),
 		handOverFailed: counter("hand_over_failed_total", "Offers of state that did not reach an instance."),
 	}
 }
 
 func (m *metrics) collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.admitted, m.refused, m.borrowedTokens, m.lendFailed, m.handOverFailed, m.recordFailed, m.booksRead}
+	return []prometheus.Collector{m.admitted, m.refused, m.borrowedTokens, m.lendFailed, m.handOverFailed, m.recordFailed, m.booksRead, m.holderWaits}
 }
--- a/internal/quota/quotactl/take.go
+++ b/internal/quota/quotactl/take.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	quotav1 "github.com/berylpond/berylpond/api/quota/v1"
 	"github.com/berylpond/berylpond/internal/failpoint"
 	"github.com/berylpond/berylpond/internal/quota"
@@ -31,35 +33,87 @@
 		return nil
 	}
 	limit, _ := c.holder.Limit(account)
-	tooLarge := n > limit.Burst
-	held := false
-	if known && !tooLarge {
-		_, _, held = c.account(account)
-	}
 	c.mu.Unlock()
 	if !known {
 		return c.refuse(causeUnknown, http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, noHolderRetry, "no limits of the account are known here yet")
 	}
-	if tooLarge {
+	if n > limit.Burst {
 		return c.refuse(causeOverBurst, http.StatusTooManyRequests, verdict.ReasonRateLimited, overBurstRetry, "the take is larger than the account's burst")
 	}
-	if held {
-		return c.conclude("local", c.takeHeld(ctx, account, n))
+	return c.takeAtHolder(ctx, account, n)
+}
+
+// attempt is one take at the holder. retry names why there was no answer about tokens; it is empty if there was one.
+type attempt struct {
+	result
+	path  string
+	retry refusalCause
+}
+
+// takeAtHolder waits while the part has no holder that answers, as when the last one's lease runs out: for
+// Config.HolderWait at most. A lack of tokens is answered at once.
+func (c *Controller) takeAtHolder(ctx context.Context, account string, n float64) error {
+	giveUp := c.now().Add(c.cfg.HolderWait)
+	lost := map[string]bool{}
+	for first := true; ; first = false {
+		a := c.tryHolder(ctx, account, n, lost)
+		if a.retry == "" {
+			return c.conclude(a.path, a.result)
+		}
+		if first {
+			c.metrics.holderWaits.Inc()
+		}
+		if !c.now().Before(giveUp) || !c.pause(ctx) {
+			return c.refuse(a.retry, http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, noHolderRetry, "no instance that holds the account's tokens answers now")
+		}
 	}
-	return c.takeRemote(ctx, account, n)
 }
 
-func (c *Controller) takeRemote(ctx context.Context, account string, n float64) error {
-	part := quota.PartOf(account, c.parts.Parts())
-	in, ok := c.parts.Holder(part)
+// pause waits before the next look for a holder. It reports false when the take should be given up.
+func (c *Controller) pause(ctx context.Context) bool {
+	if c.waiting.Add(1) > maxHolderWaits {
+		c.waiting.Add(-1)
+		return false
+	}
+	defer c.waiting.Add(-1)
+	select {
+	case <-time.After(holderPoll):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// tryHolder takes here or at the instance that holds the part. An instance in lost may have spent tokens for this take
+// without an answer and isn't asked again.
+func (c *Controller) tryHolder(ctx context.Context, account string, n float64, lost map[string]bool) attempt {
+	c.mu.Lock()
+	_, _, held := c.account(account)
+	c.mu.Unlock()
+	if held {
+		return answered("local", c.takeHeld(ctx, account, n))
+	}
+	in, ok := c.parts.Holder(quota.PartOf(account, c.parts.Parts()))
 	if !ok || in.ID == c.table.Self().ID {
-		return c.refuse(causeNoHolder, http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, noHolderRetry, "no instance holds the account's tokens now")
+		return attempt{retry: causeNoHolder}
+	}
+	if lost[in.ID] {
+		return attempt{retry: causeLostAnswer}
 	}
 	r, err := c.batcher(in.PeerAddr).take(ctx, &quotav1.TakeItem{Account: account, N: n})
 	if err != nil {
-		return c.refuse(causeLostAnswer, http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, noHolderRetry, "the holder of the account's tokens did not answer")
+		lost[in.ID] = !errors.Is(err, errSilentHolder)
+		return attempt{retry: causeLostAnswer}
 	}
-	return c.conclude("remote", r)
+	return answered("remote", r)
+}
+
+func answered(path string, r result) attempt {
+	a := attempt{result: r, path: path}
+	if r.outcome == quotav1.TakeResult_NOT_HOLDER {
+		a.retry = causeNotHolder
+	}
+	return a
 }
 
 func (c *Controller) conclude(path string, r result) error {
@@ -69,10 +123,8 @@
 		return nil
 	case quotav1.TakeResult_REFUSED:
 		return c.refuse(causeOverRate, http.StatusTooManyRequests, verdict.ReasonRateLimited, r.retryAfter, "the account is over its rate and burst")
-	case quotav1.TakeResult_UNKNOWN_ACCOUNT:
-		return c.refuse(causeUnknown, http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, noHolderRetry, "the holder does not know the account's limits yet")
 	default:
-		return c.refuse(causeNotHolder, http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, noHolderRetry, "the account's tokens are changing hands")
+		return c.refuse(causeUnknown, http.StatusServiceUnavailable, verdict.ReasonNoConfiguration, noHolderRetry, "the holder does not know the account's limits yet")
 	}
 }
 
