--- a/internal/load/report/recorder.go
+++ b/internal/load/report/recorder.go
@@ -21,6 +21,8 @@
 type Call struct {
 	Account string
 	Kind    Kind
+	// Address is the instance that got the call.
+	Address string
 	Sent    time.Time
 	Done    time.Time
 	// WithinRate is set when the account's bucket had a token as the call was sent.
@@ -46,7 +48,9 @@
 	Account string
 	// Latency is from the program's start to its end, or to its deadline if it failed.
 	Latency time.Duration
-	Failed  bool
+	// Ideal is the latency on idle engines that have every prefix cached.
+	Ideal  time.Duration
+	Failed bool
 	// Reason of a failure.
 	Reason string
 }
@@ -79,9 +83,6 @@
 func (r *Recorder) Call(c Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c.WithinRate && c.Refused() {
-		r.buckets[c.Account].Return()
-	}
 	r.calls = append(r.calls, c)
 }
 
