--- a/cmd/berylpondd/dev.go
+++ b/cmd/berylpondd/dev.go
@@ -15,7 +15,7 @@
 		Example: "  berylpondd dev\n  berylpondd dev --callers 127.0.0.1:0",
 	}
 	callers := c.Flags().String("callers", "127.0.0.1:8080", "address for callers")
-	peers := c.Flags().String("peers", "127.0.0.1:7080", "address for operators and other instances")
+	peers := c.Flags().String("peers", "127.0.0.1:7070", "address for operators and other instances")
 	verbosity := c.Flags().IntP("verbosity", "v", 0, "log level")
 	c.RunE = func(c *cobra.Command, _ []string) error {
 		logging.Setup(os.Stderr, "local-0", *verbosity)
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -137,3 +138,28 @@
 	}
 	return s
 }
+
+// TestOperationsPageNamesEveryKey compares the table of settings with the keys that a file may hold.
+func TestOperationsPageNamesEveryKey(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "OPERATIONS.md"))
+	is.NoErr(err)
+	groups := reflect.TypeFor[Settings]()
+	for i := range groups.NumField() {
+		group := groups.Field(i)
+		if group.Name == "Faults" {
+			continue // for tests only
+		}
+		for j := range group.Type.NumField() {
+			key := tagName(group) + "." + tagName(group.Type.Field(j))
+			if !strings.Contains(string(page), "`"+key+"`") {
+				t.Errorf("%s is not on the page", key)
+			}
+		}
+	}
+}
+
+func tagName(f reflect.StructField) string {
+	name, _, _ := strings.Cut(f.Tag.Get("toml"), ",")
+	return name
+}
