Exchange tables of instances by digest; keep the log's budget of appends

Cause: docs/CAPACITY.md finds that the whole table goes to three peers a second (14 instances use up 6 KB/s), and that the daemon sets no append budget, so that two busy writers use up a log of 300 appends a second. Ruled out: pushing changes only, which a lost message leaves unequal for good. A writer's mean pace is its share of platform.appends; after an idle time 8 appends go at once, which TestBurstKeepsTheMeanPace bounds. The test of the strict window holds for writers without a burst.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -168,7 +168,7 @@
 	}
 	d.cell = cell.New(cellConfig, d.table, d.pool, cell.WithExtraVoter(cell.NewLogVoter(cellConfig, cellLog{d.platform})))
 	d.parts = &parts{cell: d.cell, n: d.set.Instance.CellSlots}
-	d.journal = newStreams(d.platform, self, d.cell.MarkDurable)
+	d.journal = newStreams(d.platform, self, float64(d.set.Platform.Appends), d.cell.MarkDurable)
 	d.ledger = ledger.New(ledger.Config{
 		DataCentre: self.DataCentre, Slot: self.Slot, Slots: d.set.Instance.CellSlots,
 	}, d.table, d.pool, d.journal)
@@ -277,6 +277,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Timing.Shutdown))
 	defer cancel()
 	d.draining.Store(true)
+	d.table.SetLeaving()
 	d.announceLeaving(ctx)
 	d.logFailure("quota hand-over", d.quota.Leave(ctx))
 	d.logFailure("cell hand-over", d.cell.Leave(ctx))
--- a/internal/daemon/membership_bench_test.go
+++ b/internal/daemon/membership_bench_test.go
@@ -10,7 +10,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
 	"github.com/berylpond/berylpond/internal/member"
 	"github.com/berylpond/berylpond/internal/peer"
 )
@@ -57,9 +56,12 @@
 		d.exchange(context.Background(), l.Addr().String())
 	}
 	b.ReportMetric(float64((processorTime()-cpu).Microseconds())/float64(b.N), "cpu-us/op")
-	request := proto.Size(&peerv1.ExchangeRequest{Instances: d.instancesToWire()})
-	reply := proto.Size(&peerv1.ExchangeReply{Instances: other.instancesToWire()})
-	b.ReportMetric(float64(request+reply), "message-B/op")
+	request := d.exchangeRequest()
+	reply, err := (&peerServer{d: other}).Exchange(context.Background(), request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(proto.Size(request)+proto.Size(reply)), "message-B/op")
 }
 
 func processorTime() time.Duration {
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -30,11 +30,16 @@
 	peerv1.RegisterPeerServer(s, &peerServer{d: d})
 }
 
-// Exchange returns this instance's table and merges the caller's. The answer is from before the merge, so that a new
-// incarnation learns of its predecessor.
+// Exchange returns this instance's table, unless the caller has the same, and takes in the caller. The answer is from
+// before that, so that a new incarnation learns of its predecessor.
 func (p *peerServer) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeReply, error) {
-	reply := &peerv1.ExchangeReply{Instances: p.d.instancesToWire()}
-	p.d.mergeInstances(req.Instances)
+	reply := &peerv1.ExchangeReply{}
+	if req.Digest != p.d.table.Digest() {
+		reply.Instances = p.d.instancesToWire()
+	}
+	if req.Self != nil {
+		p.d.mergeInstances([]*peerv1.Instance{req.Self})
+	}
 	return reply, nil
 }
 
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -25,6 +25,10 @@
 const (
 	// lazyDelay is how long bookkeeping waits to go on the log with other records.
 	lazyDelay = 20 * time.Millisecond
+	// writersEach is the number of busy writers of one instance.
+	writersEach = 2
+	// appendBurst is the number of appends of one writer that may go at once after an idle time.
+	appendBurst = 8
 	// readPace is the least time between two reads of a stream. Nothing waits for what is read but a late start, a
 	// take-over in an even cell and the memory of held events.
 	readPace = 50 * time.Millisecond
@@ -55,12 +59,14 @@
 	marks map[int]uint64
 }
 
-func newStreams(log *platform.Client, self member.Instance, onIntent func(id string)) *streams {
+func newStreams(log *platform.Client, self member.Instance, appends float64, onIntent func(id string)) *streams {
 	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent), marks: map[int]uint64{}, log: log, dc: self.DataCentre}
 	id := journal.WriterID{Instance: self.ID, Incarnation: self.Incarnation}
 	events, intents := "journal/"+self.DataCentre, "intents/"+self.DataCentre
-	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay))
-	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay))
+	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay),
+		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst))
+	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay),
+		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst))
 	s.orders = journal.New(log, ordersStream(self.DataCentre), id, journal.WithMetrics(s.metrics))
 	s.eventR = journal.NewReader(log, events, s, journal.WithReaderMetrics(s.metrics), journal.WithPace(readPace))
 	s.intentR = journal.NewReader(log, intents, s.index, journal.WithReaderMetrics(s.metrics), journal.WithPace(readPace))
@@ -74,6 +80,12 @@
 	s.orderR = journal.NewReader(s.log, ordersStream(s.dc), h, journal.WithReaderMetrics(s.metrics))
 }
 
+// setWriters fits the commit window to the number of instances that share the log. Orders are too few to count.
+func (s *streams) setWriters(instances int) {
+	s.events.SetWriters(writersEach * instances)
+	s.intents.SetWriters(writersEach * instances)
+}
+
 // Collectors returns the metrics of the journal.
 func (s *streams) Collectors() []prometheus.Collector { return s.metrics.Collectors() }
 
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -216,6 +216,7 @@
 	for {
 		d.readPlatformList(ctx)
 		d.exchangeRound(ctx)
+		d.journal.setWriters(len(d.table.All()))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -275,19 +276,21 @@
 	if err != nil {
 		return
 	}
-	reply, err := peerv1.NewPeerClient(conn).Exchange(ctx, &peerv1.ExchangeRequest{Instances: d.instancesToWire()})
+	reply, err := peerv1.NewPeerClient(conn).Exchange(ctx, d.exchangeRequest())
 	if err != nil {
 		return
 	}
 	d.mergeInstances(reply.Instances)
 }
 
+func (d *Daemon) exchangeRequest() *peerv1.ExchangeRequest {
+	self, _ := d.table.Get(d.table.Self().ID)
+	return &peerv1.ExchangeRequest{Self: peer.InstanceToWire(self), Digest: d.table.Digest()}
+}
+
 func (d *Daemon) instancesToWire() []*peerv1.Instance {
 	var out []*peerv1.Instance
 	for _, in := range d.table.All() {
-		if in.ID == d.table.Self().ID {
-			in.Leaving = d.draining.Load()
-		}
 		out = append(out, peer.InstanceToWire(in))
 	}
 	return out
--- a/internal/journal/batching_test.go
+++ b/internal/journal/batching_test.go
@@ -106,3 +106,35 @@
 		<-done
 	})
 }
+
+// TestBurstKeepsTheMeanPace: appends after an idle time go at once, and over any longer time the pace holds.
+func TestBurstKeepsTheMeanPace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const burst = 4
+		log := &countingLog{grown: make(chan struct{})}
+		w := New(log, "s", WriterID{Instance: "a", Incarnation: 1}, WithAppendBudget(10), WithBurst(burst))
+		defer w.Close()
+		appendOne := func() {
+			_, err := w.Append(context.Background(), &journalv1.Record{})
+			is.NoErr(err)
+		}
+		begun := time.Now()
+		for range burst {
+			appendOne()
+		}
+		is.Equal(time.Since(begun), time.Duration(0))
+		for range 20 {
+			appendOne()
+		}
+		is.True(time.Since(begun) >= 19*100*time.Millisecond) // 24 appends: a burst of 4, then 10 a second
+		time.Sleep(time.Minute)
+		idle := time.Now()
+		for range burst {
+			appendOne()
+		}
+		is.Equal(time.Since(idle), time.Duration(0)) // an idle time never counts for more than one burst
+		appendOne()
+		is.True(time.Since(idle) > 0)
+	})
+}
--- a/internal/journal/options.go
+++ b/internal/journal/options.go
@@ -71,6 +71,9 @@
 // WithReaderMetrics shares metrics between readers.
 func WithReaderMetrics(m *Metrics) ReaderOption { return func(r *Reader) { r.metrics = m } }
 
+// WithBurst sets the number of appends that may go at once after an idle time; the mean pace stays.
+func WithBurst(n int) WriterOption { return func(w *Writer) { w.burst = n } }
+
 // WithLazyDelay sets how long a record that nobody waits for is held back to go with others.
 func WithLazyDelay(d time.Duration) WriterOption { return func(w *Writer) { w.lazyDelay = d } }
 
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -51,6 +51,7 @@
 	metrics *Metrics
 
 	budget        float64
+	burst         int
 	lazyDelay     time.Duration
 	maxWindow     time.Duration
 	awayAfter     time.Duration
@@ -79,10 +80,11 @@
 	drained chan struct{}
 
 	// Only run's goroutine uses what follows.
-	sequence     uint64
-	committed    uint64
-	lastOffset   int64
-	lastAppend   time.Time
+	sequence   uint64
+	committed  uint64
+	lastOffset int64
+	// paced is the time up to which the appends so far use the pace up.
+	paced        time.Time
 	penalty      time.Duration
 	failingSince time.Time
 }
@@ -96,7 +98,7 @@
 		batchRecords: defaultMaxBatchRecords, batchBytes: defaultMaxBatchBytes,
 		bufferRecords: defaultBufferRecords, bufferBytes: defaultBufferBytes,
 		done: make(chan struct{}), wake: make(chan struct{}, 1), drained: make(chan struct{}),
-		writers: 1, lastOffset: -1,
+		writers: 1, burst: 1, lastOffset: -1,
 	}
 	for _, o := range opts {
 		o(w)
@@ -236,7 +238,7 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	for {
-		if !w.awaitRecords() || !w.pause(time.Until(w.lastAppend.Add(w.window()))) {
+		if !w.awaitRecords() || !w.pause(w.untilAllowed(time.Now())) {
 			return
 		}
 		if !w.commit() {
@@ -278,7 +280,22 @@
 	return w.queue[0].at.Add(w.lazyDelay).Sub(now)
 }
 
-// window is the least time between the starts of two appends. A record that comes after an idle window goes at once.
+// untilAllowed returns the time until the next append may start. Appends keep the window's pace in the mean; after an idle
+// time up to burst of them go at once.
+func (w *Writer) untilAllowed(now time.Time) time.Duration {
+	window := w.window()
+	return w.paced.Add(-time.Duration(w.burst-1) * window).Sub(now)
+}
+
+// started counts an append against the pace.
+func (w *Writer) started(now time.Time) {
+	if w.paced.Before(now) {
+		w.paced = now
+	}
+	w.paced = w.paced.Add(w.window())
+}
+
+// window is the mean time between the starts of two appends.
 func (w *Writer) window() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -367,7 +384,7 @@
 	if err := failpoint.Hit("journal.append.before"); err != nil {
 		return 0, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonPlatformAway, 0, "%v", err)
 	}
-	w.lastAppend = time.Now()
+	w.started(time.Now())
 	offset, err := w.log.Append(w.ctx, w.stream, [][]byte{data})
 	if hit := failpoint.Hit("journal.append.after"); hit != nil && err == nil {
 		return 0, verdict.Fail(http.StatusGatewayTimeout, verdict.ReasonPlatformAway, "%v", hit)
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -5,8 +5,11 @@
 package member
 
 import (
+	"fmt"
 	"sort"
 	"sync"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Instance is one running entry daemon.
@@ -43,6 +46,15 @@
 // Self returns the instance that the table belongs to.
 func (t *Table) Self() Instance { return t.self }
 
+// SetLeaving marks self as leaving.
+func (t *Table) SetLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	self := t.byID[t.self.ID]
+	self.Leaving = true
+	t.byID[t.self.ID] = self
+}
+
 // Merge takes in what was heard of an instance. An older incarnation never replaces a newer one, and a leaving
 // instance does not come back under the same incarnation.
 func (t *Table) Merge(in Instance) {
@@ -103,6 +115,17 @@
 	return best, found
 }
 
+// Digest returns a number that is equal for equal tables, whatever the order in which they were filled.
+func (t *Table) Digest() uint64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	var sum uint64
+	for _, in := range t.byID {
+		sum += xxhash.Sum64String(fmt.Sprintf("%s\x00%d\x00%t", in.ID, in.Incarnation, in.Leaving))
+	}
+	return sum
+}
+
 func (t *Table) filter(keep func(Instance) bool) []Instance {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
--- a/internal/member/member_test.go
+++ b/internal/member/member_test.go
@@ -29,3 +29,16 @@
 	is.Equal(len(tab.All()), 1)
 	is.Equal(tab.All()[0].PeerAddr, "127.0.0.1:1")
 }
+
+func TestDigestTellsTablesApart(t *testing.T) {
+	is := is.New(t)
+	a, b := NewTable(Instance{ID: "a", Incarnation: 1}), NewTable(Instance{ID: "b", Incarnation: 2})
+	is.True(a.Digest() != b.Digest())
+	a.Merge(Instance{ID: "b", Incarnation: 2})
+	b.Merge(Instance{ID: "a", Incarnation: 1})
+	is.Equal(a.Digest(), b.Digest())
+	a.SetLeaving()
+	is.True(a.Digest() != b.Digest())
+	b.Merge(a.All()[0])
+	is.Equal(a.Digest(), b.Digest())
+}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -45,6 +45,7 @@
 	}
 	c.url("platform.log", s.Platform.Log)
 	c.url("platform.instances", s.Platform.Instances)
+	c.need(s.Platform.Appends > 0, "platform.appends", "must be above 0")
 	c.need(s.Platform.Retention >= minRetention, "platform.retention", "must be at least 1m")
 	c.timing(s.Timing)
 	c.need(slices.Contains(policies, s.Scheduling.Policy), "scheduling.policy", "must be one of "+strings.Join(policies, ", "))
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -71,6 +71,7 @@
 func (p *Platform) read(t tomlfile.Table) {
 	readText(t, "log", &p.Log)
 	readText(t, "instances", &p.Instances)
+	readCount(t, "appends", &p.Appends)
 	readDuration(t, "retention", &p.Retention)
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -55,6 +55,8 @@
 	Log string `toml:"log"`
 	// Instances is the base URL of the instance list.
 	Instances string `toml:"instances"`
+	// Appends is the number of appends a second that the instances together may make.
+	Appends int `toml:"appends"`
 	// Retention is how long the log keeps records. What lives longer is put on the log again.
 	Retention Duration `toml:"retention"`
 }
@@ -106,7 +108,7 @@
 func Default() Settings {
 	return Settings{
 		Instance: Instance{CellSlots: 1},
-		Platform: Platform{Retention: Duration(time.Hour)},
+		Platform: Platform{Appends: 300, Retention: Duration(time.Hour)},
 		Timing: Timing{
 			Lease: Duration(2 * time.Second), Margin: Duration(200 * time.Millisecond), Heartbeat: Duration(500 * time.Millisecond),
 			ClaimWindow: Duration(time.Minute), FirstToken: Duration(20 * time.Second), Progress: Duration(5 * time.Second),
