--- a/internal/load/client.go
+++ b/internal/load/client.go
@@ -107,10 +107,10 @@
 // do sends a request, reads its answer and records both.
 func (c *client) do(ctx context.Context, r *rand.Rand, q request) answer {
 	sent := time.Now()
-	within := c.rec.Send(q.account, sent)
+	within, left := c.rec.Send(q.account, sent)
 	a := c.exchange(ctx, r, q)
 	call := report.Call{
-		Account: q.account, Kind: q.kind, Address: a.address, Sent: sent, Done: time.Now(), WithinRate: within, Whole: a.whole, Status: a.status,
+		Account: q.account, Kind: q.kind, Address: a.address, Sent: sent, Done: time.Now(), WithinRate: within, TokensLeft: left, Whole: a.whole, Status: a.status,
 		Prompt: int(a.usage.PromptTokens), Cached: int(a.usage.PromptTokensDetails.CachedTokens),
 		Completion: int(a.usage.CompletionTokens), History: q.history, Replayed: a.replayed,
 	}
--- a/internal/load/report/bucket.go
+++ b/internal/load/report/bucket.go
@@ -27,3 +27,6 @@
 	b.tokens--
 	return true
 }
+
+// Left returns the tokens that were left after the last Take.
+func (b *Bucket) Left() float64 { return b.tokens }
--- a/internal/load/report/figures.go
+++ b/internal/load/report/figures.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/berylpond/berylpond/internal/verdict"
 )
 
 const (
@@ -39,6 +41,9 @@
 	Failures map[string]int `json:"failures,omitempty"`
 	// RefusedWithinRate is the calls that rate and burst would have let through, less those that did get through.
 	RefusedWithinRate int `json:"refused_within_rate"`
+	// TokensAtRefusal is the most tokens that an account's bucket held when one of its calls was refused as above its
+	// rate. A figure below 2 may come from calls that overtook each other on their way.
+	TokensAtRefusal float64 `json:"tokens_at_refusal"`
 	// WithinRate counts the calls that were within the account's rate and burst.
 	WithinRate int `json:"within_rate"`
 	// Goodput is the programs that finished in time, per second.
@@ -132,6 +137,9 @@
 	switch {
 	case c.Refused():
 		f.Refusals[c.Reason]++
+		if c.WithinRate && c.Reason == string(verdict.ReasonRateLimited) {
+			f.TokensAtRefusal = max(f.TokensAtRefusal, c.TokensLeft+1)
+		}
 	case !c.Whole:
 		f.Failures[c.Reason]++
 	}
--- a/internal/load/report/recorder.go
+++ b/internal/load/report/recorder.go
@@ -27,6 +27,8 @@
 	Done    time.Time
 	// WithinRate is set when the account's bucket had a token as the call was sent.
 	WithinRate bool
+	// TokensLeft are those that the bucket had besides.
+	TokensLeft float64
 	// Whole is set when the whole answer arrived.
 	Whole   bool
 	Status  int
@@ -71,12 +73,15 @@
 	return &Recorder{buckets: buckets, ended: map[string]time.Time{}}
 }
 
-// Send reports whether a call of the account that is sent now is within rate.
-func (r *Recorder) Send(account string, now time.Time) bool {
+// Send reports whether a call of the account that is sent now is within rate, and the tokens that are left.
+func (r *Recorder) Send(account string, now time.Time) (within bool, left float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.buckets[account]
-	return b != nil && b.Take(now)
+	if b == nil {
+		return false, 0
+	}
+	return b.Take(now), b.Left()
 }
 
 // Call records a call that Send was asked about.
--- a/internal/load/report/report_test.go
+++ b/internal/load/report/report_test.go
@@ -48,7 +48,8 @@
 			is := is.New(t)
 			r := NewRecorder(map[string]*Bucket{"a": NewBucket(1, 2, t0)})
 			for _, ok := range c.calls {
-				call := Call{Account: "a", Kind: KindTurn, WithinRate: r.Send("a", t0), Whole: ok}
+				within, left := r.Send("a", t0)
+				call := Call{Account: "a", Kind: KindTurn, WithinRate: within, TokensLeft: left, Whole: ok}
 				if !ok {
 					call.Verdict, call.Reason = "not-run", "rate_limited"
 				}
@@ -60,6 +61,8 @@
 			is.Equal(accounts[0].RefusedWithinRate, c.refusedWithin)
 			is.Equal(all.RefusedWithinRate, c.refusedWithin)
 			is.Equal(all.Refusals["rate_limited"], c.all)
+			is.True(all.TokensAtRefusal <= 2)
+			is.Equal(all.TokensAtRefusal == 2, !c.calls[0])
 		})
 	}
 }
--- a/internal/load/report/result.go
+++ b/internal/load/report/result.go
@@ -60,6 +60,9 @@
 		return err
 	}
 	fmt.Fprintf(w, "refusals: %s; failures: %s; failed programs: %s\n", counts(r.All.Refusals), counts(r.All.Failures), counts(r.All.FailedBy))
+	if r.All.TokensAtRefusal > 0 {
+		fmt.Fprintf(w, "most tokens of an account at a refusal for its rate: %.2f\n", r.All.TokensAtRefusal)
+	}
 	d := r.Daemons
 	fmt.Fprintf(w, "%d daemons: %.2f cores, %.1f ms of CPU a call, largest memory %s, control %s/s; retries %.0f of %.0f requests to backend servers\n",
 		d.Count, d.CPUCores, d.CPUPerCall, humanize.IBytes(uint64(d.MemoryBytes)), humanize.IBytes(uint64(d.ControlBytes)), d.Retries, d.Attempts)
