--- a/internal/load/report/result.go
+++ b/internal/load/report/result.go
@@ -64,8 +64,12 @@
 		fmt.Fprintf(w, "most tokens of an account at a refusal for its rate: %.2f\n", r.All.TokensAtRefusal)
 	}
 	d := r.Daemons
-	fmt.Fprintf(w, "%d daemons: %.2f cores, %.1f ms of CPU a call, largest memory %s, control %s/s; retries %.0f of %.0f requests to backend servers\n",
-		d.Count, d.CPUCores, d.CPUPerCall, humanize.IBytes(uint64(d.MemoryBytes)), humanize.IBytes(uint64(d.ControlBytes)), d.Retries, d.Attempts)
+	control := "control bytes not measured"
+	if d.ControlBytes > 0 {
+		control = "control " + humanize.IBytes(uint64(d.ControlBytes)) + "/s"
+	}
+	fmt.Fprintf(w, "%d daemons: %.2f cores, %.1f ms of CPU a call, largest memory %s, %s; retries %.0f of %.0f requests to backend servers\n",
+		d.Count, d.CPUCores, d.CPUPerCall, humanize.IBytes(uint64(d.MemoryBytes)), control, d.Retries, d.Attempts)
 	for i, v := range r.Violations {
 		if i == maxShown {
 			fmt.Fprintf(w, "and %d further violations\n", len(r.Violations)-i)
