--- a/internal/daemon/membership_bench_test.go
+++ b/internal/daemon/membership_bench_test.go
@@ -19,7 +19,7 @@
 	instance := func(i int) member.Instance {
 		return member.Instance{
 			ID: fmt.Sprintf("entry-%04d", i), DataCentre: fmt.Sprintf("region%d-dc%d", i%6, i%17), Slot: i % 7,
-			Incarnation: uint64(time.Now().UnixNano()), PeerAddr: fmt.Sprintf("10.0.%d.%d:7080", i/250, i%250),
+			Incarnation: uint64(i + 1), PeerAddr: fmt.Sprintf("10.0.%d.%d:7080", i/250, i%250),
 			HTTPAddr: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250),
 		}
 	}
