Let a cell of one wait for a slow log

Cause: a data centre of one slot keeps history only on the log, and its ledger gave the log 300 ms, the time after which larger cells go on by their majority. Before: TestCellOfOneNeedsTheLog failed with the log at twice 300 ms. After: it passes.

--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -39,6 +39,8 @@
 	holdTimeout = time.Second
 	// logTimeout bounds the wait for the log before an event counts by the majority alone.
 	logTimeout = 300 * time.Millisecond
+	// soleLogTimeout bounds the wait for the log where nothing else can keep an event.
+	soleLogTimeout = 2 * time.Second
 	// maxHeldBytes bounds the events held for one part while the log is away.
 	maxHeldBytes = 64 << 20
 )
@@ -115,7 +117,11 @@
 	if err != nil || voted {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, logTimeout)
+	patience := logTimeout
+	if l.cfg.Slots == 1 {
+		patience = soleLogTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	err = l.log.Append(ctx, ev)
 	if err != nil && l.cfg.Slots > 1 {
