Close the callers' listener only once no caller has come for a while

Cause: TestPlannedStop (instance list stale) had a caller whose connection was taken by the kernel but not by the process when the listener closed: it got EOF, so it could not tell whether its call ran. Ruled out: net/http's Shutdown dropping requests under way; it waits for those, but not for connections without one.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,6 +41,13 @@
 // refreshShare is the part of the log's retention after which the configuration is put on the log again.
 const refreshShare = 4
 
+const (
+	// quietTime is how long no caller may have come before the listener closes.
+	quietTime = 500 * time.Millisecond
+	// lingerShare is the part of the time for a shutdown that may pass with waiting for that.
+	lingerShare = 4
+)
+
 // idlePlatform bounds the idle connections kept to the platform.
 const idlePlatform = 16
 
@@ -281,6 +288,7 @@
 	d.announceLeaving(ctx)
 	d.logFailure("quota hand-over", d.quota.Leave(ctx))
 	d.logFailure("cell hand-over", d.cell.Leave(ctx))
+	d.awaitQuiet(ctx)
 	d.logFailure("callers", d.frontend.Shutdown(ctx))
 	d.stopGRPC(ctx)
 	d.logFailure("journal", d.journal.Drain(ctx))
@@ -288,6 +296,13 @@
 	klog.InfoS("Shut down")
 }
 
+// awaitQuiet gives the platform's balancer time to send callers elsewhere.
+func (d *Daemon) awaitQuiet(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.set.Timing.Shutdown)/lingerShare)
+	defer cancel()
+	d.frontend.AwaitQuiet(ctx, quietTime)
+}
+
 // stopGRPC lets the calls of other instances finish until ctx ends.
 func (d *Daemon) stopGRPC(ctx context.Context) {
 	done := make(chan struct{})
--- /dev/null
+++ b/internal/frontend/quiet_test.go
@@ -0,0 +1,33 @@
+package frontend
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestAwaitQuiet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &Server{}
+		begun := time.Now()
+		s.AwaitQuiet(context.Background(), time.Second) // no request ever came
+		is.Equal(time.Since(begun), time.Duration(0))
+		go func() {
+			for range 5 {
+				s.lastArrival.Store(time.Now().UnixNano())
+				time.Sleep(400 * time.Millisecond)
+			}
+		}()
+		time.Sleep(time.Millisecond)
+		s.AwaitQuiet(context.Background(), time.Second)
+		is.Equal(time.Since(begun), 4*400*time.Millisecond+time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		s.lastArrival.Store(time.Now().UnixNano())
+		s.AwaitQuiet(ctx, time.Hour)
+	})
+}
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"runtime"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -37,6 +38,8 @@
 	metrics *metrics
 	drain   func() bool
 	http    *http.Server
+	// lastArrival is when the last request came, in nanoseconds since 1970.
+	lastArrival atomic.Int64
 }
 
 // Deps holds what a Server works with.
@@ -124,6 +127,7 @@
 func (s *Server) observe(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c *echo.Context) error {
 		begun := time.Now()
+		s.lastArrival.Store(begun.UnixNano())
 		s.metrics.inFlight.Inc()
 		defer s.metrics.inFlight.Dec()
 		err := next(c)
@@ -146,6 +150,22 @@
 	return nil
 }
 
+// AwaitQuiet returns once no request has come for the given time, or when ctx ends. Until then requests are refused with an
+// answer; a connection that is still waiting to be accepted when the listener closes would get none.
+func (s *Server) AwaitQuiet(ctx context.Context, quiet time.Duration) {
+	for {
+		rest := time.Until(time.Unix(0, s.lastArrival.Load()).Add(quiet))
+		if rest <= 0 {
+			return
+		}
+		select {
+		case <-time.After(rest):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Shutdown lets the requests under way finish until ctx ends, then closes their connections.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if s.http == nil {
