Take in other data centres while a part has no holder

Cause: takes that waited for the next holder met its empty bucket all at once, while the refill of the other data centres' full buckets was lost. While it waits, a take now asks the holder of another data centre, by way of any instance there, again after the time to come back that it names. A lack of tokens there ends the wait only with Config.HolderWait. The new test asks that all refusals are for lack of tokens and that no more than rate and burst got through.

--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -112,6 +112,8 @@
 	holder  *quota.Holder
 	floor   *quota.SlotFloor
 	leaving bool
+	// turn chooses the data centre in which takes without a holder are tried.
+	turn    int
 	gathers map[string]*gather
 	peers   map[string]*peerState
 	batches map[string]*batcher
--- /dev/null
+++ b/internal/quota/quotactl/kill_test.go
@@ -0,0 +1,90 @@
+package quotactl
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"github.com/berylpond/berylpond/internal/quota"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// killTrial sends takes at 0.95 of the account's rate to random instances while the holder in giza is killed.
+type killTrial struct {
+	terms quota.Terms
+	// lapse is the time until another instance holds the part.
+	lapse         time.Duration
+	before, after time.Duration
+	limit         Limit
+}
+
+type killResult struct {
+	// rateLimited are those of the refused takes for which tokens lacked.
+	total, refused, rateLimited int
+	elapsed                     time.Duration
+}
+
+func (k killTrial) run(t *testing.T) killResult {
+	net := &network{conns: map[string]*grpc.ClientConn{}, cut: map[string]bool{}}
+	f := newWaitingFleet(t, net, 10, k.terms, []Limit{k.limit}, k.lapse*5/4)
+	time.Sleep(k.terms.Loan + k.terms.Margin + time.Duration(k.limit.Burst/k.limit.Rate*float64(time.Second)))
+	giza := f.holderOf("giza", k.limit.Account)
+	var killed atomic.Bool
+	time.AfterFunc(k.before, func() {
+		killed.Store(true)
+		parts := f.kill(giza)
+		time.AfterFunc(k.lapse, func() { f.cells["giza"].set(parts[0], f.self[(giza+3)%9]) })
+	})
+	var (
+		res  killResult
+		mu   sync.Mutex
+		done sync.WaitGroup
+	)
+	start := time.Now()
+	rng := rand.New(rand.NewPCG(1, 1))
+	tick := time.NewTicker(time.Duration(float64(time.Second) / (0.95 * k.limit.Rate)))
+	defer tick.Stop()
+	for end := time.Now().Add(k.before + k.after); time.Now().Before(end); <-tick.C {
+		i := rng.IntN(len(f.ctl))
+		if killed.Load() && i == giza {
+			i = (i + 1) % len(f.ctl) // the balancer leaves the dead instance out
+		}
+		done.Go(func() {
+			err := f.ctl[i].Take(context.Background(), k.limit.Account, 1)
+			mu.Lock()
+			defer mu.Unlock()
+			res.note(err)
+		})
+	}
+	done.Wait()
+	res.elapsed = time.Since(start)
+	return res
+}
+
+func (r *killResult) note(err error) {
+	r.total++
+	if err == nil {
+		return
+	}
+	r.refused++
+	if verdict.From(err).Reason == verdict.ReasonRateLimited {
+		r.rateLimited++
+	}
+}
+
+func TestKilledHolderRefusesOnlyForLackOfTokens(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	terms := quota.Terms{Transfer: 500 * time.Millisecond, Loan: time.Second, Margin: 50 * time.Millisecond}
+	k := killTrial{terms: terms, lapse: 600 * time.Millisecond, before: time.Second, after: 4 * time.Second, limit: Limit{Account: "kiosk", Rate: 8, Burst: 5}}
+	res := k.run(t)
+	t.Logf("refused %d of %d, %d of them for lack of tokens", res.refused, res.total, res.rateLimited)
+	is.Equal(res.refused, res.rateLimited)
+	is.True(float64(res.total-res.refused) <= k.limit.Burst+k.limit.Rate*res.elapsed.Seconds())
+}
--- a/internal/quota/quotactl/server.go
+++ b/internal/quota/quotactl/server.go
@@ -20,6 +20,9 @@
 	for i, it := range req.Items {
 		r, short := c.tryTake(it.Account, it.N, true)
 		resp.Results[i] = toResult(r)
+		if r.outcome == quotav1.TakeResult_NOT_HOLDER && it.PassOn {
+			wg.Go(func() { resp.Results[i] = toResult(c.passOn(ctx, it)) })
+		}
 		if short <= 0 {
 			continue
 		}
--- a/internal/quota/quotactl/take.go
+++ b/internal/quota/quotactl/take.go
@@ -55,6 +55,7 @@
 func (c *Controller) takeAtHolder(ctx context.Context, account string, n float64) error {
 	giveUp := c.now().Add(c.cfg.HolderWait)
 	lost := map[string]bool{}
+	var away elsewhere
 	for first := true; ; first = false {
 		a := c.tryHolder(ctx, account, n, lost)
 		if a.retry == "" {
@@ -63,7 +64,13 @@
 		if first {
 			c.metrics.holderWaits.Inc()
 		}
+		if away.try(ctx, c, account, n) {
+			return c.conclude("elsewhere", away.last)
+		}
 		if !c.now().Before(giveUp) || !c.pause(ctx) {
+			if away.answered {
+				return c.conclude("elsewhere", away.last)
+			}
 			return c.refuse(a.retry, http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, noHolderRetry, "no instance that holds the account's tokens answers now")
 		}
 	}
