Refuse for want of a holder, whatever other data centres answered

TestNoHolderRefusesAtOnce was right: a lack of tokens elsewhere says nothing of this data centre's share, so the refusal names the missing holder again.

--- a/internal/quota/quotactl/elsewhere.go
+++ b/internal/quota/quotactl/elsewhere.go
@@ -14,10 +14,9 @@
 // elsewhere takes in other data centres while the part has no holder in this one. A lack of tokens there is no answer
 // about this data centre's share, so the take goes on waiting for its holder.
 type elsewhere struct {
-	// last is the last answer, if there was one.
-	last     result
-	answered bool
-	next     time.Time
+	// last is the answer by which the take was admitted.
+	last result
+	next time.Time
 }
 
 // try reports whether the take was admitted.
@@ -35,10 +34,7 @@
 		return false
 	}
 	e.next = c.now().Add(max(minElsewherePause, r.retryAfter))
-	if r.outcome != quotav1.TakeResult_ADMITTED && r.outcome != quotav1.TakeResult_REFUSED {
-		return false
-	}
-	e.last, e.answered = r, true
+	e.last = r
 	return r.outcome == quotav1.TakeResult_ADMITTED
 }
 
--- a/internal/quota/quotactl/take.go
+++ b/internal/quota/quotactl/take.go
@@ -68,9 +68,6 @@
 			return c.conclude("elsewhere", away.last)
 		}
 		if !c.now().Before(giveUp) || !c.pause(ctx) {
-			if away.answered {
-				return c.conclude("elsewhere", away.last)
-			}
 			return c.refuse(a.retry, http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, noHolderRetry, "no instance that holds the account's tokens answers now")
 		}
 	}
