--- a/internal/daemon/membership_bench_test.go
+++ b/internal/daemon/membership_bench_test.go
@@ -10,7 +10,6 @@
 
 	"google.golang.org/protobuf/proto"
 
-	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
 	"github.com/berylpond/berylpond/internal/member"
 	"github.com/berylpond/berylpond/internal/peer"
 )
@@ -20,7 +19,7 @@
 	instance := func(i int) member.Instance {
 		return member.Instance{
 			ID: fmt.Sprintf("entry-%04d", i), DataCentre: fmt.Sprintf("region%d-dc%d", i%6, i%17), Slot: i % 7,
-			Incarnation: uint64(time.Now().UnixNano()), PeerAddr: fmt.Sprintf("10.0.%d.%d:7080", i/250, i%250),
+			Incarnation: uint64(i + 1), PeerAddr: fmt.Sprintf("10.0.%d.%d:7080", i/250, i%250),
 			HTTPAddr: fmt.Sprintf("10.0.%d.%d:8080", i/250, i%250),
 		}
 	}
@@ -57,9 +56,12 @@
 		d.exchange(context.Background(), l.Addr().String())
 	}
 	b.ReportMetric(float64((processorTime()-cpu).Microseconds())/float64(b.N), "cpu-us/op")
-	request := proto.Size(&peerv1.ExchangeRequest{Instances: d.instancesToWire()})
-	reply := proto.Size(&peerv1.ExchangeReply{Instances: other.instancesToWire()})
-	b.ReportMetric(float64(request+reply), "message-B/op")
+	request := d.exchangeRequest()
+	reply, err := (&peerServer{d: other}).Exchange(context.Background(), request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportMetric(float64(proto.Size(request)+proto.Size(reply)), "message-B/op")
 }
 
 func processorTime() time.Duration {
