--- a/internal/engine/chat.go
+++ b/internal/engine/chat.go
@@ -72,8 +72,53 @@
 
 // Message is a chat message or a part of one.
 type Message struct {
-	Role    string `json:"role,omitempty"`
-	Content string `json:"content"`
+	Role      string     `json:"role,omitempty"`
+	Content   string     `json:"content"`
+	ToolCalls []ToolCall `json:"tool_calls,omitempty"`
+}
+
+// ToolCall is a tool call that a model asks for, or a part of one.
+type ToolCall struct {
+	// Index tells which call a part of a stream belongs to; whole messages have none.
+	Index    *int         `json:"index,omitempty"`
+	ID       string       `json:"id,omitempty"`
+	Type     string       `json:"type,omitempty"`
+	Function ToolFunction `json:"function"`
+}
+
+// ToolFunction names the tool and holds its arguments, as JSON text.
+type ToolFunction struct {
+	Name      string `json:"name,omitempty"`
+	Arguments string `json:"arguments"`
+}
+
+// Add appends a part of a stream to the message. It returns false for a part of a tool call without a usable index.
+func (m *Message) Add(delta *Message) bool {
+	m.Content += delta.Content
+	for _, part := range delta.ToolCalls {
+		if part.Index == nil || *part.Index < 0 || *part.Index > len(m.ToolCalls) {
+			return false
+		}
+		if *part.Index == len(m.ToolCalls) {
+			m.ToolCalls = append(m.ToolCalls, ToolCall{})
+		}
+		call := &m.ToolCalls[*part.Index]
+		call.ID += part.ID
+		call.Type += part.Type
+		call.Function.Name += part.Function.Name
+		call.Function.Arguments += part.Function.Arguments
+	}
+	return true
+}
+
+// Delta returns the message as one part of a stream.
+func (m *Message) Delta() *Message {
+	d := &Message{Content: m.Content}
+	for i, call := range m.ToolCalls {
+		call.Index = &i
+		d.ToolCalls = append(d.ToolCalls, call)
+	}
+	return d
 }
 
 // ParseChat decodes a caller's request body.
@@ -122,9 +167,9 @@
 	return n
 }
 
-// Assistant returns the JSON of an assistant's message.
-func Assistant(text string) json.RawMessage {
-	b, err := json.Marshal(Message{Role: "assistant", Content: text})
+// Marshal returns the JSON of a message.
+func (m *Message) Marshal() json.RawMessage {
+	b, err := json.Marshal(m)
 	if err != nil {
 		panic(err) // strings always marshal
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -73,17 +73,19 @@
 
 // Result is a whole answer of an engine.
 type Result struct {
-	Text         string
+	// Message is the assistant's message.
+	Message      Message
 	FinishReason string
 	Usage        Usage
 	// Resumed counts the new connections over which the answer was resumed.
 	Resumed int
 }
 
-// Chat runs one chat completion on the engine at addr and calls emit for each piece of text, in order. It returns only
+// Chat runs one chat completion on the engine at addr and calls emit for each part of the
+// message, in order. It returns only
 // a whole answer: one with usage and end marker under the request's own id. A stream that breaks or goes silent is
 // resumed once from its offset over a new connection.
-func (c *Client) Chat(ctx context.Context, addr string, r ChatRequest, emit func(string) error) (Result, error) {
+func (c *Client) Chat(ctx context.Context, addr string, r ChatRequest, emit func(*Message) error) (Result, error) {
 	r.Stream = true
 	r.StreamOptions = &StreamOptions{IncludeUsage: true}
 	body, err := json.Marshal(r)
@@ -93,7 +95,7 @@
 	if err := failpoint.Hit("dispatch.before"); err != nil {
 		return Result{}, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryBackend, "%v", err)
 	}
-	st := &stream{id: r.RequestID, emit: emit}
+	st := &stream{id: r.RequestID, emit: emit, result: Result{Message: Message{Role: "assistant"}}}
 	err = c.attempt(ctx, st, http.MethodPost, "http://"+addr+"/v1/chat/completions", body)
 	if err != nil && st.chunks > 0 && resumable(err) && ctx.Err() == nil {
 		st.result.Resumed++
@@ -197,7 +199,7 @@
 // stream collects one answer over one or more connections.
 type stream struct {
 	id     string
-	emit   func(string) error
+	emit   func(*Message) error
 	chunks int
 	result Result
 	usage  bool
@@ -245,10 +247,12 @@
 	if choice.FinishReason != nil {
 		s.result.FinishReason = *choice.FinishReason
 	}
-	if choice.Delta == nil || choice.Delta.Content == "" {
+	if choice.Delta == nil || (choice.Delta.Content == "" && len(choice.Delta.ToolCalls) == 0) {
 		return nil
 	}
 	s.chunks++
-	s.result.Text += choice.Delta.Content
-	return s.emit(choice.Delta.Content)
+	if !s.result.Message.Add(choice.Delta) {
+		return verdict.Fail(http.StatusBadGateway, verdict.ReasonBackendFailed, "the answer holds a part of a tool call that has no place")
+	}
+	return s.emit(choice.Delta)
 }
--- a/internal/executor/model.go
+++ b/internal/executor/model.go
@@ -139,7 +139,7 @@
 		if err := json.Unmarshal(t.Request, &msgs); err != nil {
 			return verdict.Refuse(http.StatusInternalServerError, verdict.ReasonInternal, 0, "the recorded history cannot be decoded")
 		}
-		all = append(append(all, msgs...), engine.Assistant(t.Answer))
+		all = append(append(all, msgs...), json.RawMessage(t.Answer))
 	}
 	c.chat.Messages = append(all, c.fresh...)
 	c.chat.MaxTokens = c.turn.MaxTokens
@@ -154,7 +154,7 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleTimeout)
 	defer cancel()
 	head, err := c.turn.Commit(ctx, program.Answer{
-		Request: request, Text: res.Text, FinishReason: res.FinishReason, PromptTokens: res.Usage.PromptTokens,
+		Request: request, Message: string(res.Message.Marshal()), FinishReason: res.FinishReason, PromptTokens: res.Usage.PromptTokens,
 		CachedTokens: res.Usage.PromptTokensDetails.CachedTokens, CompletionTokens: res.Usage.CompletionTokens,
 	})
 	if err != nil {
@@ -170,7 +170,7 @@
 		if err := c.emit(startEvent(http.StatusOK, "application/json", c.chat.Model)); err != nil {
 			return err
 		}
-		if err := c.emit(deltaEvent([]byte(res.Text))); err != nil {
+		if err := c.emit(messageEvent(res.Message.Delta())); err != nil {
 			return err
 		}
 	}
@@ -185,7 +185,11 @@
 	if err := c.emit(startEvent(http.StatusOK, "application/json", c.chat.Model)); err != nil {
 		return err
 	}
-	if err := c.emit(deltaEvent([]byte(t.Answer))); err != nil {
+	var m engine.Message
+	if err := json.Unmarshal([]byte(t.Answer), &m); err != nil {
+		return verdict.Fail(http.StatusInternalServerError, verdict.ReasonInternal, "the recorded answer cannot be decoded")
+	}
+	if err := c.emit(messageEvent(m.Delta())); err != nil {
 		return err
 	}
 	return c.emit(endEvent(&peerv1.End{
@@ -254,13 +258,13 @@
 	chat.RequestID = id
 	first := false
 	sent := time.Now()
-	res, err := c.x.d.Client.Chat(ctx, permit.Engine, chat, func(piece string) error {
+	res, err := c.x.d.Client.Chat(ctx, permit.Engine, chat, func(part *engine.Message) error {
 		if !first {
 			first = true
 			c.x.observe("first_token", sent)
 		}
 		permit.Progress()
-		return c.pass(piece)
+		return c.pass(part)
 	})
 	permit.Done(outcome(res, err))
 	if err != nil {
@@ -271,8 +275,8 @@
 	return res, nil
 }
 
-// pass sends a piece of text to a caller that streams.
-func (c *modelCall) pass(piece string) error {
+// pass sends a part of the message to a caller that streams.
+func (c *modelCall) pass(part *engine.Message) error {
 	if !c.chat.Stream {
 		return nil
 	}
@@ -282,7 +286,7 @@
 			return err
 		}
 	}
-	return c.emit(deltaEvent([]byte(piece)))
+	return c.emit(messageEvent(part))
 }
 
 func (c *modelCall) call(id string) keeper.Call {
@@ -318,3 +322,12 @@
 	}
 	return keeper.Outcome{Kind: framework.Cancelled}
 }
+
+// messageEvent carries a part of the assistant's message.
+func messageEvent(part *engine.Message) *peerv1.CallEvent {
+	d := &peerv1.Delta{Data: []byte(part.Content)}
+	if len(part.ToolCalls) > 0 {
+		d.ToolCalls = (&engine.Message{ToolCalls: part.ToolCalls}).Marshal()
+	}
+	return &peerv1.CallEvent{Event: &peerv1.CallEvent_Delta{Delta: d}}
+}
--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	journalv1 "github.com/berylpond/berylpond/api/journal/v1"
 	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
 	"github.com/berylpond/berylpond/internal/cell"
+	"github.com/berylpond/berylpond/internal/engine"
 	"github.com/berylpond/berylpond/internal/failpoint"
 	"github.com/berylpond/berylpond/internal/intent"
 	"github.com/berylpond/berylpond/internal/program"
@@ -112,16 +114,29 @@
 	case *peerv1.CallEvent_Start:
 		k.Start = e.Start
 	case *peerv1.CallEvent_Delta:
-		if len(k.Data)+len(e.Delta.Data) <= maxKeptOutcome {
-			k.Data = append(k.Data, e.Delta.Data...)
-		} else {
-			k.TooLarge = true
-		}
+		keepDelta(k, e.Delta)
 	case *peerv1.CallEvent_End:
 		k.End, k.Whole = e.End, true
 	}
 }
 
+func keepDelta(k *peerv1.Outcome, d *peerv1.Delta) {
+	if len(k.Data)+len(k.ToolCalls)+len(d.Data)+len(d.ToolCalls) > maxKeptOutcome {
+		k.TooLarge = true
+		return
+	}
+	k.Data = append(k.Data, d.Data...)
+	if len(d.ToolCalls) == 0 {
+		return
+	}
+	var all, part engine.Message
+	if (len(k.ToolCalls) > 0 && json.Unmarshal(k.ToolCalls, &all) != nil) || json.Unmarshal(d.ToolCalls, &part) != nil || !all.Add(&part) {
+		k.TooLarge = true
+		return
+	}
+	k.ToolCalls = all.Delta().Marshal()
+}
+
 // claimFailed answers a request whose claim was refused: from the recorded outcome where there is one.
 func claimFailed(err error, digest string, emit Emit) error {
 	var dup *cell.DuplicateError
@@ -152,7 +167,7 @@
 	if err := emit(&peerv1.CallEvent{Event: &peerv1.CallEvent_Start{Start: k.Start}}); err != nil {
 		return err
 	}
-	if err := emit(deltaEvent(k.Data)); err != nil {
+	if err := emit(&peerv1.CallEvent{Event: &peerv1.CallEvent_Delta{Delta: &peerv1.Delta{Data: k.Data, ToolCalls: k.ToolCalls}}}); err != nil {
 		return err
 	}
 	end := proto.Clone(k.End).(*peerv1.End)
--- a/internal/frontend/commands/chat.go
+++ b/internal/frontend/commands/chat.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/labstack/echo/v5"
@@ -68,17 +67,22 @@
 	stream  bool
 	created int64
 	begun   bool
-	text    strings.Builder
+	// message collects the answer of a caller that does not stream.
+	message engine.Message
 }
 
 func (a *chatAnswer) take(ev *peerv1.CallEvent) error {
 	switch e := ev.Event.(type) {
 	case *peerv1.CallEvent_Delta:
+		part, err := messagePart(e.Delta)
+		if err != nil {
+			return err
+		}
 		if !a.stream {
-			a.text.Write(e.Delta.Data)
+			a.message.Add(part)
 			return nil
 		}
-		return a.sendPiece(string(e.Delta.Data))
+		return a.sendPart(part)
 	case *peerv1.CallEvent_End:
 		if !a.stream {
 			return a.sendWhole(e.End)
@@ -93,13 +97,24 @@
 		Choices: []engine.Choice{}}}
 }
 
-func (a *chatAnswer) sendPiece(text string) error {
+// messagePart decodes a part of the assistant's message.
+func messagePart(d *peerv1.Delta) (*engine.Message, error) {
+	part := &engine.Message{}
+	if len(d.ToolCalls) > 0 {
+		if err := json.Unmarshal(d.ToolCalls, part); err != nil {
+			return nil, verdict.Fail(http.StatusBadGateway, verdict.ReasonInternal, "a part of the answer cannot be decoded")
+		}
+	}
+	part.Content = string(d.Data)
+	return part, nil
+}
+
+func (a *chatAnswer) sendPart(part *engine.Message) error {
 	ch := a.chunk("chat.completion.chunk")
-	delta := &engine.Message{Content: text}
 	if !a.begun {
-		delta.Role = "assistant"
+		part.Role = "assistant"
 	}
-	ch.Choices = []engine.Choice{{Delta: delta}}
+	ch.Choices = []engine.Choice{{Delta: part}}
 	return a.send(ch)
 }
 
@@ -120,9 +135,8 @@
 
 func (a *chatAnswer) sendWhole(end *peerv1.End) error {
 	whole := a.chunk("chat.completion")
-	whole.Choices = []engine.Choice{{
-		Message: &engine.Message{Role: "assistant", Content: a.text.String()}, FinishReason: &end.FinishReason,
-	}}
+	a.message.Role = "assistant"
+	whole.Choices = []engine.Choice{{Message: &a.message, FinishReason: &end.FinishReason}}
 	whole.Usage = usageOf(end)
 	whole.Berylpond = a.info(end)
 	header := a.c.Response().Header()
--- a/internal/program/controller_test.go
+++ b/internal/program/controller_test.go
@@ -62,7 +62,7 @@
 	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
 	is.Equal(reason(err), verdict.ReasonTurnInProgress)
 	is.Equal(verdict.From(err).Verdict, verdict.NotRun)
-	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "x", PromptTokens: 10, CompletionTokens: 5})
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Message: "x", PromptTokens: 10, CompletionTokens: 5})
 	is.NoErr(err)
 	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
 	is.Equal(reason(err), verdict.ReasonWrongHead)
@@ -106,7 +106,7 @@
 	turn, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
 	is.NoErr(err)
 	f.fail = errors.New("no majority")
-	_, err = turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "kept by one slot"})
+	_, err = turn.Commit(ctx, Answer{Request: []byte("[]"), Message: "kept by one slot"})
 	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
 	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
 	is.Equal(reason(err), verdict.ReasonNotDurable)
@@ -146,7 +146,7 @@
 		second.Apply(ev)
 	}
 	f.held = false
-	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "late"})
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Message: "late"})
 	is.NoErr(err)
 	p, _, err := second.Get(id)
 	is.NoErr(err)
@@ -174,7 +174,7 @@
 	c, _, id := newTestController(t, WithClock(func() time.Time { return now }))
 	turn, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
 	is.NoErr(err)
-	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "x", PromptTokens: 10})
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Message: "x", PromptTokens: 10})
 	is.NoErr(err)
 	var copies []*programv1.Event
 	publish := func(ev *programv1.Event) error {
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -34,7 +34,7 @@
 type Turn struct {
 	// Request is the JSON array of the new messages.
 	Request []byte
-	// Answer is the text of the assistant's message.
+	// Answer is the JSON of the assistant's message.
 	Answer           string
 	FinishReason     string
 	RequestDigest    string
--- a/internal/program/turn.go
+++ b/internal/program/turn.go
@@ -159,8 +159,9 @@
 // Answer is what an engine gave for a turn.
 type Answer struct {
 	// Request is the JSON array of the new messages.
-	Request          []byte
-	Text             string
+	Request []byte
+	// Message is the JSON of the assistant's message.
+	Message          string
 	FinishReason     string
 	PromptTokens     int64
 	CachedTokens     int64
@@ -171,10 +172,10 @@
 // means that the answer is not part of the history yet and must not be given as whole; the call has run.
 func (t *OpenTurn) Commit(ctx context.Context, a Answer) (string, error) {
 	defer t.c.release(t.spec.Program)
-	head := NextHead(t.spec.Head, a.Request, a.Text)
+	head := NextHead(t.spec.Head, a.Request, a.Message)
 	ev := &programv1.Event{Id: head, Program: t.spec.Program, UnixMs: t.c.now().UnixMilli(), Body: &programv1.Event_TurnCommitted{
 		TurnCommitted: &programv1.TurnCommitted{
-			Head: t.spec.Head, RequestDigest: t.spec.Digest, NewHead: head, Request: a.Request, Answer: a.Text,
+			Head: t.spec.Head, RequestDigest: t.spec.Digest, NewHead: head, Request: a.Request, Answer: a.Message,
 			FinishReason: a.FinishReason, PromptTokens: a.PromptTokens, CachedTokens: a.CachedTokens,
 			CompletionTokens: a.CompletionTokens, StartedId: t.StartedID,
 		},
