--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,6 +51,9 @@
 // idlePlatform bounds the idle connections kept to the platform.
 const idlePlatform = 16
 
+// balancerLag is the time that the platform's balancer has to stop sending callers to an instance that is not ready.
+const balancerLag = 500 * time.Millisecond
+
 // platformTimeout bounds one request to the platform.
 const platformTimeout = 2 * time.Second
 
@@ -283,12 +286,13 @@
 	klog.InfoS("Shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Timing.Shutdown))
 	defer cancel()
+	begun := time.Now()
 	d.draining.Store(true)
 	d.table.SetLeaving()
 	d.announceLeaving(ctx)
 	d.logFailure("quota hand-over", d.quota.Leave(ctx))
 	d.logFailure("cell hand-over", d.cell.Leave(ctx))
-	d.awaitQuiet(ctx)
+	d.awaitBalancer(ctx, begun)
 	d.logFailure("callers", d.frontend.Shutdown(ctx))
 	d.stopGRPC(ctx)
 	d.logFailure("journal", d.journal.Drain(ctx))
@@ -296,10 +300,16 @@
 	klog.InfoS("Shut down")
 }
 
-// awaitQuiet gives the platform's balancer time to send callers elsewhere.
-func (d *Daemon) awaitQuiet(ctx context.Context) {
+// awaitBalancer goes on refusing callers until the balancer has had time to see that the instance is not ready, and no
+// caller has come for a while: a connection that is made while the listener closes is reset, and its caller can't know
+// whether the call ran.
+func (d *Daemon) awaitBalancer(ctx context.Context, begun time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.set.Timing.Shutdown)/lingerShare)
 	defer cancel()
+	select {
+	case <-time.After(time.Until(begun.Add(balancerLag))):
+	case <-ctx.Done():
+	}
 	d.frontend.AwaitQuiet(ctx, quietTime)
 }
 
