Refuse accounts over their rate without asking their holder each time

Cause: each take of an account over its rate was a call to its holder, and often calls from there to others. Its instances are told the time to come back times the number of slots, so that they come in turn, and refuse by themselves until then; what they refuse is told with their next take. Holders ask others for such an account's tokens twice a second at most, as was done already for demand above rate and burst.

--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -71,8 +71,8 @@
 	lent     []loan
 	borrowed []loan
 	pending  map[uint64]pending
-	demand   float64
-	demandAt time.Time
+	demand   recent
+	refused  recent
 	lastLoan LoanID
 	since    time.Time
 	// known is set when all loans of earlier holders are in lent.
@@ -211,16 +211,31 @@
 	}
 }
 
+// recent estimates the rate of events over demandWindow.
+type recent struct {
+	sum float64
+	at  time.Time
+}
+
+func (r *recent) add(now time.Time, n float64) {
+	r.sum = r.rate(now)*demandWindow.Seconds() + n
+	r.at = now
+}
+
+// rate returns events per second.
+func (r *recent) rate(now time.Time) float64 {
+	age := max(0, now.Sub(r.at))
+	return r.sum / demandWindow.Seconds() * math.Exp(-age.Seconds()/demandWindow.Seconds())
+}
+
 // Ask counts n requests as demand.
 func (a *Account) Ask(now time.Time, n float64) {
-	a.demand = a.Demand(now)*demandWindow.Seconds() + n
-	a.demandAt = now
+	a.demand.add(now, n)
 }
 
 // Demand returns the recent demand in requests per second.
 func (a *Account) Demand(now time.Time) float64 {
-	age := max(0, now.Sub(a.demandAt))
-	return a.demand / demandWindow.Seconds() * math.Exp(-age.Seconds()/demandWindow.Seconds())
+	return a.demand.rate(now)
 }
 
 // Take spends n tokens. When there are too few it returns how many are short and when they will be there.
--- a/internal/quota/quotactl/batch.go
+++ b/internal/quota/quotactl/batch.go
@@ -124,7 +124,7 @@
 			continue
 		}
 		r := resp.Results[i]
-		w.done <- answer{result: result{outcome: r.Outcome, retryAfter: micros(r.RetryAfterUs)}}
+		w.done <- answer{result: result{outcome: r.Outcome, retryAfter: micros(r.RetryAfterUs), overRate: r.OverRate}}
 	}
 }
 
--- a/internal/quota/quotactl/bench_test.go
+++ b/internal/quota/quotactl/bench_test.go
@@ -122,3 +122,31 @@
 	time.Sleep(time.Second)
 	is.Equal(n.bytes.in.Load()+n.bytes.out.Load(), before)
 }
+
+// BenchmarkOverRate reports the control traffic of one account at five times its rate over ten instances.
+func BenchmarkOverRate(b *testing.B) {
+	for _, rate := range []float64{10, 100} {
+		b.Run(fmt.Sprint(rate), func(b *testing.B) { benchOverRate(b, rate) })
+	}
+}
+
+func benchOverRate(b *testing.B, rate float64) {
+	const length = 3 * time.Second
+	n := &network{conns: map[string]*grpc.ClientConn{}, cut: map[string]bool{}, bytes: &byteCount{}}
+	f := newFleetOn(b, n, 10, quickTerms, []Limit{{Account: "kiosk", Rate: rate, Burst: 5}})
+	time.Sleep(1200 * time.Millisecond)
+	for b.Loop() {
+		before, admitted, i := n.bytes.in.Load()+n.bytes.out.Load(), 0, 0
+		tick := time.NewTicker(time.Duration(float64(time.Second) / (5 * rate)))
+		for end := time.Now().Add(length); time.Now().Before(end); <-tick.C {
+			if f.ctl[i%len(f.ctl)].Take(context.Background(), "kiosk", 1) == nil {
+				admitted++
+			}
+			i++
+		}
+		tick.Stop()
+		b.ReportMetric(float64(n.bytes.in.Load()+n.bytes.out.Load()-before)/length.Seconds(), "wire-B/s")
+		b.ReportMetric(float64(admitted), "admitted")
+		b.ReportMetric(float64(i), "takes")
+	}
+}
--- a/internal/quota/quotactl/controller.go
+++ b/internal/quota/quotactl/controller.go
@@ -71,7 +71,7 @@
 	// minEmptyPause and maxEmptyPause bound how long a data centre that had no tokens of an account is not asked.
 	minEmptyPause = 2 * time.Millisecond
 	maxEmptyPause = 100 * time.Millisecond
-	// overRatePause is the same for an account whose demand here alone is above its rate and burst.
+	// overRatePause is the same for an account over its rate.
 	overRatePause = 500 * time.Millisecond
 	// minRatePause and maxRatePause bound how long a data centre that had no rate to lend is not asked for it.
 	minRatePause = 500 * time.Millisecond
@@ -112,6 +112,8 @@
 	holder  *quota.Holder
 	floor   *quota.SlotFloor
 	leaving bool
+	// sheds holds the accounts whose takes are refused here for a while.
+	sheds map[string]*shed
 	// turn chooses the data centre in which takes without a holder are tried.
 	turn    int
 	gathers map[string]*gather
@@ -139,7 +141,7 @@
 	c := &Controller{
 		cfg: cfg, table: table, parts: parts, dial: dial, now: time.Now, metrics: newMetrics(), sender: uuid.NewString(),
 		holder:  quota.NewHolder(cfg.DataCentre, cfg.Terms, len(cfg.DataCentres), cfg.Slots),
-		gathers: map[string]*gather{}, peers: map[string]*peerState{}, batches: map[string]*batcher{},
+		gathers: map[string]*gather{}, peers: map[string]*peerState{}, batches: map[string]*batcher{}, sheds: map[string]*shed{},
 		learning: map[int]uint64{}, tried: map[int]chan struct{}{},
 	}
 	for _, o := range opts {
@@ -186,6 +188,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.holder.SetLimits(c.now(), version, limits)
+	maps.DeleteFunc(c.sheds, func(name string, _ *shed) bool {
+		_, known := c.holder.Limit(name)
+		return !known
+	})
 	for _, p := range c.peers {
 		maps.DeleteFunc(p.accounts, func(name string, _ *peerAccount) bool {
 			_, known := c.holder.Limit(name)
--- a/internal/quota/quotactl/gather.go
+++ b/internal/quota/quotactl/gather.go
@@ -168,7 +168,7 @@
 	over := false
 	if now, a, held := c.account(it.Account); held && a != nil {
 		limit, _ := c.holder.Limit(it.Account)
-		over = a.Demand(now) > limit.Rate+limit.Burst
+		over = a.OverRate(now, limit.Rate) || a.Demand(now) > limit.Rate+limit.Burst
 		c.holder.Accept(now, quota.PartOf(it.Account, c.parts.Parts()), it.Account, grant)
 	}
 	now := c.now()
--- a/internal/quota/quotactl/metrics.go
+++ b/internal/quota/quotactl/metrics.go
@@ -7,6 +7,7 @@
 
 const (
 	causeOverRate   refusalCause = "over_rate"
+	causeShed       refusalCause = "over_rate_here"
 	causeOverBurst  refusalCause = "over_burst"
 	causeUnknown    refusalCause = "unknown_account"
 	causeNoHolder   refusalCause = "no_holder"
--- a/internal/quota/quotactl/server.go
+++ b/internal/quota/quotactl/server.go
@@ -18,6 +18,9 @@
 	resp := &quotav1.TakeResponse{Results: make([]*quotav1.TakeResult, len(req.Items))}
 	var wg sync.WaitGroup
 	for i, it := range req.Items {
+		if it.Refused > 0 {
+			c.noteRefused(it.Account, it.Refused)
+		}
 		r, short := c.tryTake(it.Account, it.N, true)
 		resp.Results[i] = toResult(r)
 		if r.outcome == quotav1.TakeResult_NOT_HOLDER && it.PassOn {
--- a/internal/quota/quotactl/take.go
+++ b/internal/quota/quotactl/take.go
@@ -17,6 +17,8 @@
 type result struct {
 	outcome    quotav1.TakeResult_Outcome
 	retryAfter time.Duration
+	// overRate is set when further takes need not ask the holder before retryAfter.
+	overRate bool
 }
 
 // Take spends n tokens of an account. It returns nil or a *verdict.Error whose verdict is NotRun. A take that ends
@@ -40,6 +42,9 @@
 	if n > limit.Burst {
 		return c.refuse(causeOverBurst, http.StatusTooManyRequests, verdict.ReasonRateLimited, overBurstRetry, "the take is larger than the account's burst")
 	}
+	if after, ok := c.shedHere(account, n); ok {
+		return c.refuse(causeShed, http.StatusTooManyRequests, verdict.ReasonRateLimited, after, "the account is over its rate and burst")
+	}
 	return c.takeAtHolder(ctx, account, n)
 }
 
@@ -104,11 +109,12 @@
 	if lost[in.ID] {
 		return attempt{retry: causeLostAnswer}
 	}
-	r, err := c.batcher(in.PeerAddr).take(ctx, &quotav1.TakeItem{Account: account, N: n})
+	r, err := c.batcher(in.PeerAddr).take(ctx, &quotav1.TakeItem{Account: account, N: n, Refused: c.unreportedRefusals(account)})
 	if err != nil {
 		lost[in.ID] = !errors.Is(err, errSilentHolder)
 		return attempt{retry: causeLostAnswer}
 	}
+	c.noteShed(account, r)
 	return answered("remote", r)
 }
 
@@ -157,6 +163,12 @@
 		}
 		r, short = c.tryTake(account, n, false)
 	}
+	if r.outcome == quotav1.TakeResult_REFUSED {
+		if r.overRate = c.noteRefused(account, n); r.overRate {
+			// The instances of the data centre come back in turn.
+			r.retryAfter = min(maxShed, r.retryAfter*time.Duration(max(1, c.cfg.Slots)))
+		}
+	}
 	return r
 }
 
--- a/internal/quota/quotactl/wire.go
+++ b/internal/quota/quotactl/wire.go
@@ -6,7 +6,7 @@
 )
 
 func toResult(r result) *quotav1.TakeResult {
-	return &quotav1.TakeResult{Outcome: r.outcome, RetryAfterUs: r.retryAfter.Microseconds()}
+	return &quotav1.TakeResult{Outcome: r.outcome, RetryAfterUs: r.retryAfter.Microseconds(), OverRate: r.overRate}
 }
 
 // toLoanID leaves the zero id out.
