--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,6 +29,7 @@
 	"github.com/berylpond/berylpond/internal/keeper"
 	"github.com/berylpond/berylpond/internal/ledger"
 	"github.com/berylpond/berylpond/internal/member"
+	"github.com/berylpond/berylpond/internal/orders"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/platform"
 	"github.com/berylpond/berylpond/internal/program"
@@ -37,9 +38,22 @@
 	"github.com/berylpond/berylpond/internal/settings"
 )
 
+// refreshShare is the part of the log's retention after which the configuration is put on the log again.
+const refreshShare = 4
+
+const (
+	// quietTime is how long no caller may have come before the listener closes.
+	quietTime = 500 * time.Millisecond
+	// lingerShare is the part of the time for a shutdown that may pass with waiting for that.
+	lingerShare = 4
+)
+
 // idlePlatform bounds the idle connections kept to the platform.
 const idlePlatform = 16
 
+// balancerLag is the time that the platform's balancer has to stop sending callers to an instance that is not ready.
+const balancerLag = 500 * time.Millisecond
+
 // platformTimeout bounds one request to the platform.
 const platformTimeout = 2 * time.Second
 
@@ -59,6 +73,7 @@
 	journal  *streams
 	programs *program.Controller
 	executor *executor.Executor
+	orders   *orders.Controller
 	router   *router.Router
 	auth     *request.Authenticator
 	frontend *frontend.Server
@@ -71,6 +86,8 @@
 
 	draining          atomic.Bool
 	platformReachable atomic.Bool
+	// predecessor is the newest known earlier incarnation of this instance's slot.
+	predecessor atomic.Uint64
 	// joined is set once every part of the cell had a holder.
 	joined     atomic.Bool
 	drainOnce  sync.Once
@@ -153,7 +170,7 @@
 // build makes the parts, each from those before it.
 func (d *Daemon) build() {
 	t, self := d.set.Timing, d.table.Self()
-	d.config = config.New(config.Config{}, d.table, d.pool, configLog{d.platform})
+	d.config = config.New(config.Config{RefreshEvery: time.Duration(d.set.Platform.Retention) / refreshShare}, d.table, d.pool, configLog{d.platform})
 	cellConfig := cell.Config{
 		DataCentre: self.DataCentre, Slot: self.Slot, Slots: d.set.Instance.CellSlots, Incarnation: self.Incarnation,
 		Lease: time.Duration(t.Lease), Margin: time.Duration(t.Margin), Heartbeat: time.Duration(t.Heartbeat),
@@ -161,7 +178,7 @@
 	}
 	d.cell = cell.New(cellConfig, d.table, d.pool, cell.WithExtraVoter(cell.NewLogVoter(cellConfig, cellLog{d.platform})))
 	d.parts = &parts{cell: d.cell, n: d.set.Instance.CellSlots}
-	d.journal = newStreams(d.platform, self, d.cell.MarkDurable)
+	d.journal = newStreams(d.platform, self, float64(d.set.Platform.Appends), d.cell.MarkDurable)
 	d.ledger = ledger.New(ledger.Config{
 		DataCentre: self.DataCentre, Slot: self.Slot, Slots: d.set.Instance.CellSlots,
 	}, d.table, d.pool, d.journal)
@@ -175,6 +192,10 @@
 	d.journal.apply = d.applyEvent
 	d.journal.partOf = d.partOf
 	d.backends = backends.New(self.DataCentre)
+	d.orders = orders.New(d.parts, d.journal.orders, d.backends.ChecksFence, &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: platformTimeout, LocalAddr: localAddr(d.source())}).DialContext,
+	}})
+	d.journal.followOrders(d.orders)
 	d.executor = executor.New(executor.Deps{
 		Snapshot: d.config.Snapshot, Programs: d.programs, Keeper: d.keeper,
 		Client: engine.New(engine.Timeouts{FirstToken: time.Duration(t.FirstToken), Progress: time.Duration(t.Progress)}, d.source()),
@@ -202,7 +223,7 @@
 	d.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		invariant.Collector())
 	for _, c := range []interface{ Collectors() []prometheus.Collector }{
-		d.config, d.cell, d.quota, d.keeper, d.executor, d.router, d.journal,
+		d.config, d.cell, d.quota, d.keeper, d.executor, d.router, d.journal, d.orders,
 	} {
 		d.registry.MustRegister(c.Collectors()...)
 	}
@@ -228,6 +249,9 @@
 	var tasks sync.WaitGroup
 	defer tasks.Wait()
 	d.startTasks(work, &tasks)
+	if d.set.Listen.Debug != "" {
+		tasks.Go(func() { serveDebug(work, d.set.Listen.Debug) })
+	}
 	failed := make(chan error, 2)
 	go func() { failed <- d.frontend.Serve(d.callers) }()
 	go func() { failed <- d.grpc.Serve(d.peers) }()
@@ -247,7 +271,7 @@
 func (d *Daemon) startTasks(ctx context.Context, tasks *sync.WaitGroup) {
 	for name, run := range map[string]func(context.Context) error{
 		"config": d.config.Run, "quota": d.quota.Run, "keeper": d.keeper.Run, "journal": d.journal.Run,
-		"cell": d.runCell, "membership": d.runMembership, "gather": d.runGather, "sweep": d.runSweep,
+		"cell": d.runCell, "membership": d.runMembership, "gather": d.runGather, "sweep": d.runSweep, "orders": d.orders.Run,
 	} {
 		tasks.Go(func() {
 			if err := run(ctx); err != nil && ctx.Err() == nil {
@@ -262,10 +286,13 @@
 	klog.InfoS("Shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Timing.Shutdown))
 	defer cancel()
+	begun := time.Now()
 	d.draining.Store(true)
+	d.table.SetLeaving()
 	d.announceLeaving(ctx)
 	d.logFailure("quota hand-over", d.quota.Leave(ctx))
 	d.logFailure("cell hand-over", d.cell.Leave(ctx))
+	d.awaitBalancer(ctx, begun)
 	d.logFailure("callers", d.frontend.Shutdown(ctx))
 	d.stopGRPC(ctx)
 	d.logFailure("journal", d.journal.Drain(ctx))
@@ -273,6 +300,19 @@
 	klog.InfoS("Shut down")
 }
 
+// awaitBalancer goes on refusing callers until the balancer has had time to see that the instance is not ready, and no
+// caller has come for a while: a connection that is made while the listener closes is reset, and its caller can't know
+// whether the call ran.
+func (d *Daemon) awaitBalancer(ctx context.Context, begun time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.set.Timing.Shutdown)/lingerShare)
+	defer cancel()
+	select {
+	case <-time.After(time.Until(begun.Add(balancerLag))):
+	case <-ctx.Done():
+	}
+	d.frontend.AwaitQuiet(ctx, quietTime)
+}
+
 // stopGRPC lets the calls of other instances finish until ctx ends.
 func (d *Daemon) stopGRPC(ctx context.Context) {
 	done := make(chan struct{})
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -30,10 +30,17 @@
 	peerv1.RegisterPeerServer(s, &peerServer{d: d})
 }
 
-// Exchange merges the caller's table and returns this instance's.
+// Exchange returns this instance's table, unless the caller has the same, and takes in the caller. The answer is from
+// before that, so that a new incarnation learns of its predecessor.
 func (p *peerServer) Exchange(_ context.Context, req *peerv1.ExchangeRequest) (*peerv1.ExchangeReply, error) {
-	p.d.mergeInstances(req.Instances)
-	return &peerv1.ExchangeReply{Instances: p.d.instancesToWire()}, nil
+	reply := &peerv1.ExchangeReply{}
+	if req.Digest != p.d.table.Digest() {
+		reply.Instances = p.d.instancesToWire()
+	}
+	if req.Self != nil {
+		p.d.mergeInstances([]*peerv1.Instance{req.Self})
+	}
+	return reply, nil
 }
 
 // Call runs or passes on one call.
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -22,17 +22,34 @@
 // kindProgram is the kind of journal records that hold an event of a program.
 const kindProgram = "program"
 
+const (
+	// lazyDelay is how long bookkeeping waits to go on the log with other records.
+	lazyDelay = 20 * time.Millisecond
+	// writersEach is the number of busy writers of one instance.
+	writersEach = 2
+	// appendBurst is the number of appends of one writer that may go at once after an idle time.
+	appendBurst = 8
+	// readPace is the least time between two reads of a stream. Nothing waits for what is read but a late start, a
+	// take-over in an even cell and the memory of held events.
+	readPace = 50 * time.Millisecond
+)
+
 // voteTimeout bounds the wait for the log where its vote is needed.
 const voteTimeout = 2 * time.Second
 
-// streams writes and follows the two streams of the data centre: events of programs and intents.
+// streams writes and follows the streams of the data centre: events of programs, intents, and orders to engines.
 type streams struct {
 	metrics *journal.Metrics
 	index   *intent.Index
 	events  *journal.Writer
 	intents *journal.Writer
+	orders  *journal.Writer
 	eventR  *journal.Reader
 	intentR *journal.Reader
+	// orderR is set by followOrders, before Run.
+	orderR *journal.Reader
+	log    *platform.Client
+	dc     string
 	// apply takes each event read from the log; it is set before Run.
 	apply  func(*programv1.Event)
 	partOf func(program string) int
@@ -42,25 +59,42 @@
 	marks map[int]uint64
 }
 
-func newStreams(log *platform.Client, self member.Instance, onIntent func(id string)) *streams {
-	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent), marks: map[int]uint64{}}
+func newStreams(log *platform.Client, self member.Instance, appends float64, onIntent func(id string)) *streams {
+	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent), marks: map[int]uint64{}, log: log, dc: self.DataCentre}
 	id := journal.WriterID{Instance: self.ID, Incarnation: self.Incarnation}
 	events, intents := "journal/"+self.DataCentre, "intents/"+self.DataCentre
-	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics))
-	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics))
-	s.eventR = journal.NewReader(log, events, s, journal.WithReaderMetrics(s.metrics))
-	s.intentR = journal.NewReader(log, intents, s.index, journal.WithReaderMetrics(s.metrics))
+	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay),
+		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst))
+	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay),
+		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst))
+	s.orders = journal.New(log, ordersStream(self.DataCentre), id, journal.WithMetrics(s.metrics))
+	s.eventR = journal.NewReader(log, events, s, journal.WithReaderMetrics(s.metrics), journal.WithPace(readPace))
+	s.intentR = journal.NewReader(log, intents, s.index, journal.WithReaderMetrics(s.metrics), journal.WithPace(readPace))
 	return s
 }
 
+func ordersStream(dc string) string { return "orders/" + dc }
+
+// followOrders passes the stream of orders to h.
+func (s *streams) followOrders(h journal.Handler) {
+	s.orderR = journal.NewReader(s.log, ordersStream(s.dc), h, journal.WithReaderMetrics(s.metrics))
+}
+
+// setWriters fits the commit window to the number of instances that share the log. Orders are too few to count.
+func (s *streams) setWriters(instances int) {
+	s.events.SetWriters(writersEach * instances)
+	s.intents.SetWriters(writersEach * instances)
+}
+
 // Collectors returns the metrics of the journal.
 func (s *streams) Collectors() []prometheus.Collector { return s.metrics.Collectors() }
 
-// Run follows both streams.
+// Run follows the streams.
 func (s *streams) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.eventR.Run(ctx) })
 	g.Go(func() error { return s.intentR.Run(ctx) })
+	g.Go(func() error { return s.orderR.Run(ctx) })
 	return g.Wait()
 }
 
@@ -184,5 +218,5 @@
 
 // Drain waits until everything queued is on the log.
 func (s *streams) Drain(ctx context.Context) error {
-	return errors.CombineErrors(s.events.Drain(ctx), s.intents.Drain(ctx))
+	return errors.Join(s.events.Drain(ctx), s.intents.Drain(ctx), s.orders.Drain(ctx))
 }
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -14,6 +14,8 @@
 	"github.com/berylpond/berylpond/internal/config"
 	"github.com/berylpond/berylpond/internal/frontend/request"
 	"github.com/berylpond/berylpond/internal/keeper"
+	"github.com/berylpond/berylpond/internal/ledger"
+	"github.com/berylpond/berylpond/internal/member"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/platform"
 	"github.com/berylpond/berylpond/internal/program"
@@ -29,6 +31,10 @@
 	exchangeFanout  = 3
 	exchangeTimeout = time.Second
 	sweepInterval   = time.Second
+	// republishShare is the part of the log's retention after which a program's events are put on the log again.
+	republishShare = 2
+	// republishBatch is the number of programs republished in one sweep.
+	republishBatch = 50
 	// gatherPause is the pause before a part whose events could not be gathered is tried again.
 	gatherPause = 100 * time.Millisecond
 )
@@ -45,6 +51,7 @@
 		return ctx.Err()
 	}
 	d.ledger.SetReady()
+	d.cell.SetPredecessor(d.predecessor.Load())
 	return d.cell.Run(ctx)
 }
 
@@ -69,7 +76,7 @@
 	if !ok || d.programs.Ready(part, term) {
 		return
 	}
-	err := d.ledger.Gather(ctx, part, term, func(ev *programv1.Event) bool { return d.programs.Apply(ev) == program.Accepted })
+	err := d.ledger.Gather(ctx, part, term, d.applyGathered)
 	if err != nil {
 		klog.V(1).InfoS("Part is not ready", "part", part, "term", term, "err", err)
 		return
@@ -78,6 +85,16 @@
 	klog.InfoS("Part is ready", "part", part, "term", term)
 }
 
+func (d *Daemon) applyGathered(ev *programv1.Event) ledger.Applied {
+	switch d.programs.Apply(ev) {
+	case program.Accepted:
+		return ledger.Changed
+	case program.Repeat:
+		return ledger.Known
+	}
+	return ledger.Unfit
+}
+
 // applyEvent takes in an event from the log.
 func (d *Daemon) applyEvent(ev *programv1.Event) {
 	d.programs.Apply(ev)
@@ -122,10 +139,26 @@
 		if n := d.programs.Sweep(ctx); n > 0 {
 			klog.InfoS("Ended programs past their deadline", "programs", n)
 		}
+		d.republish()
 		d.pool.Trim()
 	}
 }
 
+// republish keeps the events of long-lived programs on the log, a few programs at a time.
+func (d *Daemon) republish() {
+	if d.journal.events.Away() {
+		return
+	}
+	before := time.Now().Add(-time.Duration(d.set.Platform.Retention) / republishShare)
+	n, err := d.programs.Republish(before, republishBatch, d.journal.Enqueue)
+	if err != nil {
+		klog.ErrorS(err, "Program is not republished")
+	}
+	if n > 0 {
+		klog.V(1).InfoS("Republished programs", "programs", n)
+	}
+}
+
 // configChanged puts a new configuration into force here.
 func (d *Daemon) configChanged(s *config.Snapshot) {
 	var version uint64
@@ -183,6 +216,7 @@
 	for {
 		d.readPlatformList(ctx)
 		d.exchangeRound(ctx)
+		d.journal.setWriters(len(d.table.All()))
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
@@ -242,19 +276,21 @@
 	if err != nil {
 		return
 	}
-	reply, err := peerv1.NewPeerClient(conn).Exchange(ctx, &peerv1.ExchangeRequest{Instances: d.instancesToWire()})
+	reply, err := peerv1.NewPeerClient(conn).Exchange(ctx, d.exchangeRequest())
 	if err != nil {
 		return
 	}
 	d.mergeInstances(reply.Instances)
 }
 
+func (d *Daemon) exchangeRequest() *peerv1.ExchangeRequest {
+	self, _ := d.table.Get(d.table.Self().ID)
+	return &peerv1.ExchangeRequest{Self: peer.InstanceToWire(self), Digest: d.table.Digest()}
+}
+
 func (d *Daemon) instancesToWire() []*peerv1.Instance {
 	var out []*peerv1.Instance
 	for _, in := range d.table.All() {
-		if in.ID == d.table.Self().ID {
-			in.Leaving = d.draining.Load()
-		}
 		out = append(out, peer.InstanceToWire(in))
 	}
 	return out
@@ -262,7 +298,22 @@
 
 func (d *Daemon) mergeInstances(list []*peerv1.Instance) {
 	for _, in := range list {
-		d.table.Merge(peer.InstanceFromWire(in))
+		m := peer.InstanceFromWire(in)
+		d.noticePredecessor(m)
+		d.table.Merge(m)
+	}
+}
+
+// noticePredecessor remembers the newest earlier occupant of this instance's slot.
+func (d *Daemon) noticePredecessor(in member.Instance) {
+	self := d.table.Self()
+	if in.DataCentre != self.DataCentre || in.Slot != self.Slot || in.Incarnation >= self.Incarnation {
+		return
+	}
+	for old := d.predecessor.Load(); in.Incarnation > old; old = d.predecessor.Load() {
+		if d.predecessor.CompareAndSwap(old, in.Incarnation) {
+			return
+		}
 	}
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -34,6 +38,8 @@
 	metrics *metrics
 	drain   func() bool
 	http    *http.Server
+	// lastArrival is when the last request came, in nanoseconds since 1970.
+	lastArrival atomic.Int64
 }
 
 // Deps holds what a Server works with.
@@ -101,7 +107,7 @@
 	return func(c *echo.Context) (err error) {
 		defer func() {
 			if p := recover(); p != nil {
-				klog.ErrorS(nil, "Request panicked", "request", request.ID(c), "panic", p)
+				klog.ErrorS(nil, "Request panicked", "request", request.ID(c), "panic", panicText(p), "stack", string(debug.Stack()))
 				err = verdict.Fail(http.StatusInternalServerError, verdict.ReasonInternal, "internal error")
 			}
 		}()
@@ -109,14 +115,25 @@
 	}
 }
 
-// observe counts requests and measures them by route.
+// panicText names a panic without what it may quote of a request: the text of errors of the Go runtime, else the type.
+func panicText(p any) string {
+	if err, ok := p.(runtime.Error); ok {
+		return err.Error()
+	}
+	return fmt.Sprintf("%T", p)
+}
+
+// observe measures requests by route and logs their ends.
 func (s *Server) observe(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c *echo.Context) error {
 		begun := time.Now()
+		s.lastArrival.Store(begun.UnixNano())
 		s.metrics.inFlight.Inc()
 		defer s.metrics.inFlight.Dec()
 		err := next(c)
-		s.metrics.duration.WithLabelValues(c.Path()).Observe(time.Since(begun).Seconds())
+		took := time.Since(begun)
+		s.metrics.duration.WithLabelValues(c.Path()).Observe(took.Seconds())
+		logAccess(c, err, took)
 		return err
 	}
 }
@@ -133,6 +150,22 @@
 	return nil
 }
 
+// AwaitQuiet returns once no request has come for the given time, or when ctx ends. Until then requests are refused with an
+// answer; a connection that is still waiting to be accepted when the listener closes would get none.
+func (s *Server) AwaitQuiet(ctx context.Context, quiet time.Duration) {
+	for {
+		rest := time.Until(time.Unix(0, s.lastArrival.Load()).Add(quiet))
+		if rest <= 0 {
+			return
+		}
+		select {
+		case <-time.After(rest):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Shutdown lets the requests under way finish until ctx ends, then closes their connections.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if s.http == nil {
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +51,8 @@
 	metrics *Metrics
 
 	budget        float64
+	burst         int
+	lazyDelay     time.Duration
 	maxWindow     time.Duration
 	awayAfter     time.Duration
 	backoffMin    time.Duration
@@ -77,9 +80,11 @@
 	drained chan struct{}
 
 	// Only run's goroutine uses what follows.
-	sequence     uint64
-	lastOffset   int64
-	lastAppend   time.Time
+	sequence   uint64
+	committed  uint64
+	lastOffset int64
+	// paced is the time up to which the appends so far use the pace up.
+	paced        time.Time
 	penalty      time.Duration
 	failingSince time.Time
 }
@@ -93,7 +98,7 @@
 		batchRecords: defaultMaxBatchRecords, batchBytes: defaultMaxBatchBytes,
 		bufferRecords: defaultBufferRecords, bufferBytes: defaultBufferBytes,
 		done: make(chan struct{}), wake: make(chan struct{}, 1), drained: make(chan struct{}),
-		writers: 1, lastOffset: -1,
+		writers: 1, burst: 1, lastOffset: -1,
 	}
 	for _, o := range opts {
 		o(w)
@@ -118,7 +123,7 @@
 
 // Append queues a record and waits until it is durable. The position is that of a copy that readers reach no earlier
 // than the record itself: after a lost answer they may have found it before. On ErrNotDurable the record stays queued;
-// on all other errors it does not.
+// on all other errors it does not. The caller must not change the record afterwards.
 func (w *Writer) Append(ctx context.Context, rec *journalv1.Record) (Position, error) {
 	e := &entry{rec: rec, done: make(chan result, 1)}
 	away, err := w.enqueue(e)
@@ -190,6 +195,7 @@
 		return
 	}
 	w.closed = true
+	w.signal()
 	if len(w.queue) == 0 {
 		close(w.drained)
 	}
@@ -211,11 +217,16 @@
 	w.queue = append(w.queue, e)
 	w.bytes += e.size
 	w.metrics.pending.WithLabelValues(w.stream).Set(float64(len(w.queue)))
+	w.signal()
+	return w.away, nil
+}
+
+// signal makes awaitRecords look again.
+func (w *Writer) signal() {
 	select {
 	case w.wake <- struct{}{}:
 	default:
 	}
-	return w.away, nil
 }
 
 func (w *Writer) refuse(reason string, err error) error {
@@ -227,7 +238,7 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	for {
-		if !w.awaitRecords() || !w.pause(time.Until(w.lastAppend.Add(w.window()))) {
+		if !w.awaitRecords() || !w.pause(w.untilAllowed(time.Now())) {
 			return
 		}
 		if !w.commit() {
@@ -236,19 +247,55 @@
 	}
 }
 
-// awaitRecords returns false when the writer ends.
+// awaitRecords waits until a batch is due. It returns false when the writer ends.
 func (w *Writer) awaitRecords() bool {
-	for w.Pending() == 0 {
+	for {
+		d := w.untilDue(time.Now())
+		if d <= 0 {
+			return true
+		}
+		t := time.NewTimer(d)
 		select {
 		case <-w.wake:
+		case <-t.C:
 		case <-w.ctx.Done():
+			t.Stop()
 			return false
 		}
+		t.Stop()
 	}
-	return true
 }
 
-// window is the least time between the starts of two appends. A record that comes after an idle window goes at once.
+// untilDue returns the time until a batch is due. A record that somebody waits for is due at once and takes the others
+// along; records that nobody waits for are due after lazyDelay.
+func (w *Writer) untilDue(now time.Time) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.queue) == 0 {
+		return idleWait
+	}
+	if w.closed || slices.ContainsFunc(w.queue, func(e *entry) bool { return e.done != nil }) {
+		return 0
+	}
+	return w.queue[0].at.Add(w.lazyDelay).Sub(now)
+}
+
+// untilAllowed returns the time until the next append may start. Appends keep the window's pace in the mean; after an idle
+// time up to burst of them go at once.
+func (w *Writer) untilAllowed(now time.Time) time.Duration {
+	window := w.window()
+	return w.paced.Add(-time.Duration(w.burst-1) * window).Sub(now)
+}
+
+// started counts an append against the pace.
+func (w *Writer) started(now time.Time) {
+	if w.paced.Before(now) {
+		w.paced = now
+	}
+	w.paced = w.paced.Add(w.window())
+}
+
+// window is the mean time between the starts of two appends.
 func (w *Writer) window() time.Duration {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -300,13 +347,20 @@
 			return true
 		}
 		w.fail(v, entries[0].at)
-		if !w.pause(max(v.RetryAfter, backoff/2+rand.N(backoff/2+1))) {
+		if !w.pause(w.retryPause(v, backoff)) {
 			return false
 		}
 		backoff = min(w.backoffMax, 2*backoff)
 	}
 }
 
+// retryPause returns the time until the next attempt. It is random, so that writers that were refused together do not
+// come back together. The log's own Retry-After, in whole seconds, counts up to the longest window.
+func (w *Writer) retryPause(v *verdict.Error, backoff time.Duration) time.Duration {
+	least := max(min(v.RetryAfter, w.maxWindow), backoff)
+	return least/2 + rand.N(least/2+1)
+}
+
 // next forms a batch from the head of the queue.
 func (w *Writer) next() (*journalv1.Batch, []*entry) {
 	w.sequence++
@@ -330,7 +384,7 @@
 	if err := failpoint.Hit("journal.append.before"); err != nil {
 		return 0, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonPlatformAway, 0, "%v", err)
 	}
-	w.lastAppend = time.Now()
+	w.started(time.Now())
 	offset, err := w.log.Append(w.ctx, w.stream, [][]byte{data})
 	if hit := failpoint.Hit("journal.append.after"); hit != nil && err == nil {
 		return 0, verdict.Fail(http.StatusGatewayTimeout, verdict.ReasonPlatformAway, "%v", hit)
@@ -340,6 +394,8 @@
 
 func (w *Writer) succeed(entries []*entry, offset int64) {
 	invariant.Check(offset > w.lastOffset, "journal.offsets_rise", "stream", w.stream, "offset", offset, "last", w.lastOffset)
+	invariant.Check(w.sequence > w.committed, "journal.sequence_rises", "stream", w.stream, "sequence", w.sequence, "last", w.committed)
+	w.committed = w.sequence
 	w.lastOffset = max(w.lastOffset, offset)
 	w.failingSince = time.Time{}
 	w.penalty /= 2
--- a/internal/load/report/recorder.go
+++ b/internal/load/report/recorder.go
@@ -1,6 +1,7 @@
 package report
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -20,10 +21,14 @@
 type Call struct {
 	Account string
 	Kind    Kind
+	// Address is the instance that got the call.
+	Address string
 	Sent    time.Time
 	Done    time.Time
 	// WithinRate is set when the account's bucket had a token as the call was sent.
 	WithinRate bool
+	// TokensLeft are those that the bucket had besides.
+	TokensLeft float64
 	// Whole is set when the whole answer arrived.
 	Whole   bool
 	Status  int
@@ -45,37 +50,44 @@
 	Account string
 	// Latency is from the program's start to its end, or to its deadline if it failed.
 	Latency time.Duration
-	Failed  bool
+	// Ideal is the latency on idle engines that have every prefix cached.
+	Ideal  time.Duration
+	Failed bool
 	// Reason of a failure.
 	Reason string
 }
 
 // Recorder keeps what callers saw. It is safe for concurrent use.
 type Recorder struct {
-	mu       sync.Mutex
-	buckets  map[string]*Bucket
-	calls    []Call
-	programs []Program
+	mu         sync.Mutex
+	buckets    map[string]*Bucket
+	calls      []Call
+	programs   []Program
+	effects    []Effect
+	violations []Violation
+	ended      map[string]time.Time
 }
 
 // NewRecorder returns a recorder with a bucket for each account.
-func NewRecorder(buckets map[string]*Bucket) *Recorder { return &Recorder{buckets: buckets} }
+func NewRecorder(buckets map[string]*Bucket) *Recorder {
+	return &Recorder{buckets: buckets, ended: map[string]time.Time{}}
+}
 
-// Send reports whether a call of the account that is sent now is within rate.
-func (r *Recorder) Send(account string, now time.Time) bool {
+// Send reports whether a call of the account that is sent now is within rate, and the tokens that are left.
+func (r *Recorder) Send(account string, now time.Time) (within bool, left float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	b := r.buckets[account]
-	return b != nil && b.Take(now)
+	if b == nil {
+		return false, 0
+	}
+	return b.Take(now), b.Left()
 }
 
 // Call records a call that Send was asked about.
 func (r *Recorder) Call(c Call) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c.WithinRate && c.Refused() {
-		r.buckets[c.Account].Return()
-	}
 	r.calls = append(r.calls, c)
 }
 
@@ -92,3 +104,17 @@
 	defer r.mu.Unlock()
 	return append([]Call(nil), r.calls...), append([]Program(nil), r.programs...)
 }
+
+// Ended records that the site confirmed the end of a program.
+func (r *Recorder) Ended(program string, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ended[program] = now
+}
+
+// EndedPrograms returns the time of each confirmed end.
+func (r *Recorder) EndedPrograms() map[string]time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.ended)
+}
--- a/internal/program/bench_test.go
+++ b/internal/program/bench_test.go
@@ -9,8 +9,9 @@
 	"testing"
 	"time"
 
-	programv1 "github.com/berylpond/berylpond/api/program/v1"
 	"google.golang.org/protobuf/proto"
+
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
 )
 
 // countingRecorder accepts every event and counts the bytes that it would send.
@@ -22,6 +23,10 @@
 	return nil
 }
 
+func (r *countingRecorder) RecordHeld(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
+	return r.Record(ctx, part, term, ev)
+}
+
 // onePart is a cell whose only part is held for good.
 type onePart struct{}
 
@@ -47,7 +52,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	head, err = t.Commit(ctx, Answer{Request: request, Text: strings.Repeat("y", text/2), FinishReason: "stop", PromptTokens: 1, CompletionTokens: 1})
+	head, err = t.Commit(ctx, Answer{Request: request, Message: strings.Repeat("y", text/2), FinishReason: "stop", PromptTokens: 1, CompletionTokens: 1})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -129,7 +134,7 @@
 			c := benchController(b, &countingRecorder{})
 			id, _ := benchProgram(b, c, turns, 4000)
 			p, _ := c.lookup(id)
-			events := p.Events()
+			events := p.Events(time.Time{})
 			var raw [][]byte
 			for _, ev := range events {
 				data, err := proto.Marshal(ev)
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -179,8 +179,15 @@
 	return parent
 }
 
-// record makes the event durable, then applies it. When recording fails the event stays pending.
+// record makes the event durable, then applies it. When recording fails the event stays pending. An event that does not
+// fit is never recorded: on the log it could come before the one that took its place.
 func (c *Controller) record(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
+	switch c.fits(ev) {
+	case Repeat:
+		return nil
+	case Rejected:
+		return verdict.Refuse(http.StatusConflict, verdict.ReasonWrongHead, 0, "the program has moved on")
+	}
 	record := c.rec.Record
 	if ev.GetTurnCommitted() == nil && ev.GetCreated() == nil {
 		// Reservations and ends are bookkeeping between two turns; a majority of the cell is enough until the log has them.
@@ -203,6 +210,12 @@
 	return nil
 }
 
+func (c *Controller) fits(ev *programv1.Event) Outcome {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Fits(ev)
+}
+
 // flush records the event left pending by an earlier failure, if there is one.
 func (c *Controller) flush(ctx context.Context, id string, part int, term uint64) error {
 	c.mu.Lock()
@@ -331,6 +344,44 @@
 	return n
 }
 
+// Republish puts the events of up to limit held programs, whose events went on the log before the given time, on the log
+// again, so that an instance that starts later finds them whole. It returns the number of programs.
+func (c *Controller) Republish(before time.Time, limit int, publish func(*programv1.Event) error) (int, error) {
+	for n := 0; n < limit; n++ {
+		events := c.oldest(before)
+		if events == nil {
+			return n, nil
+		}
+		for _, ev := range events {
+			if err := publish(ev); err != nil {
+				return n, err
+			}
+		}
+	}
+	return limit, nil
+}
+
+// oldest returns the events of one held program that is due, and marks it published.
+func (c *Controller) oldest(before time.Time) []*programv1.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var due *Program
+	c.store.Each(func(p *Program) bool {
+		if p.Ended || !p.published.Before(before) {
+			return true
+		}
+		if _, ok := c.parts.Holds(PartOf(p.ID, c.parts.Parts())); ok {
+			due = p
+		}
+		return due == nil
+	})
+	if due == nil {
+		return nil
+	}
+	due.published = c.now()
+	return due.Events(due.published)
+}
+
 // Alive reports whether the program is known and has not ended.
 func (c *Controller) Alive(id string) bool {
 	p, ok := c.lookup(id)
--- a/internal/program/controller_test.go
+++ b/internal/program/controller_test.go
@@ -62,7 +62,7 @@
 	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
 	is.Equal(reason(err), verdict.ReasonTurnInProgress)
 	is.Equal(verdict.From(err).Verdict, verdict.NotRun)
-	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "x", PromptTokens: 10, CompletionTokens: 5})
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Message: "x", PromptTokens: 10, CompletionTokens: 5})
 	is.NoErr(err)
 	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
 	is.Equal(reason(err), verdict.ReasonWrongHead)
@@ -106,7 +106,7 @@
 	turn, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
 	is.NoErr(err)
 	f.fail = errors.New("no majority")
-	_, err = turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "kept by one slot"})
+	_, err = turn.Commit(ctx, Answer{Request: []byte("[]"), Message: "kept by one slot"})
 	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
 	_, _, err = c.Begin(ctx, spec(id, FirstHead(id), "d2"))
 	is.Equal(reason(err), verdict.ReasonNotDurable)
@@ -146,7 +146,7 @@
 		second.Apply(ev)
 	}
 	f.held = false
-	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Text: "late"})
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Message: "late"})
 	is.NoErr(err)
 	p, _, err := second.Get(id)
 	is.NoErr(err)
@@ -164,3 +164,41 @@
 	is.Equal(ended, []string{id})
 	is.Equal(c.Alive(id), false)
 }
+
+// TestLongProgramOutlivesTheLog: the log keeps records for a limited time, so a program that lives longer is put on it
+// again; an instance that reads only the copy has the whole program.
+func TestLongProgramOutlivesTheLog(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	now := time.Now()
+	c, _, id := newTestController(t, WithClock(func() time.Time { return now }))
+	turn, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1"))
+	is.NoErr(err)
+	head, err := turn.Commit(ctx, Answer{Request: []byte("[]"), Message: "x", PromptTokens: 10})
+	is.NoErr(err)
+	var copies []*programv1.Event
+	publish := func(ev *programv1.Event) error {
+		copies = append(copies, ev)
+		return nil
+	}
+	now = now.Add(time.Minute)
+	n, err := c.Republish(now.Add(-2*time.Minute), 10, publish)
+	is.NoErr(err)
+	is.Equal(n, 0) // not due yet
+	n, err = c.Republish(now.Add(-time.Second), 10, publish)
+	is.NoErr(err)
+	is.Equal(n, 1)
+	n, _ = c.Republish(now.Add(-time.Second), 10, publish)
+	is.Equal(n, 0) // published just now
+
+	late := NewStore()
+	for _, ev := range copies {
+		late.Apply(ev)
+	}
+	is.Equal(late.Get(id).Head, head)
+	is.Equal(late.Get(id).SpentTokens, int64(10))
+	is.Equal(late.Get(id).Created.UnixMilli(), now.Add(-time.Minute).UnixMilli())
+	for _, ev := range copies {
+		is.True(c.Apply(ev) != Accepted) // a copy never beats what is known
+	}
+}
--- a/internal/program/store.go
+++ b/internal/program/store.go
@@ -34,7 +34,7 @@
 type Turn struct {
 	// Request is the JSON array of the new messages.
 	Request []byte
-	// Answer is the text of the assistant's message.
+	// Answer is the JSON of the assistant's message.
 	Answer           string
 	FinishReason     string
 	RequestDigest    string
@@ -68,6 +68,9 @@
 	EndCause    string
 	EndedAt     time.Time
 
+	// published is when the program's events were last put on the log from the first on.
+	published time.Time
+
 	// reserved holds the tokens of started turns that are not settled, by event id; reservedSum is their sum and open
 	// their number.
 	reserved    map[string]int64
@@ -149,6 +152,34 @@
 	return n
 }
 
+// Fits returns what Apply would, without applying the event.
+func (s *Store) Fits(ev *programv1.Event) Outcome {
+	p := s.programs[ev.Program]
+	if ev.GetCreated() != nil {
+		if p != nil {
+			return Repeat
+		}
+		return Accepted
+	}
+	if p == nil {
+		return Rejected
+	}
+	switch b := ev.Body.(type) {
+	case *programv1.Event_TurnStarted:
+		return p.fitsStart(ev, b.TurnStarted)
+	case *programv1.Event_TurnCommitted:
+		return p.fitsCommit(b.TurnCommitted)
+	case *programv1.Event_TurnAbandoned:
+		return p.fitsAbandon(b.TurnAbandoned)
+	case *programv1.Event_Ended:
+		if p.Ended {
+			return Repeat
+		}
+		return Accepted
+	}
+	return Rejected
+}
+
 // Apply folds one event into the state. Events must come in log order; a repeated event changes nothing.
 func (s *Store) Apply(ev *programv1.Event) Outcome {
 	if c := ev.GetCreated(); c != nil {
@@ -172,7 +203,8 @@
 }
 
 func (s *Store) create(ev *programv1.Event, c *programv1.Created) Outcome {
-	if s.programs[ev.Program] != nil {
+	if p := s.programs[ev.Program]; p != nil {
+		p.published = maxTime(p.published, time.UnixMilli(ev.UnixMs))
 		return Repeat
 	}
 	p := &Program{
@@ -182,12 +214,16 @@
 		Parent:       c.Parent,
 		Root:         c.Root,
 		Head:         FirstHead(ev.Program),
-		Created:      time.UnixMilli(ev.UnixMs),
+		Created:      time.UnixMilli(c.CreatedUnixMs),
+		published:    time.UnixMilli(ev.UnixMs),
 		BudgetTokens: c.BudgetTokens,
 		BudgetCalls:  c.BudgetCalls,
 		reserved:     map[string]int64{},
 		settled:      map[string]struct{}{},
 	}
+	if c.CreatedUnixMs == 0 {
+		p.Created = p.published
+	}
 	if c.DeadlineUnixMs > 0 {
 		p.Deadline = time.UnixMilli(c.DeadlineUnixMs)
 	}
@@ -195,7 +231,14 @@
 	return Accepted
 }
 
-func (p *Program) start(ev *programv1.Event, b *programv1.TurnStarted) Outcome {
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (p *Program) fitsStart(ev *programv1.Event, b *programv1.TurnStarted) Outcome {
 	if _, ok := p.reserved[ev.Id]; ok {
 		return Repeat
 	}
@@ -205,13 +248,20 @@
 	if p.Ended || b.Head != p.Head || b.ReserveTokens > p.TokensLeft() || p.Calls() >= p.BudgetCalls {
 		return Rejected
 	}
+	return Accepted
+}
+
+func (p *Program) start(ev *programv1.Event, b *programv1.TurnStarted) Outcome {
+	if out := p.fitsStart(ev, b); out != Accepted {
+		return out
+	}
 	p.reserved[ev.Id] = b.ReserveTokens
 	p.reservedSum += b.ReserveTokens
 	p.open++
 	return Accepted
 }
 
-func (p *Program) commit(ev *programv1.Event, b *programv1.TurnCommitted) Outcome {
+func (p *Program) fitsCommit(b *programv1.TurnCommitted) Outcome {
 	if p.findTurn(b.NewHead) != nil {
 		return Repeat
 	}
@@ -222,6 +272,13 @@
 	if !invariant.Check(b.NewHead == NextHead(b.Head, b.Request, b.Answer), "program_head_chain", "program", p.ID) {
 		return Rejected
 	}
+	return Accepted
+}
+
+func (p *Program) commit(ev *programv1.Event, b *programv1.TurnCommitted) Outcome {
+	if out := p.fitsCommit(b); out != Accepted {
+		return out
+	}
 	p.settle(b.StartedId, b.PromptTokens+b.CompletionTokens)
 	p.Turns = append(p.Turns, Turn{
 		Request:          b.Request,
@@ -241,13 +298,20 @@
 	return Accepted
 }
 
-func (p *Program) abandon(b *programv1.TurnAbandoned) Outcome {
+func (p *Program) fitsAbandon(b *programv1.TurnAbandoned) Outcome {
 	if _, ok := p.settled[b.StartedId]; ok {
 		return Repeat
 	}
 	if _, ok := p.reserved[b.StartedId]; !ok {
 		return Rejected
 	}
+	return Accepted
+}
+
+func (p *Program) abandon(b *programv1.TurnAbandoned) Outcome {
+	if out := p.fitsAbandon(b); out != Accepted {
+		return out
+	}
 	p.settle(b.StartedId, b.SpentTokens)
 	return Accepted
 }
@@ -292,18 +356,19 @@
 	return nil
 }
 
-// Events returns events that rebuild the program from nothing. Applying them to a store that has the program changes
+// Events returns events that rebuild the program from nothing, as published now. Applying them to a store that has the program changes
 // nothing, so they can be appended again before the originals expire.
-func (p *Program) Events() []*programv1.Event {
+func (p *Program) Events(now time.Time) []*programv1.Event {
 	created := &programv1.Created{
-		Team: p.Team, Account: p.Account, Parent: p.Parent, Root: p.Root,
+		CreatedUnixMs: p.Created.UnixMilli(),
+		Team:          p.Team, Account: p.Account, Parent: p.Parent, Root: p.Root,
 		BudgetTokens: p.BudgetTokens, BudgetCalls: p.BudgetCalls,
 	}
 	if !p.Deadline.IsZero() {
 		created.DeadlineUnixMs = p.Deadline.UnixMilli()
 	}
 	out := []*programv1.Event{{
-		Id: p.ID, Program: p.ID, UnixMs: p.Created.UnixMilli(),
+		Id: p.ID, Program: p.ID, UnixMs: now.UnixMilli(),
 		Body: &programv1.Event_Created{Created: created},
 	}}
 	for _, t := range p.Turns {
--- a/internal/settings/read.go
+++ b/internal/settings/read.go
@@ -65,11 +65,14 @@
 	readText(t, "peers", &l.Peers)
 	readText(t, "advertise_callers", &l.AdvertiseCallers)
 	readText(t, "advertise_peers", &l.AdvertisePeers)
+	readText(t, "debug", &l.Debug)
 }
 
 func (p *Platform) read(t tomlfile.Table) {
 	readText(t, "log", &p.Log)
 	readText(t, "instances", &p.Instances)
+	readCount(t, "appends", &p.Appends)
+	readDuration(t, "retention", &p.Retention)
 }
 
 func (g *Timing) read(t tomlfile.Table) {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -45,6 +45,8 @@
 	// AdvertiseCallers and AdvertisePeers are told to others where they differ from what is bound.
 	AdvertiseCallers string `toml:"advertise_callers,omitempty"`
 	AdvertisePeers   string `toml:"advertise_peers,omitempty"`
+	// Debug is the host:port of Go's profiles; empty leaves them off. Keep it off every network but the operators'.
+	Debug string `toml:"debug,omitempty"`
 }
 
 // Platform holds the addresses of the platform's services.
@@ -53,6 +55,10 @@
 	Log string `toml:"log"`
 	// Instances is the base URL of the instance list.
 	Instances string `toml:"instances"`
+	// Appends is the number of appends a second that the instances together may make.
+	Appends int `toml:"appends"`
+	// Retention is how long the log keeps records. What lives longer is put on the log again.
+	Retention Duration `toml:"retention"`
 }
 
 // Peers names instances that are asked for the others at the start, beside the platform's list.
@@ -102,6 +108,7 @@
 func Default() Settings {
 	return Settings{
 		Instance: Instance{CellSlots: 1},
+		Platform: Platform{Appends: 300, Retention: Duration(time.Hour)},
 		Timing: Timing{
 			Lease: Duration(2 * time.Second), Margin: Duration(200 * time.Millisecond), Heartbeat: Duration(500 * time.Millisecond),
 			ClaimWindow: Duration(time.Minute), FirstToken: Duration(20 * time.Second), Progress: Duration(5 * time.Second),
--- a/internal/tomlfile/index.go
+++ b/internal/tomlfile/index.go
@@ -15,7 +15,7 @@
 	counts map[string]int
 }
 
-// NewIndex returns the index of a text.
+// NewIndex returns the index of a text. Of a text that is not TOML it holds what comes before the first error.
 func NewIndex(data []byte) *Index {
 	x := &Index{lines: map[string]int{}, counts: map[string]int{}}
 	for i, b := range data {
@@ -87,6 +87,15 @@
 	return 1 + sort.SearchInts(x.starts, int(n.Raw.Offset)+1)
 }
 
+// Line returns the line of a key that is written out.
+func (x *Index) Line(path string) (line int, ok bool) {
+	line, ok = x.lines[path]
+	return line, ok
+}
+
+// Count returns the number of tables in an array of tables.
+func (x *Index) Count(path string) int { return x.counts[path] }
+
 // at returns the line of a path, or of the nearest enclosing one that is written out.
 func (x *Index) at(path string) int {
 	for path != "" {
@@ -115,12 +124,3 @@
 	}
 	return ""
 }
-
-// Line returns the line on which a path is written out.
-func (x *Index) Line(path string) (int, bool) {
-	line, ok := x.lines[path]
-	return line, ok
-}
-
-// Count returns the number of tables that an array of tables has.
-func (x *Index) Count(path string) int { return x.counts[path] }
--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -14,6 +14,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -188,6 +189,8 @@
 	relay      *relay
 	platform   *relay
 	set        settings.Settings
+	// unhealthy is set while the platform's balancer would send no callers here.
+	unhealthy atomic.Bool
 }
 
 // dcSpec describes one data centre of a site.
@@ -210,6 +213,8 @@
 	keys       map[string]string
 	version    uint64
 	doc        siteDoc
+	// home, if set, is where workloads create their programs.
+	home string
 }
 
 // siteDoc is what tests vary in the team's document.
@@ -293,7 +298,7 @@
 	set.Timing.Heartbeat, set.Timing.ClaimWindow = settings.Duration(testHeartbeat), settings.Duration(testWindow)
 	set.Timing.FirstToken, set.Timing.Progress = settings.Duration(3*time.Second), settings.Duration(time.Second)
 	set.Timing.Shutdown = settings.Duration(10 * time.Second)
-	set.Platform = settings.Platform{Log: "http://" + s.logRelays[dc.name].addr(), Instances: "http://" + s.listRelays[dc.name].addr()}
+	set.Platform.Log, set.Platform.Instances = "http://"+s.logRelays[dc.name].addr(), "http://"+s.listRelays[dc.name].addr()
 	set.Listen = settings.Listen{Callers: ip + ":0", Peers: ip + ":0", AdvertisePeers: in.relay.addr()}
 	set.Faults.PanicOnViolation = true
 	set.Log.Verbosity = 1
@@ -426,13 +431,9 @@
 	s.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	admin := configv1.NewAdminClient(s.adminConn(s.instances[0]))
 	var err error
 	for ctx.Err() == nil {
-		var reply *configv1.ApplyResponse
-		reply, err = admin.Apply(ctx, &configv1.ApplyRequest{Team: testTeam, BaseVersion: s.version, Document: s.document(), Author: "test"})
-		if err == nil {
-			s.version = reply.Version
+		if s.version, err = s.applyAt(ctx, s.instances[0], s.version, "test"); err == nil {
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -440,6 +441,16 @@
 	s.t.Fatalf("apply: %v", err)
 }
 
+// applyAt publishes the document at one instance over the given version. It returns the version in force.
+func (s *site) applyAt(ctx context.Context, in *instance, base uint64, author string) (uint64, error) {
+	reply, err := configv1.NewAdminClient(s.adminConn(in)).Apply(ctx,
+		&configv1.ApplyRequest{Team: testTeam, BaseVersion: base, Document: s.document(), Author: author})
+	if err != nil {
+		return base, err
+	}
+	return reply.Version, nil
+}
+
 // withdraw withdraws an account's key at one instance.
 func (s *site) withdraw(in *instance, account string) {
 	s.t.Helper()
