--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -41,9 +41,19 @@
 // refreshShare is the part of the log's retention after which the configuration is put on the log again.
 const refreshShare = 4
 
+const (
+	// quietTime is how long no caller may have come before the listener closes.
+	quietTime = 500 * time.Millisecond
+	// lingerShare is the part of the time for a shutdown that may pass with waiting for that.
+	lingerShare = 4
+)
+
 // idlePlatform bounds the idle connections kept to the platform.
 const idlePlatform = 16
 
+// balancerLag is the time that the platform's balancer has to stop sending callers to an instance that is not ready.
+const balancerLag = 500 * time.Millisecond
+
 // platformTimeout bounds one request to the platform.
 const platformTimeout = 2 * time.Second
 
@@ -276,11 +286,13 @@
 	klog.InfoS("Shutting down")
 	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(d.set.Timing.Shutdown))
 	defer cancel()
+	begun := time.Now()
 	d.draining.Store(true)
 	d.table.SetLeaving()
 	d.announceLeaving(ctx)
 	d.logFailure("quota hand-over", d.quota.Leave(ctx))
 	d.logFailure("cell hand-over", d.cell.Leave(ctx))
+	d.awaitBalancer(ctx, begun)
 	d.logFailure("callers", d.frontend.Shutdown(ctx))
 	d.stopGRPC(ctx)
 	d.logFailure("journal", d.journal.Drain(ctx))
@@ -288,6 +300,19 @@
 	klog.InfoS("Shut down")
 }
 
+// awaitBalancer goes on refusing callers until the balancer has had time to see that the instance is not ready, and no
+// caller has come for a while: a connection that is made while the listener closes is reset, and its caller can't know
+// whether the call ran.
+func (d *Daemon) awaitBalancer(ctx context.Context, begun time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(d.set.Timing.Shutdown)/lingerShare)
+	defer cancel()
+	select {
+	case <-time.After(time.Until(begun.Add(balancerLag))):
+	case <-ctx.Done():
+	}
+	d.frontend.AwaitQuiet(ctx, quietTime)
+}
+
 // stopGRPC lets the calls of other instances finish until ctx ends.
 func (d *Daemon) stopGRPC(ctx context.Context) {
 	done := make(chan struct{})
--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -55,12 +56,6 @@
 	return strings.HasPrefix(rest, "T")
 }
 
-func (in *instance) freeze(d time.Duration) {
-	in.signal(syscall.SIGSTOP)
-	time.Sleep(d)
-	in.signal(syscall.SIGCONT)
-}
-
 // stepCase is a fault at a named step of giza-0.
 type stepCase struct {
 	step string
@@ -124,7 +119,7 @@
 func rightsAt(steps []stepCase) []stepCase {
 	var out []stepCase
 	for _, c := range steps {
-		if *fullMatrix || contains(strings.Fields(rightSteps), c.step) {
+		if *fullMatrix || slices.Contains(strings.Fields(rightSteps), c.step) {
 			out = append(out, c)
 		}
 	}
--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -187,7 +187,6 @@
 	slot       int
 	callers    string
 	relay      *relay
-	platform   *relay
 	set        settings.Settings
 	// unhealthy is set while the platform's balancer would send no callers here.
 	unhealthy atomic.Bool
@@ -213,6 +212,8 @@
 	keys       map[string]string
 	version    uint64
 	doc        siteDoc
+	// home, if set, is where workloads create their programs.
+	home string
 }
 
 // siteDoc is what tests vary in the team's document.
