--- a/internal/load/report/figures.go
+++ b/internal/load/report/figures.go
@@ -44,6 +44,8 @@
 	// TokensAtRefusal is the most tokens that an account's bucket held when one of its calls was refused as above its
 	// rate. A figure below 2 may come from calls that overtook each other on their way.
 	TokensAtRefusal float64 `json:"tokens_at_refusal"`
+	// RefusedAtTokens counts the refusals for the rate by the whole tokens that the account's bucket held.
+	RefusedAtTokens map[int]int `json:"refused_at_tokens,omitempty"`
 	// WithinRate counts the calls that were within the account's rate and burst.
 	WithinRate int `json:"within_rate"`
 	// Goodput is the programs that finished in time, per second.
@@ -84,7 +86,7 @@
 }
 
 func figures(account string, calls []Call, programs []Program, span time.Duration) Figures {
-	f := Figures{Account: account, Refusals: map[string]int{}, Failures: map[string]int{}, FailedBy: map[string]int{}}
+	f := Figures{Account: account, Refusals: map[string]int{}, Failures: map[string]int{}, FailedBy: map[string]int{}, RefusedAtTokens: map[int]int{}}
 	latency, delay, first := newHistogram(), newHistogram(), newHistogram()
 	for _, p := range programs {
 		if account == "" || p.Account == account {
@@ -139,6 +141,7 @@
 		f.Refusals[c.Reason]++
 		if c.WithinRate && c.Reason == string(verdict.ReasonRateLimited) {
 			f.TokensAtRefusal = max(f.TokensAtRefusal, c.TokensLeft+1)
+			f.RefusedAtTokens[int(c.TokensLeft+1)]++
 		}
 	case !c.Whole:
 		f.Failures[c.Reason]++
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -10,7 +10,7 @@
 )
 
 // maxFillWait bounds the wait for the accounts' buckets to fill after a start.
-const maxFillWait = 6 * time.Second
+const maxFillWait = 10 * time.Second
 
 // Options of one run.
 type Options struct {
--- a/internal/load/warm.go
+++ b/internal/load/warm.go
@@ -17,6 +17,9 @@
 const (
 	warmTimeout = 60 * time.Second
 	warmPause   = 100 * time.Millisecond
+	// fillFactor is the wait for the buckets over the time that the slowest takes to fill: an account's rate may stand
+	// where its last calls came from while the tokens of other data centres are still short.
+	fillFactor = 3
 )
 
 // Warm waits until every account gets a call through in every data centre, and then until its bucket is full again.
@@ -41,7 +44,7 @@
 	if err := warming.Wait(); err != nil {
 		return err
 	}
-	pause(ctx, min(fill, maxFillWait))
+	pause(ctx, min(fillFactor*fill, maxFillWait))
 	return ctx.Err()
 }
 
