--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -15,9 +13,7 @@
 	"github.com/berylpond/berylpond/internal/frontend/request"
 	"github.com/berylpond/berylpond/internal/keeper"
 	"github.com/berylpond/berylpond/internal/ledger"
-	"github.com/berylpond/berylpond/internal/member"
 	"github.com/berylpond/berylpond/internal/peer"
-	"github.com/berylpond/berylpond/internal/platform"
 	"github.com/berylpond/berylpond/internal/program"
 	"github.com/berylpond/berylpond/internal/quota/quotactl"
 	"github.com/berylpond/berylpond/internal/scheduler/framework"
@@ -25,12 +21,7 @@
 )
 
 const (
-	// membershipInterval is the pause between two looks at the platform's list and two exchanges with peers.
-	membershipInterval = time.Second
-	// exchangeFanout is the number of peers asked in each round.
-	exchangeFanout  = 3
-	exchangeTimeout = time.Second
-	sweepInterval   = time.Second
+	sweepInterval = time.Second
 	// republishShare is the part of the log's retention after which a program's events are put on the log again.
 	republishShare = 2
 	// republishBatch is the number of programs republished in one sweep.
@@ -208,152 +199,3 @@
 	}
 	d.keeper.SetModels(list)
 }
-
-// runMembership keeps the table of instances and the list of backend servers.
-func (d *Daemon) runMembership(ctx context.Context) error {
-	tick := time.NewTicker(membershipInterval)
-	defer tick.Stop()
-	for {
-		d.readPlatformList(ctx)
-		d.exchangeRound(ctx)
-		d.journal.setWriters(len(d.table.All()))
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-tick.C:
-		}
-	}
-}
-
-func (d *Daemon) readPlatformList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	list, err := d.platform.Instances(ctx)
-	d.platformReachable.Store(err == nil)
-	if err != nil {
-		return
-	}
-	d.backends.SetInstances(list)
-	d.updateModels()
-	for _, in := range list {
-		if in.Kind != platform.KindEntry || in.ID == d.table.Self().ID {
-			continue
-		}
-		if _, known := d.table.Get(in.ID); !known {
-			go d.exchange(ctx, in.Address)
-		}
-	}
-}
-
-// exchangeRound tells a few peers, and the seeds that are not known yet, what this instance knows.
-func (d *Daemon) exchangeRound(ctx context.Context) {
-	known := map[string]bool{d.table.Self().PeerAddr: true}
-	var addrs []string
-	for _, in := range d.table.All() {
-		if !known[in.PeerAddr] {
-			known[in.PeerAddr] = true
-			addrs = append(addrs, in.PeerAddr)
-		}
-	}
-	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-	if len(addrs) > exchangeFanout {
-		addrs = addrs[:exchangeFanout]
-	}
-	for _, seed := range d.set.Peers.Seeds {
-		if !known[seed] {
-			addrs = append(addrs, seed)
-		}
-	}
-	for _, addr := range addrs {
-		go d.exchange(ctx, addr)
-	}
-}
-
-func (d *Daemon) exchange(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exchangeTimeout)
-	defer cancel()
-	conn, err := d.pool.Conn(addr)
-	if err != nil {
-		return
-	}
-	reply, err := peerv1.NewPeerClient(conn).Exchange(ctx, d.exchangeRequest())
-	if err != nil {
-		return
-	}
-	d.mergeInstances(reply.Instances)
-}
-
-func (d *Daemon) exchangeRequest() *peerv1.ExchangeRequest {
-	self, _ := d.table.Get(d.table.Self().ID)
-	return &peerv1.ExchangeRequest{Self: peer.InstanceToWire(self), Digest: d.table.Digest()}
-}
-
-func (d *Daemon) instancesToWire() []*peerv1.Instance {
-	var out []*peerv1.Instance
-	for _, in := range d.table.All() {
-		out = append(out, peer.InstanceToWire(in))
-	}
-	return out
-}
-
-func (d *Daemon) mergeInstances(list []*peerv1.Instance) {
-	for _, in := range list {
-		m := peer.InstanceFromWire(in)
-		d.noticePredecessor(m)
-		d.table.Merge(m)
-	}
-}
-
-// noticePredecessor remembers the newest earlier occupant of this instance's slot.
-func (d *Daemon) noticePredecessor(in member.Instance) {
-	self := d.table.Self()
-	if in.DataCentre != self.DataCentre || in.Slot != self.Slot || in.Incarnation >= self.Incarnation {
-		return
-	}
-	for old := d.predecessor.Load(); in.Incarnation > old; old = d.predecessor.Load() {
-		if d.predecessor.CompareAndSwap(old, in.Incarnation) {
-			return
-		}
-	}
-}
-
-// announceLeaving tells every known instance that this one is leaving.
-func (d *Daemon) announceLeaving(ctx context.Context) {
-	for _, in := range d.table.All() {
-		if in.ID != d.table.Self().ID {
-			go d.exchange(ctx, in.PeerAddr)
-		}
-	}
-}
-
-// gauges shows state that other packages keep.
-func (d *Daemon) gauges() []prometheus.Collector {
-	gauge := func(name, help string, f func() float64) prometheus.Collector {
-		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "berylpond_" + name, Help: help}, f)
-	}
-	return []prometheus.Collector{
-		gauge("standing", "1 while a majority of the cell answers this instance.", func() float64 { return flag(d.cell.Standing()) }),
-		gauge("platform_reachable", "1 while the platform's instance list answers.", func() float64 { return flag(d.platformReachable.Load()) }),
-		gauge("programs", "Programs in memory, ended ones included.", func() float64 { return float64(d.programs.Len()) }),
-		gauge("instances_known", "Instances in the table, this one included.", func() float64 { return float64(len(d.table.All())) }),
-		gauge("held_events", "Events kept in memory that were not read from the log yet.", func() float64 {
-			n, _ := d.ledger.HeldEvents()
-			return float64(n)
-		}),
-		gauge("held_event_bytes", "Bytes of the events kept in memory that were not read from the log yet.", func() float64 {
-			_, n := d.ledger.HeldEvents()
-			return float64(n)
-		}),
-		gauge("journal_pending", "Records queued for the log.", func() float64 {
-			return float64(d.journal.events.Pending() + d.journal.intents.Pending())
-		}),
-		gauge("journal_away", "1 while appends to the log have failed for some time.", func() float64 { return flag(d.journal.events.Away()) }),
-	}
-}
-
-func flag(on bool) float64 {
-	if on {
-		return 1
-	}
-	return 0
-}
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -179,64 +179,6 @@
 	return parent
 }
 
-// record makes the event durable, then applies it. When recording fails the event stays pending. An event that does not
-// fit is never recorded: on the log it could come before the one that took its place.
-func (c *Controller) record(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
-	switch c.fits(ev) {
-	case Repeat:
-		return nil
-	case Rejected:
-		return verdict.Refuse(http.StatusConflict, verdict.ReasonWrongHead, 0, "the program has moved on")
-	}
-	record := c.rec.Record
-	if ev.GetTurnCommitted() == nil && ev.GetCreated() == nil {
-		// Reservations and ends are bookkeeping between two turns; a majority of the cell is enough until the log has them.
-		record = c.rec.RecordHeld
-	}
-	if err := record(ctx, part, term, ev); err != nil {
-		c.mu.Lock()
-		c.pending[ev.Program] = ev
-		c.mu.Unlock()
-		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNotDurable, retryNotDurable,
-			"the program's record could not be kept outside this instance")
-	}
-	if now, ok := c.parts.Holds(part); !ok || now != term {
-		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, retryNotDurable,
-			"this instance lost the program's part while recording")
-	}
-	if c.Apply(ev) == Rejected {
-		return verdict.Refuse(http.StatusConflict, verdict.ReasonWrongHead, 0, "the program moved on while recording")
-	}
-	return nil
-}
-
-func (c *Controller) fits(ev *programv1.Event) Outcome {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.store.Fits(ev)
-}
-
-// flush records the event left pending by an earlier failure, if there is one.
-func (c *Controller) flush(ctx context.Context, id string, part int, term uint64) error {
-	c.mu.Lock()
-	ev := c.pending[id]
-	c.mu.Unlock()
-	if ev == nil {
-		return nil
-	}
-	if err := c.record(ctx, part, term, ev); err != nil && verdict.From(err).Reason != verdict.ReasonWrongHead {
-		return err
-	}
-	c.clearPending(id)
-	return nil
-}
-
-func (c *Controller) clearPending(id string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.pending, id)
-}
-
 // lookup returns a copy of the program's state; slices are shared and append-only.
 func (c *Controller) lookup(id string) (Program, bool) {
 	c.mu.Lock()
@@ -285,42 +227,6 @@
 	return p, nil
 }
 
-// Get returns a program that this instance holds.
-func (c *Controller) Get(id string) (Program, bool, error) {
-	if _, _, refused := c.hold(id); refused != nil {
-		return Program{}, false, refused
-	}
-	p, ok := c.lookup(id)
-	if !ok {
-		return Program{}, false, unknownProgram()
-	}
-	return p, c.isBusy(id), nil
-}
-
-func (c *Controller) isBusy(id string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	_, ok := c.busy[id]
-	return ok
-}
-
-// List returns up to limit programs of a team whose parts this instance holds; team "" means all teams.
-func (c *Controller) List(team string, limit int) []Program {
-	var out []Program
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.store.Each(func(p *Program) bool {
-		if team != "" && p.Team != team {
-			return true
-		}
-		if _, ok := c.parts.Holds(PartOf(p.ID, c.parts.Parts())); ok {
-			out = append(out, *p)
-		}
-		return len(out) < limit
-	})
-	return out
-}
-
 // Sweep ends the held programs whose deadline has passed and forgets programs that ended long ago. It returns how many
 // were ended.
 func (c *Controller) Sweep(ctx context.Context) int {
@@ -381,58 +287,3 @@
 	due.published = c.now()
 	return due.Events(due.published)
 }
-
-// Alive reports whether the program is known and has not ended.
-func (c *Controller) Alive(id string) bool {
-	p, ok := c.lookup(id)
-	return ok && !p.Ended
-}
-
-// Len returns the number of programs kept.
-func (c *Controller) Len() int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.store.Len()
-}
-
-// RecordForeign records the end of a turn that began at a previous holder of the part. The program's head decides
-// whether it still fits.
-func (c *Controller) RecordForeign(ctx context.Context, ev *programv1.Event) error {
-	part, term, refused := c.hold(ev.Program)
-	if refused != nil {
-		return refused
-	}
-	if err := c.flush(ctx, ev.Program, part, term); err != nil {
-		return err
-	}
-	return c.record(ctx, part, term, ev)
-}
-
-// recordOrForward records the end of a turn here, or at the part's new holder when the part has moved meanwhile.
-func (c *Controller) recordOrForward(ctx context.Context, part int, term uint64, ev *programv1.Event) error {
-	if now, ok := c.parts.Holds(part); ok && now == term {
-		err := c.record(ctx, part, term, ev)
-		if err == nil {
-			return nil
-		}
-		if now, ok := c.parts.Holds(part); ok && now == term {
-			return err
-		}
-	}
-	for {
-		err := c.forward(ctx, part, ev)
-		if err == nil {
-			c.Apply(ev)
-			c.clearPending(ev.Program)
-			return nil
-		}
-		if e := verdict.From(err); e.Reason == verdict.ReasonWrongHead {
-			return e
-		}
-		select {
-		case <-time.After(forwardPause):
-		case <-ctx.Done():
-			return err
-		}
-	}
-}
--- /dev/null
+++ b/internal/program/queries.go
@@ -0,0 +1,52 @@
+package program
+
+import ()
+
+// Get returns a program that this instance holds.
+func (c *Controller) Get(id string) (Program, bool, error) {
+	if _, _, refused := c.hold(id); refused != nil {
+		return Program{}, false, refused
+	}
+	p, ok := c.lookup(id)
+	if !ok {
+		return Program{}, false, unknownProgram()
+	}
+	return p, c.isBusy(id), nil
+}
+
+func (c *Controller) isBusy(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, ok := c.busy[id]
+	return ok
+}
+
+// List returns up to limit programs of a team whose parts this instance holds; team "" means all teams.
+func (c *Controller) List(team string, limit int) []Program {
+	var out []Program
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.store.Each(func(p *Program) bool {
+		if team != "" && p.Team != team {
+			return true
+		}
+		if _, ok := c.parts.Holds(PartOf(p.ID, c.parts.Parts())); ok {
+			out = append(out, *p)
+		}
+		return len(out) < limit
+	})
+	return out
+}
+
+// Alive reports whether the program is known and has not ended.
+func (c *Controller) Alive(id string) bool {
+	p, ok := c.lookup(id)
+	return ok && !p.Ended
+}
+
+// Len returns the number of programs kept.
+func (c *Controller) Len() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.store.Len()
+}
