Give a request that is repeated right after its answer that answer

Cause: the outcome of a claimed request was kept only after its end had gone to the caller, and a repeated request whose intent stood on the log already, but its outcome not yet, was told 409 without asking the cell, which knows the outcome sooner. A caller that repeated at once, at another instance, got may-have-run/duplicate_request for what had run; so did TestWholePath now and then. Ruled out: the votes of other slots, which the poll waits for. Now the outcome is kept before the end is given, and an intent without outcome leads to the cell. Where the cell can't tell, an intent on the log stays a 409 and never becomes not-run.

--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -34,13 +34,14 @@
 func (x *Executor) once(ctx context.Context, r *peerv1.CallRequest, emit Emit, run func(context.Context, Emit) error) error {
 	id := ClaimID(r.Account, r.IdempotencyKey)
 	digest := program.Digest(append([]byte(r.Method+" "+r.Path+"?"+r.Query+"\n"), r.Body...))
-	if s := x.d.Intents.Lookup(id); s.Known {
-		return repeated(s.Outcome, digest, emit)
+	known := x.d.Intents.Lookup(id)
+	if len(known.Outcome) > 0 {
+		return repeated(known.Outcome, digest, emit)
 	}
 	begun := time.Now()
 	cl, err := x.d.Claims.Claim(ctx, id)
 	if err != nil {
-		return claimFailed(err, digest, emit)
+		return claimFailed(err, known.Known, digest, emit)
 	}
 	x.observe("claim", begun)
 	// The cell may have forgotten an id that the log still has.
@@ -80,25 +81,32 @@
 	}
 	err := run(ctx, func(ev *peerv1.CallEvent) error {
 		keep(kept, ev)
+		if kept.Whole {
+			// Before the caller has the answer's end, so that a request repeated right after it gets the outcome.
+			x.settle(ctx, cl, id, kept)
+		}
 		return emit(ev)
 	})
-	if err != nil && verdict.From(err).Verdict == verdict.NotRun {
+	switch {
+	case kept.Whole:
+	case err != nil && verdict.From(err).Verdict == verdict.NotRun:
 		x.note(&journalv1.Record{Kind: intent.KindWithdrawn, Key: id})
 		cl.Withdraw(ctx)
-		return err
-	}
-	if !kept.Whole {
+	default:
 		// The outcome is unknown: the request may have run and never runs again.
 		cl.Settle(ctx, nil)
-		return err
 	}
-	raw, merr := proto.Marshal(kept)
-	if merr != nil {
-		return merr
+	return err
+}
+
+// settle keeps the outcome of a claimed request.
+func (x *Executor) settle(ctx context.Context, cl *cell.Claim, id string, kept *peerv1.Outcome) {
+	raw, err := proto.Marshal(kept)
+	if err != nil {
+		klog.ErrorS(err, "Outcome of a claimed request is not kept")
 	}
 	cl.Settle(ctx, raw)
 	x.note(&journalv1.Record{Kind: intent.KindOutcome, Key: id, Payload: raw})
-	return err
 }
 
 // note queues a record for the log without waiting for it.
@@ -137,12 +145,16 @@
 	k.ToolCalls = all.Delta().Marshal()
 }
 
-// claimFailed answers a request whose claim was refused: from the recorded outcome where there is one.
-func claimFailed(err error, digest string, emit Emit) error {
+// claimFailed answers a request whose claim was refused: from the recorded outcome where there is one. The cell hears an
+// outcome before the log does. A request whose intent is on the log may have run, whatever the cell says.
+func claimFailed(err error, intended bool, digest string, emit Emit) error {
 	var dup *cell.DuplicateError
 	if errors.As(err, &dup) {
 		return repeated(dup.Outcome, digest, emit)
 	}
+	if intended {
+		return repeated(nil, digest, emit)
+	}
 	return err
 }
 
--- a/test/e2e/targets_test.go
+++ b/test/e2e/targets_test.go
@@ -489,3 +489,21 @@
 	}
 	return worst
 }
+
+// TestRepeatRightAfterTheAnswer checks that a request that is repeated as soon as its answer is there gets that answer.
+func TestRepeatRightAfterTheAnswer(t *testing.T) {
+	s := faultSite(t)
+	c := s.caller("big")
+	s.await("claims to be granted", startTimeout, func() bool {
+		return c.effect(s.instances[0], "ready-0", "ready-0").status == http.StatusOK &&
+			c.effect(s.instances[3], "ready-3", "ready-3").status == http.StatusOK
+	})
+	for i := range 300 {
+		key := fmt.Sprintf("repeat-%d", i)
+		first := c.effect(s.instances[i%4], key, key)
+		again := c.effect(s.instances[(i+1)%4], key, key)
+		if first.status == http.StatusOK && again.status != http.StatusOK && again.verdict != notRun {
+			t.Errorf("%s: repeated at once: %d %s", key, again.status, again.reason)
+		}
+	}
+}
