--- a/internal/quota/account.go
+++ b/internal/quota/account.go
@@ -211,31 +211,31 @@
 	}
 }
 
-// recent estimates the rate of events over demandWindow.
+// recent estimates the rate of events over a window, its time constant.
 type recent struct {
 	sum float64
 	at  time.Time
 }
 
-func (r *recent) add(now time.Time, n float64) {
-	r.sum = r.rate(now)*demandWindow.Seconds() + n
+func (r *recent) add(now time.Time, window time.Duration, n float64) {
+	r.sum = r.rate(now, window)*window.Seconds() + n
 	r.at = now
 }
 
 // rate returns events per second.
-func (r *recent) rate(now time.Time) float64 {
+func (r *recent) rate(now time.Time, window time.Duration) float64 {
 	age := max(0, now.Sub(r.at))
-	return r.sum / demandWindow.Seconds() * math.Exp(-age.Seconds()/demandWindow.Seconds())
+	return r.sum / window.Seconds() * math.Exp(-age.Seconds()/window.Seconds())
 }
 
 // Ask counts n requests as demand.
 func (a *Account) Ask(now time.Time, n float64) {
-	a.demand.add(now, n)
+	a.demand.add(now, demandWindow, n)
 }
 
 // Demand returns the recent demand in requests per second.
 func (a *Account) Demand(now time.Time) float64 {
-	return a.demand.rate(now)
+	return a.demand.rate(now, demandWindow)
 }
 
 // Take spends n tokens. When there are too few it returns how many are short and when they will be there.
