--- /dev/null
+++ b/internal/intent/index_test.go
@@ -0,0 +1,32 @@
+package intent
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	journalv1 "github.com/berylpond/berylpond/api/journal/v1"
+	"github.com/berylpond/berylpond/internal/journal"
+)
+
+func TestIndex(t *testing.T) {
+	is := is.New(t)
+	var heard []string
+	x := NewIndex(func(id string) { heard = append(heard, id) })
+	apply := func(kind, key, payload string) {
+		x.Apply(journal.Position{}, &journalv1.Record{Kind: kind, Key: key, Payload: []byte(payload)})
+	}
+	is.Equal(x.Lookup("a").Known, false)
+	apply(KindIntent, "a", "")
+	is.Equal(x.Lookup("a").Known, true)
+	is.Equal(len(x.Lookup("a").Outcome), 0)
+	apply(KindOutcome, "a", "done")
+	apply(KindIntent, "a", "") // a repeat does not take the outcome away
+	is.Equal(string(x.Lookup("a").Outcome), "done")
+	apply(KindIntent, "b", "")
+	apply(KindWithdrawn, "b", "")
+	is.Equal(x.Lookup("b").Known, false)
+	apply("of another kind", "c", "")
+	is.Equal(x.Lookup("c").Known, false)
+	is.Equal(heard, []string{"a", "a", "b"})
+}
