--- a/test/e2e/faults_test.go
+++ b/test/e2e/faults_test.go
@@ -26,12 +26,18 @@
 // sites bounds the sites that run at once.
 var sites = make(chan struct{}, 3)
 
-// faultSite starts a site with three instances in one data centre and one in another, when there is room for it.
-func faultSite(t *testing.T) *site {
+// inParallel runs the test beside others when there is room for its site.
+func inParallel(t *testing.T) {
 	t.Helper()
 	t.Parallel()
 	sites <- struct{}{}
 	t.Cleanup(func() { <-sites })
+}
+
+// faultSite starts a site with three instances in one data centre and one in another.
+func faultSite(t *testing.T) *site {
+	t.Helper()
+	inParallel(t)
 	return startSite(t, []dcSpec{{"giza", 3, 2}, {"nasr", 1, 1}},
 		withAccounts(accountDoc{"big", 5000, 10_000}, accountDoc{"small", 20, 20}, accountDoc{lender, 20, 20}))
 }
--- a/test/e2e/majority_test.go
+++ b/test/e2e/majority_test.go
@@ -11,6 +11,7 @@
 // TestCellWithoutMajority kills two of three instances of a data centre. The third serves what needs no majority and
 // refuses the rest with a true "not run".
 func TestCellWithoutMajority(t *testing.T) {
+	inParallel(t)
 	is := is.New(t)
 	s := startSite(t, []dcSpec{{"giza", 3, 1}}, withAccounts(accountDoc{"big", 300, 600}, accountDoc{"small", 2, 5}))
 	s.warm()
--- a/test/e2e/path_test.go
+++ b/test/e2e/path_test.go
@@ -14,6 +14,7 @@
 
 // TestWholePath serves a program through separate processes in two data centres.
 func TestWholePath(t *testing.T) {
+	inParallel(t)
 	is := is.New(t)
 	s := startSite(t, []dcSpec{{"giza", 2, 2}, {"nasr", 1, 1}})
 	c := s.caller("big")
--- a/test/e2e/restart_test.go
+++ b/test/e2e/restart_test.go
@@ -11,6 +11,7 @@
 // TestRollingRestart restarts every instance of a cell, one after the other, under a program and a service that must
 // not be repeated. A planned stop hands over parts, claims and turns, so that nothing is refused or forgotten.
 func TestRollingRestart(t *testing.T) {
+	inParallel(t)
 	is := is.New(t)
 	s := startSite(t, []dcSpec{{"giza", 3, 1}})
 	s.await("claims to be granted", 2*testWindow, func() bool { return s.caller("small").effect(s.instances[0], "first", "first").status == http.StatusOK })
