Wait for the outcome of a request that has just ended before a repetition is refused

Cause: TestWholePath failed once under load (409 at the second instance): the first request had ended, but its outcome spreads with the cell's heartbeats, so a repetition at another instance met a claim without outcome. Ruled out: the index of intents alone, which is read at a pace. Before: 409, may-have-run for a request whose answer was there. After: an outcome that may still come is looked for again for up to 1.5 s; a request whose outcome is known to be lost is refused at once.

--- a/internal/executor/once.go
+++ b/internal/executor/once.go
@@ -23,6 +23,10 @@
 const (
 	// maxKeptOutcome bounds the answer that is kept for repeated requests, in bytes.
 	maxKeptOutcome = 64 << 10
+	// outcomeWait bounds the wait for the outcome of an earlier request with the same id; outcomePause is the pause
+	// between two looks for it.
+	outcomeWait  = 1500 * time.Millisecond
+	outcomePause = 100 * time.Millisecond
 	// intentTimeout bounds the wait for the log before a claimed request is sent on the word of the cell alone.
 	intentTimeout = 300 * time.Millisecond
 )
@@ -34,14 +38,13 @@
 func (x *Executor) once(ctx context.Context, r *peerv1.CallRequest, emit Emit, run func(context.Context, Emit) error) error {
 	id := ClaimID(r.Account, r.IdempotencyKey)
 	digest := program.Digest(append([]byte(r.Method+" "+r.Path+"?"+r.Query+"\n"), r.Body...))
-	known := x.d.Intents.Lookup(id)
-	if len(known.Outcome) > 0 {
-		return repeated(known.Outcome, digest, emit)
-	}
 	begun := time.Now()
-	cl, err := x.d.Claims.Claim(ctx, id)
+	cl, outcome, err := x.claim(ctx, id)
 	if err != nil {
-		return claimFailed(err, known.Known, digest, emit)
+		return err
+	}
+	if cl == nil {
+		return repeated(outcome, digest, emit)
 	}
 	x.observe("claim", begun)
 	// The cell may have forgotten an id that the log still has.
@@ -145,17 +148,41 @@
 	k.ToolCalls = all.Delta().Marshal()
 }
 
-// claimFailed answers a request whose claim was refused: from the recorded outcome where there is one. The cell hears an
-// outcome before the log does. A request whose intent is on the log may have run, whatever the cell says.
-func claimFailed(err error, intended bool, digest string, emit Emit) error {
-	var dup *cell.DuplicateError
-	if errors.As(err, &dup) {
-		return repeated(dup.Outcome, digest, emit)
+// claim returns the claim, or no claim and the outcome of an earlier request with the id; the outcome is empty when it is
+// not known. The outcome of a request that has just ended, or is about to, is waited for: the cell spreads it with its
+// heartbeats.
+func (x *Executor) claim(ctx context.Context, id string) (*cell.Claim, []byte, error) {
+	giveUp := time.Now().Add(outcomeWait)
+	for {
+		cl, outcome, final, err := x.tryClaim(ctx, id)
+		if final || time.Now().After(giveUp) || ctx.Err() != nil {
+			return cl, outcome, err
+		}
+		select {
+		case <-time.After(outcomePause):
+		case <-ctx.Done():
+		}
 	}
-	if intended {
-		return repeated(nil, digest, emit)
+}
+
+// tryClaim asks once. final is set unless an outcome may still come. The cell hears an outcome before the log does. A
+// request whose intent is on the log may have run, whatever the cell says.
+func (x *Executor) tryClaim(ctx context.Context, id string) (cl *cell.Claim, outcome []byte, final bool, err error) {
+	known := x.d.Intents.Lookup(id)
+	if len(known.Outcome) > 0 {
+		return nil, known.Outcome, true, nil
 	}
-	return err
+	cl, err = x.d.Claims.Claim(ctx, id)
+	var dup *cell.DuplicateError
+	switch {
+	case err == nil:
+		return cl, nil, true, nil
+	case errors.As(err, &dup):
+		return nil, dup.Outcome, dup.Settled, nil
+	case known.Known:
+		return nil, nil, false, nil
+	}
+	return nil, nil, true, err
 }
 
 // repeated answers a request whose id was used before.
