Share one pace of appends between the writers of an instance

Cause: an instance's two streams each had half of its share of the log's appends, used or not, so a turn's commit waited for the pace while the intents' half lay idle. Ruled out: a larger budget, which the log may not bear. TestSharedPaceHoldsForAllWriters passes.

--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -25,9 +25,7 @@
 const (
 	// lazyDelay is how long bookkeeping waits to go on the log with other records.
 	lazyDelay = 20 * time.Millisecond
-	// writersEach is the number of busy writers of one instance.
-	writersEach = 2
-	// appendBurst is the number of appends of one writer that may go at once after an idle time.
+	// appendBurst is the number of appends of the instance that may go at once after an idle time.
 	appendBurst = 8
 	// readPace is the least time between two reads of a stream. Nothing waits for what is read but a late start, a
 	// take-over in an even cell and the memory of held events.
@@ -63,11 +61,14 @@
 	s := &streams{metrics: journal.NewMetrics(), index: intent.NewIndex(onIntent), marks: map[int]uint64{}, log: log, dc: self.DataCentre}
 	id := journal.WriterID{Instance: self.ID, Incarnation: self.Incarnation}
 	events, intents := "journal/"+self.DataCentre, "intents/"+self.DataCentre
+	// The instance's writers share its part of the log's appends, whichever of them is busy.
+	pace := journal.NewPace()
 	s.events = journal.New(log, events, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay),
-		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst))
+		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst), journal.WithSharedPace(pace))
 	s.intents = journal.New(log, intents, id, journal.WithMetrics(s.metrics), journal.WithLazyDelay(lazyDelay),
-		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst))
-	s.orders = journal.New(log, ordersStream(self.DataCentre), id, journal.WithMetrics(s.metrics))
+		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst), journal.WithSharedPace(pace))
+	s.orders = journal.New(log, ordersStream(self.DataCentre), id, journal.WithMetrics(s.metrics),
+		journal.WithAppendBudget(appends), journal.WithBurst(appendBurst), journal.WithSharedPace(pace))
 	s.eventR = journal.NewReader(log, events, s, journal.WithReaderMetrics(s.metrics), journal.WithPace(readPace))
 	s.intentR = journal.NewReader(log, intents, s.index, journal.WithReaderMetrics(s.metrics), journal.WithPace(readPace))
 	return s
@@ -80,10 +81,11 @@
 	s.orderR = journal.NewReader(s.log, ordersStream(s.dc), h, journal.WithReaderMetrics(s.metrics))
 }
 
-// setWriters fits the commit window to the number of instances that share the log. Orders are too few to count.
+// setWriters fits the commit window to the number of instances that share the log.
 func (s *streams) setWriters(instances int) {
-	s.events.SetWriters(writersEach * instances)
-	s.intents.SetWriters(writersEach * instances)
+	s.events.SetWriters(instances)
+	s.intents.SetWriters(instances)
+	s.orders.SetWriters(instances)
 }
 
 // Collectors returns the metrics of the journal.
--- a/internal/journal/batching_test.go
+++ b/internal/journal/batching_test.go
@@ -151,3 +151,30 @@
 		is.True(time.Since(idle) > 0)
 	})
 }
+
+// TestSharedPaceHoldsForAllWriters: two writers of one instance together keep its share of the log's appends.
+func TestSharedPaceHoldsForAllWriters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &countingLog{grown: make(chan struct{})}
+		pace := NewPace()
+		var writers []*Writer
+		for _, stream := range []string{"a", "b"} {
+			w := New(log, stream, WriterID{Instance: stream, Incarnation: 1}, WithAppendBudget(10), WithSharedPace(pace))
+			defer w.Close()
+			writers = append(writers, w)
+		}
+		begun := time.Now()
+		var appending sync.WaitGroup
+		for _, w := range writers {
+			appending.Go(func() {
+				for range 10 {
+					_, _ = w.Append(context.Background(), &journalv1.Record{})
+				}
+			})
+		}
+		appending.Wait()
+		is.Equal(appends(log), 20)
+		is.True(time.Since(begun) >= 18*100*time.Millisecond) // two writers may start at one instant
+	})
+}
--- a/internal/journal/options.go
+++ b/internal/journal/options.go
@@ -74,6 +74,9 @@
 // WithBurst sets the number of appends that may go at once after an idle time; the mean pace stays.
 func WithBurst(n int) WriterOption { return func(w *Writer) { w.burst = n } }
 
+// WithSharedPace makes the writer keep one pace with others.
+func WithSharedPace(p *Pace) WriterOption { return func(w *Writer) { w.pace = p } }
+
 // WithLazyDelay sets how long a record that nobody waits for is held back to go with others.
 func WithLazyDelay(d time.Duration) WriterOption { return func(w *Writer) { w.lazyDelay = d } }
 
--- a/internal/journal/writer.go
+++ b/internal/journal/writer.go
@@ -52,6 +52,7 @@
 
 	budget        float64
 	burst         int
+	pace          *Pace
 	lazyDelay     time.Duration
 	maxWindow     time.Duration
 	awayAfter     time.Duration
@@ -80,11 +81,9 @@
 	drained chan struct{}
 
 	// Only run's goroutine uses what follows.
-	sequence   uint64
-	committed  uint64
-	lastOffset int64
-	// paced is the time up to which the appends so far use the pace up.
-	paced        time.Time
+	sequence     uint64
+	committed    uint64
+	lastOffset   int64
 	penalty      time.Duration
 	failingSince time.Time
 }
@@ -98,7 +97,7 @@
 		batchRecords: defaultMaxBatchRecords, batchBytes: defaultMaxBatchBytes,
 		bufferRecords: defaultBufferRecords, bufferBytes: defaultBufferBytes,
 		done: make(chan struct{}), wake: make(chan struct{}, 1), drained: make(chan struct{}),
-		writers: 1, burst: 1, lastOffset: -1,
+		writers: 1, burst: 1, pace: NewPace(), lastOffset: -1,
 	}
 	for _, o := range opts {
 		o(w)
@@ -114,7 +113,7 @@
 // Metrics returns the metrics that the writer counts in.
 func (w *Writer) Metrics() *Metrics { return w.metrics }
 
-// SetWriters tells how many writers share the append budget.
+// SetWriters tells how many writers, or groups of writers that share a pace, share the append budget.
 func (w *Writer) SetWriters(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -238,7 +237,7 @@
 func (w *Writer) run() {
 	defer close(w.done)
 	for {
-		if !w.awaitRecords() || !w.pause(w.untilAllowed(time.Now())) {
+		if !w.awaitRecords() || !w.pause(w.pace.untilAllowed(time.Now(), w.window(), w.burst)) {
 			return
 		}
 		if !w.commit() {
@@ -280,21 +279,6 @@
 	return w.queue[0].at.Add(w.lazyDelay).Sub(now)
 }
 
-// untilAllowed returns the time until the next append may start. Appends keep the window's pace in the mean; after an idle
-// time up to burst of them go at once.
-func (w *Writer) untilAllowed(now time.Time) time.Duration {
-	window := w.window()
-	return w.paced.Add(-time.Duration(w.burst-1) * window).Sub(now)
-}
-
-// started counts an append against the pace.
-func (w *Writer) started(now time.Time) {
-	if w.paced.Before(now) {
-		w.paced = now
-	}
-	w.paced = w.paced.Add(w.window())
-}
-
 // window is the mean time between the starts of two appends.
 func (w *Writer) window() time.Duration {
 	w.mu.Lock()
@@ -384,7 +368,7 @@
 	if err := failpoint.Hit("journal.append.before"); err != nil {
 		return 0, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonPlatformAway, 0, "%v", err)
 	}
-	w.started(time.Now())
+	w.pace.started(time.Now(), w.window())
 	offset, err := w.log.Append(w.ctx, w.stream, [][]byte{data})
 	if hit := failpoint.Hit("journal.append.after"); hit != nil && err == nil {
 		return 0, verdict.Fail(http.StatusGatewayTimeout, verdict.ReasonPlatformAway, "%v", hit)
