Never record a turn of an earlier holder beside a local one

Cause: reading the code: a turn that ends at the part's new holder was recorded without the program's lock, so it and a local turn on the same head could both pass the check of the head and both become durable; a later reader of the log might take the other one first. Ruled out: the check after recording, which comes too late. Before: TestForeignTurnNeverMeetsALocalOne failed (the foreign turn was recorded). After: it is refused with turn_in_progress while a local call is under way, and its holder tries again until its time is up; the test passes.

--- a/internal/program/controller_test.go
+++ b/internal/program/controller_test.go
@@ -202,3 +202,29 @@
 		is.True(c.Apply(ev) != Accepted) // a copy never beats what is known
 	}
 }
+
+// TestForeignTurnNeverMeetsALocalOne: two turns on one head that are recorded at once would both be durable, in an order
+// that a later reader of the log may see the other way round.
+func TestForeignTurnNeverMeetsALocalOne(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, f, id := newTestController(t)
+	_, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d1")) // begun by the earlier holder, which is still at it
+	is.NoErr(err)
+	startedID := f.events[len(f.events)-1].Id
+	c.release(id)
+	local, _, err := c.Begin(ctx, spec(id, FirstHead(id), "d2"))
+	is.NoErr(err)
+	request, answer := []byte("[]"), "from the earlier holder"
+	foreign := &programv1.Event{Id: NextHead(FirstHead(id), request, answer), Program: id, Body: &programv1.Event_TurnCommitted{
+		TurnCommitted: &programv1.TurnCommitted{
+			Head: FirstHead(id), NewHead: NextHead(FirstHead(id), request, answer), Request: request, Answer: answer, StartedId: startedID,
+		},
+	}}
+	recorded := len(f.events)
+	is.Equal(reason(c.RecordForeign(ctx, foreign)), verdict.ReasonTurnInProgress)
+	is.Equal(len(f.events), recorded) // nothing was made durable
+	_, err = local.Commit(ctx, Answer{Request: []byte("[]"), Message: "local"})
+	is.NoErr(err)
+	is.Equal(reason(c.RecordForeign(ctx, foreign)), verdict.ReasonWrongHead)
+}
--- a/internal/program/record.go
+++ b/internal/program/record.go
@@ -68,12 +68,17 @@
 }
 
 // RecordForeign records the end of a turn that began at a previous holder of the part. The program's head decides
-// whether it still fits.
+// whether it still fits. While a call of the program is under way here it is refused with ReasonTurnInProgress: of two
+// turns that are recorded at once a later reader might see the other first.
 func (c *Controller) RecordForeign(ctx context.Context, ev *programv1.Event) error {
 	part, term, refused := c.hold(ev.Program)
 	if refused != nil {
 		return refused
 	}
+	if !c.acquire(ev.Program) {
+		return turnInProgress()
+	}
+	defer c.release(ev.Program)
 	if err := c.flush(ctx, ev.Program, part, term); err != nil {
 		return err
 	}
--- a/internal/program/turn.go
+++ b/internal/program/turn.go
@@ -64,8 +64,7 @@
 			"this instance is shutting down")
 	}
 	if !c.acquire(s.Program) {
-		return nil, nil, verdict.Refuse(http.StatusConflict, verdict.ReasonTurnInProgress, retryBusy,
-			"another call of this program is under way")
+		return nil, nil, turnInProgress()
 	}
 	t, recorded, err := c.begin(ctx, s, part, term)
 	if t == nil {
@@ -74,6 +73,10 @@
 	return t, recorded, err
 }
 
+func turnInProgress() *verdict.Error {
+	return verdict.Refuse(http.StatusConflict, verdict.ReasonTurnInProgress, retryBusy, "another call of this program is under way")
+}
+
 func (c *Controller) acquire(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
