Keep a sub-agent's program with its parent, and check whose the parent is

Cause: reading the code: any id was taken as a parent, so a caller could make its programs count to another account's tree, and a parent's holder was mostly another instance, which could not tell. Ruled out: asking the parent's holder at each creation (another hop, and another way to fail). Before: a foreign, ended or unknown parent was accepted.

--- a/internal/frontend/access.go
+++ b/internal/frontend/access.go
@@ -3,10 +3,8 @@
 import (
 	"net/http"
 	"slices"
-	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/labstack/echo/v5"
 	"k8s.io/klog/v2"
 
@@ -69,11 +67,7 @@
 		return false
 	}
 	dc, err := program.HomeDataCentre(id)
-	if err != nil || len(dc) > maxDataCentreName {
-		return false
-	}
-	_, err = uuid.Parse(id[strings.LastIndexByte(id, '_')+1:])
-	return err == nil
+	return err == nil && len(dc) <= maxDataCentreName
 }
 
 // maxDataCentreName bounds the name of a data centre in a logged id, in bytes.
--- a/internal/frontend/commands/programs.go
+++ b/internal/frontend/commands/programs.go
@@ -43,15 +43,14 @@
 	if refused != nil {
 		return refused
 	}
-	home := h.dataCentre
+	id := program.NewID(h.dataCentre)
 	if r.Parent != "" {
-		// A sub-agent lives where its parent lives, so that both are ordered by one holder.
-		if home, err = program.HomeDataCentre(r.Parent); err != nil {
+		if id, err = program.NewChildID(r.Parent); err != nil {
 			return verdict.Refuse(http.StatusBadRequest, verdict.ReasonUnknownProgram, 0, "parent: %v", err)
 		}
 	}
 	p, err := h.router.CreateProgram(c.Request().Context(), &peerv1.CreateProgramRequest{
-		Account: account, Program: program.NewID(home), Parent: r.Parent, BudgetTokens: limits.Tokens,
+		Account: account, Program: id, Parent: r.Parent, BudgetTokens: limits.Tokens,
 		BudgetCalls: limits.Calls, DeadlineUnixMs: deadline(&r, limits).UnixMilli(),
 	})
 	if err != nil {
--- a/internal/program/controller.go
+++ b/internal/program/controller.go
@@ -155,9 +155,13 @@
 	if p, ok := c.lookup(s.ID); ok {
 		return p, checkAccount(&p, s.Team, s.Account)
 	}
+	root, err := c.rootOf(s)
+	if err != nil {
+		return Program{}, err
+	}
 	ev := &programv1.Event{Id: s.ID, Program: s.ID, UnixMs: c.now().UnixMilli(), Body: &programv1.Event_Created{
 		Created: &programv1.Created{
-			Team: s.Team, Account: s.Account, Parent: s.Parent, Root: c.rootOf(s.Parent),
+			Team: s.Team, Account: s.Account, Parent: s.Parent, Root: root,
 			BudgetTokens: s.BudgetTokens, BudgetCalls: s.BudgetCalls, DeadlineUnixMs: s.Deadline.UnixMilli(),
 		},
 	}}
@@ -168,15 +172,26 @@
 	return p, nil
 }
 
-// rootOf returns the root of the tree of sub-agents that a new program with the given parent joins.
-func (c *Controller) rootOf(parent string) string {
-	if parent == "" {
-		return ""
+// rootOf returns the root of the tree of sub-agents that a new program joins. Its parent must be a live program of the same
+// account.
+func (c *Controller) rootOf(s CreateSpec) (string, error) {
+	if s.Parent == "" {
+		return "", nil
+	}
+	p, ok := c.lookup(s.Parent)
+	if !ok {
+		return "", unknownProgram()
+	}
+	if err := checkAccount(&p, s.Team, s.Account); err != nil {
+		return "", err
+	}
+	if p.Ended {
+		return "", verdict.Refuse(http.StatusGone, verdict.ReasonProgramEnded, 0, "the parent has ended: %s", p.EndCause)
 	}
-	if p, ok := c.lookup(parent); ok && p.Root != "" {
-		return p.Root
+	if p.Root != "" {
+		return p.Root, nil
 	}
-	return parent
+	return p.ID, nil
 }
 
 // lookup returns a copy of the program's state; slices are shared and append-only.
--- a/internal/program/controller_test.go
+++ b/internal/program/controller_test.go
@@ -228,3 +228,28 @@
 	is.NoErr(err)
 	is.Equal(reason(c.RecordForeign(ctx, foreign)), verdict.ReasonWrongHead)
 }
+
+func TestSubAgentJoinsItsParentsTree(t *testing.T) {
+	is := is.New(t)
+	ctx := context.Background()
+	c, _, id := newTestController(t)
+	create := func(parent, account string) (Program, error) {
+		child, err := NewChildID(parent)
+		is.NoErr(err)
+		return c.Create(ctx, CreateSpec{ID: child, Team: "t", Account: account, Parent: parent, BudgetTokens: 10, BudgetCalls: 1, Deadline: time.Now().Add(time.Hour)})
+	}
+	child, err := create(id, "a")
+	is.NoErr(err)
+	is.Equal(child.Root, id)
+	grandchild, err := create(child.ID, "a")
+	is.NoErr(err)
+	is.Equal(grandchild.Root, id)
+	_, err = create(id, "other")
+	is.Equal(reason(err), verdict.ReasonUnknownProgram) // another account's program is no parent
+	_, err = create(NewID("giza"), "a")
+	is.Equal(reason(err), verdict.ReasonUnknownProgram)
+	_, err = c.End(ctx, id, "done")
+	is.NoErr(err)
+	_, err = create(id, "a")
+	is.Equal(reason(err), verdict.ReasonProgramEnded)
+}
