Add the serving path on the users' platform

Cause: nothing in the repository speaks the platform's protocol. Adds platform/ (settings, store, groups, entries, configuration, headers), the log of turns with owners by conditional append, rates, gateway and their wiring.

--- a/cmd/berylpondd/main.go
+++ b/cmd/berylpondd/main.go
@@ -30,7 +30,7 @@
 Exit codes: 0 after a graceful shutdown, 1 when the daemon failed, 2 when the command line or the settings are wrong.`,
 		SilenceUsage: true, SilenceErrors: true, Version: buildinfo.Version(),
 	}
-	root.AddCommand(runCommand(), devCommand(), checkCommand(), versionCommand())
+	root.AddCommand(runCommand(), platformCommand(), devCommand(), checkCommand(), versionCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintf(os.Stderr, "berylpondd: %v\n", err)
 		os.Exit(exitCode(err))
--- /dev/null
+++ b/internal/follow/backends.go
@@ -0,0 +1,169 @@
+package follow
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
+
+	"github.com/berylpond/berylpond/internal/fleet"
+	"github.com/berylpond/berylpond/platform"
+)
+
+const (
+	// backendsEvery is the pause between two reads of the backend servers' entries. With the read itself it stays well
+	// under the time after which a leaving server must get no more requests.
+	backendsEvery = 400 * time.Millisecond
+	// backendsTimeout bounds such a read.
+	backendsTimeout = 900 * time.Millisecond
+	// lapseGrace is how long a server whose entry went is used on after the store was away: entries lapse meanwhile, and
+	// those of live servers are back within two seconds.
+	lapseGrace = 2300 * time.Millisecond
+	// lapseWindow is how long after a failed read entries count as lapsed rather than removed.
+	lapseWindow = 2500 * time.Millisecond
+)
+
+// Backends follows the entries of the backend servers.
+type Backends struct {
+	store *platform.Store
+	fleet *fleet.Fleet
+	now   func() time.Time
+
+	// failed is when the store last failed to answer.
+	failed time.Time
+	// lapsed are the servers whose entries went about when the store was away, with the time at which they are given up.
+	lapsed map[string]time.Time
+	// entries are the newest raw entries, to tell changes from repetitions.
+	entries map[string]string
+}
+
+// NewBackends returns a follower that fills the fleet.
+func NewBackends(store *platform.Store, f *fleet.Fleet) *Backends {
+	return &Backends{store: store, fleet: f, now: time.Now, lapsed: map[string]time.Time{}, entries: map[string]string{}}
+}
+
+// Run follows the entries until the context ends.
+func (b *Backends) Run(ctx context.Context) {
+	var at int64
+	fresh := true
+	for ctx.Err() == nil {
+		var err error
+		if fresh {
+			at, err = b.readAll(ctx)
+		} else {
+			at, err = b.readNext(ctx, at)
+		}
+		b.giveUpLapsed()
+		var trimmed *platform.TrimmedError
+		switch {
+		case err == nil:
+			fresh = false
+			pause(ctx, backendsEvery)
+		case errors.As(err, &trimmed):
+			fresh = true
+		default:
+			b.failed = b.now()
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// readAll takes over the newest entry of each server and drops those that have none.
+func (b *Backends) readAll(ctx context.Context) (int64, error) {
+	end, records, err := readNewest(ctx, b.store, platform.BackendsTopic)
+	if err != nil {
+		return 0, err
+	}
+	listed := map[string]bool{}
+	for _, r := range records {
+		if len(r.Value) > 0 {
+			listed[r.Key] = true
+		}
+		b.take(r)
+	}
+	for id := range b.entries {
+		if !listed[id] {
+			b.remove(id)
+		}
+	}
+	b.fleet.Loaded()
+	return end, nil
+}
+
+func (b *Backends) readNext(ctx context.Context, at int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, backendsTimeout)
+	defer cancel()
+	page, err := b.store.Read(ctx, platform.BackendsTopic, at, 0, 0)
+	if err != nil {
+		return at, err
+	}
+	for _, raw := range page.Records {
+		at++
+		r, err := platform.DecodeKeyed(raw)
+		if err != nil {
+			klog.ErrorS(err, "unreadable entry of a backend server skipped", "offset", at-1)
+			continue
+		}
+		b.take(r)
+	}
+	return at, nil
+}
+
+func (b *Backends) take(r platform.KeyedRecord) {
+	if len(r.Value) == 0 {
+		b.remove(r.Key)
+		return
+	}
+	e, err := platform.DecodeBackend(r.Key, r.Value)
+	if err != nil {
+		klog.V(1).InfoS("entry names no backend server to use", "cause", err.Error())
+		b.remove(r.Key)
+		return
+	}
+	delete(b.lapsed, r.Key)
+	if before, known := b.entries[r.Key]; !known || before != describe(e) {
+		klog.InfoS("backend server", "id", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre,
+			"slots", e.Slots, "draining", e.Draining, "born", e.Incarnation)
+	}
+	b.entries[r.Key] = describe(e)
+	b.fleet.Set(e)
+}
+
+// describe gives two entries the same text if requests would be routed alike.
+func describe(e fleet.Entry) string {
+	state := "ready"
+	if e.Draining {
+		state = "draining"
+	}
+	return e.Service + " " + e.Address + " " + state + " " + time.UnixMilli(e.Incarnation).String()
+}
+
+func (b *Backends) remove(id string) {
+	if _, known := b.entries[id]; !known {
+		return
+	}
+	if b.now().Sub(b.failed) < lapseWindow {
+		if _, pending := b.lapsed[id]; !pending {
+			b.lapsed[id] = b.now().Add(lapseGrace)
+			klog.InfoS("backend server's entry lapsed while the store was away", "id", id)
+		}
+		return
+	}
+	b.forget(id)
+}
+
+func (b *Backends) forget(id string) {
+	klog.InfoS("backend server gone", "id", id)
+	delete(b.entries, id)
+	delete(b.lapsed, id)
+	b.fleet.Remove(id)
+}
+
+func (b *Backends) giveUpLapsed() {
+	for id, until := range b.lapsed {
+		if b.now().After(until) && b.now().Sub(b.failed) >= lapseGrace {
+			b.forget(id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rates/lessee.go
@@ -0,0 +1,324 @@
+package rates
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/routing"
+)
+
+const (
+	// grantLife is how long granted tokens may be used. Tokens of one moment can be used up to so much later, which
+	// the windows over which rates are judged must bear.
+	grantLife = 350 * time.Millisecond
+	// aheadFor is the time for which tokens are taken ahead of need.
+	aheadFor = 250 * time.Millisecond
+	// heartbeat is the longest pause between two messages to the holder, by which it knows whom it serves.
+	heartbeat = 700 * time.Millisecond
+	// takeTimeout bounds a message to the holder.
+	takeTimeout = 250 * time.Millisecond
+	// waitFor is how long a request waits for a token; a bucket refills within that time where the account is not over
+	// its rate for longer.
+	waitFor = 200 * time.Millisecond
+	// aloneAfter is how long without an answer of a holder until an instance uses its own share of each rate. It is
+	// longer than activeWithin, after which the holder no longer counts the instance as served.
+	aloneAfter = 2 * time.Second
+	// askPause spaces messages to the holder.
+	askPause = 10 * time.Millisecond
+	// failPause is the pause after a holder that did not answer or is none.
+	failPause = 50 * time.Millisecond
+	// demandDecay is the weight of the newest interval in the estimate of an account's demand.
+	demandDecay = 0.3
+)
+
+// Taker sends a request for tokens to the present holder.
+type Taker interface {
+	Take(ctx context.Context, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error)
+}
+
+// Lessee admits the requests of one instance.
+type Lessee struct {
+	accounts Accounts
+	members  Members
+	self     string
+	taker    Taker
+	now      func() time.Time
+
+	mu       sync.Mutex
+	leases   map[string]*lease
+	answered time.Time
+	wake     chan struct{}
+}
+
+type lot struct {
+	tokens  int64
+	expires time.Time
+}
+
+type lease struct {
+	lots    []lot
+	waiters []*waiter
+	// unused counts tokens of lots that have expired, to be given back.
+	unused int64
+	// arrivals since the last message, and the estimate of demand in requests a second.
+	arrivals int64
+	demand   float64
+	asked    time.Time
+	// own is the bucket used while no holder answers.
+	own bucket
+	// retryAfter is the holder's last word on when the bucket holds a token again.
+	retryAfter time.Duration
+}
+
+type waiter struct {
+	granted chan bool
+}
+
+// Denial says why a request got no token.
+type Denial struct {
+	// OverRate means that the account is beyond its rate; otherwise no holder answered.
+	OverRate   bool
+	RetryAfter time.Duration
+}
+
+// NewLessee returns a lessee without tokens.
+func NewLessee(a Accounts, m Members, self string, t Taker) *Lessee {
+	return &Lessee{
+		accounts: a, members: m, self: self, taker: t, now: time.Now, leases: map[string]*lease{}, answered: time.Now(),
+		wake: make(chan struct{}, 1),
+	}
+}
+
+// Admit takes a token for a request of the account and waits for one briefly. It returns nil if the request may go on.
+func (l *Lessee) Admit(ctx context.Context, a routing.Account) *Denial {
+	if a.Rate <= 0 {
+		return nil
+	}
+	l.mu.Lock()
+	s := l.lease(a.Name)
+	s.arrivals++
+	now := l.now()
+	if len(s.waiters) == 0 && s.take(now) {
+		low := s.held(now) < int64(s.demand*aheadFor.Seconds()/2)
+		l.mu.Unlock()
+		if low {
+			l.ask()
+		}
+		return nil
+	}
+	w := &waiter{granted: make(chan bool, 1)}
+	s.waiters = append(s.waiters, w)
+	l.mu.Unlock()
+	l.ask()
+	t := time.NewTimer(waitFor)
+	defer t.Stop()
+	select {
+	case ok := <-w.granted:
+		if ok {
+			return nil
+		}
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return l.giveUp(s, w)
+}
+
+// giveUp withdraws a waiter; it returns nil if a token came just then.
+func (l *Lessee) giveUp(s *lease, w *waiter) *Denial {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i, other := range s.waiters {
+		if other == w {
+			s.waiters = append(s.waiters[:i:i], s.waiters[i+1:]...)
+			break
+		}
+	}
+	select {
+	case ok := <-w.granted:
+		if ok {
+			return nil
+		}
+	default:
+	}
+	d := &Denial{OverRate: l.now().Sub(l.answered) < aloneAfter, RetryAfter: s.retryAfter}
+	return d
+}
+
+func (l *Lessee) lease(account string) *lease {
+	s := l.leases[account]
+	if s == nil {
+		s = &lease{}
+		l.leases[account] = s
+	}
+	return s
+}
+
+func (s *lease) take(now time.Time) bool {
+	s.expire(now)
+	if len(s.lots) == 0 {
+		return false
+	}
+	s.lots[0].tokens--
+	if s.lots[0].tokens == 0 {
+		s.lots = s.lots[1:]
+	}
+	return true
+}
+
+func (s *lease) held(now time.Time) int64 {
+	s.expire(now)
+	var n int64
+	for _, x := range s.lots {
+		n += x.tokens
+	}
+	return n
+}
+
+func (s *lease) expire(now time.Time) {
+	for len(s.lots) > 0 && !now.Before(s.lots[0].expires) {
+		s.unused += s.lots[0].tokens
+		s.lots = s.lots[1:]
+	}
+}
+
+func (l *Lessee) ask() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run exchanges messages with the holder until the context ends.
+func (l *Lessee) Run(ctx context.Context) {
+	t := time.NewTimer(heartbeat)
+	defer t.Stop()
+	for {
+		t.Reset(heartbeat)
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		case <-t.C:
+		}
+		pause := askPause
+		if !l.exchange(ctx) {
+			pause = failPause
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		if l.waiting() {
+			l.ask()
+		}
+	}
+}
+
+func (l *Lessee) waiting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.leases {
+		if len(s.waiters) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange sends one message to the holder and hands out what it grants.
+func (l *Lessee) exchange(ctx context.Context) bool {
+	r := l.request()
+	callCtx, cancel := context.WithTimeout(ctx, takeTimeout)
+	sent := l.now()
+	resp, err := l.taker.Take(callCtx, r)
+	cancel()
+	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
+		l.selfGrant()
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.answered = l.now()
+	for _, g := range resp.Grants {
+		s := l.lease(g.Account)
+		s.own = bucket{}
+		s.retryAfter = time.Duration(g.RetryAfterMs) * time.Millisecond
+		if g.Tokens > 0 {
+			// The life of a grant counts from before the holder could have made it.
+			s.lots = append(s.lots, lot{tokens: g.Tokens, expires: sent.Add(grantLife)})
+		}
+		s.serve(l.now())
+		if g.RetryAfterMs > 0 && s.retryAfter > waitFor {
+			s.refuse()
+		}
+	}
+	return true
+}
+
+// serve hands held tokens to the requests that wait, in order.
+func (s *lease) serve(now time.Time) {
+	for len(s.waiters) > 0 && s.take(now) {
+		s.waiters[0].granted <- true
+		s.waiters = s.waiters[1:]
+	}
+}
+
+func (s *lease) refuse() {
+	for _, w := range s.waiters {
+		w.granted <- false
+	}
+	s.waiters = nil
+}
+
+// request collects what every account needs.
+func (l *Lessee) request() *turnv1.TakeRequest {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	r := &turnv1.TakeRequest{Instance: l.self, Known: l.members()}
+	for name, s := range l.leases {
+		if elapsed := now.Sub(s.asked); elapsed >= aheadFor/2 {
+			s.demand += demandDecay * (float64(s.arrivals)/elapsed.Seconds() - s.demand)
+			s.arrivals, s.asked = 0, now
+		}
+		held := s.held(now)
+		want := int64(len(s.waiters)) + int64(s.demand*aheadFor.Seconds()+0.5) - held
+		if want <= 0 && s.unused == 0 {
+			continue
+		}
+		r.Demands = append(r.Demands, &turnv1.Demand{Account: name, Want: max(want, 0), Unused: s.unused})
+		s.unused = 0
+	}
+	return r
+}
+
+// selfGrant lets the instance use its own share of each rate once no holder has answered for a while.
+func (l *Lessee) selfGrant() {
+	c := l.accounts()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	if c == nil || now.Sub(l.answered) < aloneAfter {
+		return
+	}
+	n := float64(len(l.members()) + 1)
+	for name, s := range l.leases {
+		a, ok := c.Accounts[name]
+		if !ok {
+			continue
+		}
+		if s.own.filled.IsZero() {
+			s.own.filled = now
+		}
+		s.own.tokens = min(s.own.tokens+a.Rate/n*now.Sub(s.own.filled).Seconds(), max(a.Burst/n, 1))
+		s.own.filled = now
+		if whole := int64(s.own.tokens); whole > 0 {
+			s.own.tokens -= float64(whole)
+			s.lots = append(s.lots, lot{tokens: whole, expires: now.Add(grantLife)})
+			s.serve(now)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/upstream.go
@@ -0,0 +1,273 @@
+// Package upstream sends requests to backend servers over kept connections and says of each failure whether the request
+// may have run.
+//
+// It does without net/http's transport, which repeats requests by itself and gives an answer that arrives late to
+// whatever request is next on its connection.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/berylpond/berylpond/internal/verdict"
+	"github.com/berylpond/berylpond/platform"
+)
+
+const (
+	// maxIdlePerServer bounds the idle connections kept to one backend server.
+	maxIdlePerServer = 16
+	// inlineBodyBytes is the longest body that is written before the answer is awaited: it fits the socket's buffer. A
+	// longer one is written beside, as a server may answer before it has read the body.
+	inlineBodyBytes = 4 << 10
+	// maxStrayAnswers is how many answers to other requests are skipped on a connection.
+	maxStrayAnswers = 4
+	// maxStrayBytes bounds the body of an answer that is skipped.
+	maxStrayBytes = 1 << 20
+)
+
+// ErrStray means that a connection carried more answers to other requests than are skipped.
+var ErrStray = errors.New("too many answers to other requests")
+
+// Request is one request to a backend server.
+type Request struct {
+	// ID is the request's id, by which its answer is known.
+	ID     string
+	Method string
+	// Target is the path and query as the client sent them.
+	Target string
+	Host   string
+	Header http.Header
+	Body   []byte
+}
+
+// Response is a backend server's answer. Its body ends with io.EOF only if it is complete.
+type Response struct {
+	Status int
+	Header http.Header
+	platform.Answer
+	// Length is the announced length of the body, or -1.
+	Length int64
+	Body   io.Reader
+
+	pool    *Pool
+	conn    *conn
+	address string
+	resp    *http.Response
+	written chan error
+	stop    func() bool
+	done    sync.Once
+}
+
+// Error is a failed exchange.
+type Error struct {
+	// Verdict says whether the request may have run.
+	Verdict verdict.Verdict
+	Err     error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Err.Error() + " (" + e.Verdict.String() + ")" }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Pool keeps idle connections to backend servers. It is safe for concurrent use.
+type Pool struct {
+	mu   sync.Mutex
+	idle map[string][]*conn
+	now  func() time.Time
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}, now: time.Now} }
+
+// Do sends a request and returns once the headers of its answer are here. The response must be closed. The context ends
+// the exchange, body included. An error is an *Error.
+func (p *Pool) Do(ctx context.Context, address string, r Request) (*Response, error) {
+	c, err := p.connect(ctx, address)
+	if err != nil {
+		return nil, &Error{Verdict: verdict.NotRun, Err: err}
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		if err := c.SetDeadline(deadline); err != nil {
+			c.Close()
+			return nil, &Error{Verdict: verdict.NotRun, Err: errors.Wrap(err, "setting a deadline")}
+		}
+	}
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	resp, err := exchange(c, r)
+	if err != nil {
+		stop()
+		c.Close()
+		if ctx.Err() != nil {
+			err = errors.CombineErrors(ctx.Err(), err)
+		}
+		return nil, &Error{Verdict: verdict.MayHaveRun, Err: errors.Wrapf(err, "exchange with %s", address)}
+	}
+	resp.pool, resp.address, resp.stop = p, address, stop
+	return resp, nil
+}
+
+// exchange writes the request and reads the headers of the answer to it.
+func exchange(c *conn, r Request) (*Response, error) {
+	written := make(chan error, 1)
+	if len(r.Body) <= inlineBodyBytes {
+		if err := write(c, r); err != nil {
+			return nil, errors.Wrap(err, "writing the request")
+		}
+		written <- nil
+	} else {
+		go func() { written <- write(c, r) }()
+	}
+	req := &http.Request{Method: r.Method}
+	for range maxStrayAnswers {
+		resp, err := readResponse(c.reader, req)
+		if err != nil {
+			return nil, err
+		}
+		a := platform.DecodeAnswer(resp.StatusCode, resp.Header)
+		if a.RequestID == r.ID || a.RequestID == "" && !a.Stamped {
+			return &Response{
+				Status: resp.StatusCode, Header: resp.Header, Answer: a, Length: resp.ContentLength, Body: resp.Body,
+				conn: c, resp: resp, written: written,
+			}, nil
+		}
+		if err := drain(resp.Body, maxStrayBytes); err != nil {
+			return nil, errors.Wrap(err, "skipping an answer to another request")
+		}
+	}
+	return nil, ErrStray
+}
+
+func readResponse(br *bufio.Reader, req *http.Request) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(br, req)
+		if err != nil {
+			return nil, errors.Wrap(err, "reading the answer")
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
+func write(c *conn, r Request) error {
+	w := bufio.NewWriterSize(c, inlineBodyBytes)
+	for _, s := range []string{r.Method, " ", r.Target, " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
+		w.WriteString(s)
+	}
+	if err := r.Header.WriteSubset(w, map[string]bool{"Host": true, "Content-Length": true}); err != nil {
+		return err
+	}
+	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
+		w.WriteString("Content-Length: ")
+		w.WriteString(strconv.Itoa(len(r.Body)))
+		w.WriteString("\r\n")
+	}
+	w.WriteString("\r\n")
+	if _, err := w.Write(r.Body); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// Close ends the exchange. The connection is kept if the answer was read to its end and nothing else came.
+func (r *Response) Close(complete bool) {
+	r.done.Do(func() {
+		// A context that has ended has closed the connection.
+		live := r.stop()
+		if !complete || !live || r.resp.Close || r.Length < 0 && !chunked(r.resp) || !r.isWritten() || r.conn.reader.Buffered() > 0 {
+			r.conn.Close()
+			return
+		}
+		r.pool.put(r.address, r.conn, r.IdleTimeout)
+	})
+}
+
+func (r *Response) isWritten() bool {
+	select {
+	case err := <-r.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+func chunked(resp *http.Response) bool { return len(resp.TransferEncoding) > 0 }
+
+func (p *Pool) connect(ctx context.Context, address string) (*conn, error) {
+	for {
+		c := p.take(address)
+		if c == nil {
+			return dial(ctx, address)
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) take(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	if p.now().After(c.expires) {
+		// The rest of the list is older still.
+		for _, old := range p.idle[address] {
+			old.Close()
+		}
+		delete(p.idle, address)
+		c.Close()
+		return nil
+	}
+	return c
+}
+
+func (p *Pool) put(address string, c *conn, announced time.Duration) {
+	keep := defaultIdleTimeout
+	if announced > 0 {
+		keep = announced - idleMargin
+	}
+	if keep <= 0 {
+		c.Close()
+		return
+	}
+	if err := c.SetDeadline(time.Time{}); err != nil {
+		c.Close()
+		return
+	}
+	c.reused = true
+	c.expires = p.now().Add(keep)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= maxIdlePerServer {
+		c.Close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], c)
+}
+
+// Close closes every idle connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		for _, c := range list {
+			c.Close()
+		}
+		delete(p.idle, address)
+	}
+}
