Give calls that the store holds the time for it; keep a peer's broken connection from ending the process

FindElsewhere took a cancelled call for an answer (9 exits over both sites). Ruled out: a slow registry follower; other instances saw the removal 40 to 400 ms after it.

--- a/internal/follow/backends.go
+++ b/internal/follow/backends.go
@@ -20,8 +20,10 @@
 	// lapseGrace is how long a server whose entry went is used on after the store was away: entries lapse meanwhile, and
 	// those of live servers are back within two seconds.
 	lapseGrace = 2300 * time.Millisecond
-	// lapseWindow is how long after a failed read entries count as lapsed rather than removed.
+	// lapseWindow is how long after an outage entries count as lapsed rather than removed.
 	lapseWindow = 2500 * time.Millisecond
+	// outageAfter is how long reads must fail to count as an outage: entries lapse only after some heartbeats.
+	outageAfter = time.Second
 )
 
 // Backends follows the entries of the backend servers.
@@ -30,8 +32,9 @@
 	fleet *fleet.Fleet
 	now   func() time.Time
 
-	// failed is when the store last failed to answer.
-	failed time.Time
+	// failingSince is when the reads began to fail, zero while they succeed; outage is the end of the last outage.
+	failingSince time.Time
+	outage       time.Time
 	// lapsed are the servers whose entries went about when the store was away, with the time at which they are given up.
 	lapsed map[string]time.Time
 	// entries are the newest raw entries, to tell changes from repetitions.
@@ -59,16 +62,27 @@
 		switch {
 		case err == nil:
 			fresh = false
+			b.failingSince = time.Time{}
 			pause(ctx, backendsEvery)
 		case errors.As(err, &trimmed):
 			fresh = true
 		default:
-			b.failed = b.now()
+			b.recordFailure()
 			pause(ctx, retryPause)
 		}
 	}
 }
 
+func (b *Backends) recordFailure() {
+	now := b.now()
+	if b.failingSince.IsZero() {
+		b.failingSince = now
+	}
+	if now.Sub(b.failingSince) >= outageAfter {
+		b.outage = now
+	}
+}
+
 // readAll takes over the newest entry of each server and drops those that have none.
 func (b *Backends) readAll(ctx context.Context) (int64, error) {
 	end, records, err := readNewest(ctx, b.store, platform.BackendsTopic)
@@ -143,7 +157,7 @@
 	if _, known := b.entries[id]; !known {
 		return
 	}
-	if b.now().Sub(b.failed) < lapseWindow {
+	if b.now().Sub(b.outage) < lapseWindow {
 		if _, pending := b.lapsed[id]; !pending {
 			b.lapsed[id] = b.now().Add(lapseGrace)
 			klog.InfoS("backend server's entry lapsed while the store was away", "id", id)
@@ -162,7 +176,7 @@
 
 func (b *Backends) giveUpLapsed() {
 	for id, until := range b.lapsed {
-		if b.now().After(until) && b.now().Sub(b.failed) >= lapseGrace {
+		if b.now().After(until) && b.now().Sub(b.outage) >= lapseGrace {
 			b.forget(id)
 		}
 	}
--- a/internal/storepath/storepath.go
+++ b/internal/storepath/storepath.go
@@ -20,10 +20,12 @@
 const (
 	// directAgainEvery is the pause between two straight calls while the store does not serve this instance.
 	directAgainEvery = 500 * time.Millisecond
-	// directShare is the part of a call's time that a straight call may take before it is relayed.
+	// directShare divides a call's time: a straight call that has not been answered in its part is relayed.
 	directShare = 2
 	// relayedTimeout bounds a call that is made for another instance.
 	relayedTimeout = 600 * time.Millisecond
+	// relayedWait is added for calls that the store may hold.
+	relayedWait = 500 * time.Millisecond
 	// peersTried is how many instances are asked to relay one call.
 	peersTried = 2
 )
@@ -69,7 +71,7 @@
 	if !p.tryDirect() {
 		return p.viaPeers(ctx, c)
 	}
-	callCtx, cancel := p.directContext(ctx)
+	callCtx, cancel := p.directContext(ctx, c.Wait)
 	reply, err := p.direct.Carry(callCtx, c)
 	cancel()
 	served := err == nil && reply.Status != http.StatusServiceUnavailable && reply.Status != http.StatusTooManyRequests
@@ -83,13 +85,13 @@
 	return reply, err
 }
 
-// directContext leaves a relay a part of the call's time, where a relay is likely to be needed.
-func (p *Path) directContext(ctx context.Context) (context.Context, context.CancelFunc) {
+// directContext leaves a relay a part of the call's time, beyond that for which the store may hold the call.
+func (p *Path) directContext(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, deadline.Sub(p.now())/directShare)
+	return context.WithTimeout(ctx, wait+(deadline.Sub(p.now())-wait)/directShare)
 }
 
 // tryDirect reports whether the next call goes to the store itself.
@@ -150,9 +152,9 @@
 		if err != nil {
 			continue
 		}
-		callCtx, cancel := context.WithTimeout(ctx, relayedTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, relayedTimeout+min(c.Wait, relayedWait))
 		resp, err := turnv1.NewRelayClient(conn).Call(callCtx, &turnv1.CallRequest{
-			Method: c.Method, Path: c.Path, Body: c.Body, Json: c.JSON,
+			Method: c.Method, Path: c.Path, Body: c.Body, Json: c.JSON, WaitMs: c.Wait.Milliseconds(),
 		})
 		cancel()
 		if err != nil || resp.Status == 0 {
@@ -199,7 +201,8 @@
 	if !p.Served() {
 		return &turnv1.CallResponse{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, relayedTimeout)
+	wait := min(time.Duration(r.WaitMs)*time.Millisecond, relayedWait)
+	ctx, cancel := context.WithTimeout(ctx, relayedTimeout+wait)
 	defer cancel()
 	reply, err := p.direct.Carry(ctx, platform.Call{Method: r.Method, Path: r.Path, Body: r.Body, JSON: r.Json})
 	if err != nil {
--- a/internal/turns/turns.go
+++ b/internal/turns/turns.go
@@ -7,8 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/turnlog"
@@ -197,8 +195,5 @@
 		return nil, err
 	}
 	resp, err := turnv1.NewTurnsClient(conn).Find(ctx, r)
-	if status.Code(err) == codes.Canceled {
-		return nil, ctx.Err()
-	}
 	return resp, errors.Wrapf(err, "owner %s", address)
 }
