--- /dev/null
+++ b/internal/turnlog/owner_test.go
@@ -0,0 +1,249 @@
+package turnlog
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/fakes/metastore"
+	"github.com/berylpond/berylpond/platform"
+)
+
+// site is a store with any number of owners.
+type site struct {
+	t     *testing.T
+	store *metastore.Store
+	url   string
+	ctx   context.Context
+}
+
+func newSite(t *testing.T) *site {
+	s := metastore.New(1)
+	srv := httptest.NewServer(s)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(func() { cancel(); srv.CloseClientConnections(); srv.Close() })
+	return &site{t: t, store: s, url: strings.TrimPrefix(srv.URL, "http://"), ctx: ctx}
+}
+
+// noFinder stands for a site without other owners: its answers speak for every partition only if the caller's own do.
+type noFinder struct{ err error }
+
+func (f noFinder) FindElsewhere(_ context.Context, _ *turnv1.FindRequest, own []int) (*turnv1.FindResponse, error) {
+	if len(own) == 0 {
+		return nil, errors.New("no owner speaks for the partition")
+	}
+	return &turnv1.FindResponse{Outcome: turnv1.Outcome_OUTCOME_NO_SUCH_TURN}, f.err
+}
+
+func (s *site) owner(name string, f Finder) *Owner {
+	o := NewOwner(s.ctx, platform.NewStore(platform.NewHTTPCarrier(s.url)),
+		platform.StoreSettings{Partitions: 1, MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 21}, name, f,
+		NewMetrics(prometheus.NewRegistry()))
+	o.Assign([]int{0})
+	for deadline := time.Now().Add(5 * time.Second); !o.Holds(0); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("owner %s does not get its partition", name)
+		}
+	}
+	return o
+}
+
+func begin(turn, previous string, budget, most int64) *turnv1.BeginRequest {
+	return &turnv1.BeginRequest{
+		Program: "p", Account: "a", Turn: turn, Previous: previous, Budget: budget, Most: most, KeepMs: 60_000,
+	}
+}
+
+func end(turn, previous, input, output string, tokens int64) *turnv1.EndRequest {
+	return &turnv1.EndRequest{
+		Program: "p", Account: "a", Turn: turn, Previous: previous, Complete: true, Tokens: tokens, Input: []byte(input),
+		Output: []byte(output), Budget: 1000, Most: 100, KeepMs: 60_000,
+	}
+}
+
+func mustBegin(t *testing.T, o *Owner, r *turnv1.BeginRequest) *turnv1.BeginResponse {
+	t.Helper()
+	resp, err := o.Begin(t.Context(), r)
+	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
+		t.Fatalf("begin of %s: %v %v", r.Turn, resp, err)
+	}
+	return resp
+}
+
+func mustEnd(t *testing.T, o *Owner, r *turnv1.EndRequest) {
+	t.Helper()
+	resp, err := o.End(t.Context(), r)
+	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
+		t.Fatalf("end of %s: %v %v", r.Turn, resp, err)
+	}
+}
+
+func TestHistoryIsEachInputAndOutputInOrderAndSurvivesTheOwner(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	o := s.owner("one", noFinder{})
+	mustBegin(t, o, begin("t1", "", 1000, 100))
+	mustEnd(t, o, end("t1", "", "in1", "out1\n", 50))
+	mustBegin(t, o, begin("t2", "t1", 1000, 100))
+	mustEnd(t, o, end("t2", "t1", "in2", "out2\n", 50))
+	mustBegin(t, o, begin("side", "t1", 1000, 100))
+
+	next := s.owner("two", noFinder{})
+	is.Equal(string(mustBegin(t, next, begin("t3", "t2", 1000, 100)).History), "in1out1\nin2out2\n")
+	is.Equal(string(mustBegin(t, next, begin("t4", "t1", 1000, 100)).History), "in1out1\n")
+}
+
+func TestReplacedOwnerAcknowledgesNothing(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	old := s.owner("old", noFinder{})
+	mustBegin(t, old, begin("t1", "", 1000, 100))
+	next := s.owner("next", noFinder{})
+
+	resp, err := old.End(t.Context(), end("t1", "", "in", "out\n", 10))
+	is.NoErr(err)
+	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_NOT_OWNER)
+	found, err := next.Find(t.Context(), &turnv1.FindRequest{Account: "a", Turn: "t1"})
+	is.NoErr(err)
+	is.Equal(found.Outcome, turnv1.Outcome_OUTCOME_NO_SUCH_TURN)
+}
+
+func TestReplacedOwnerDoesNotEndAProgramThatItNoLongerKnows(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	old := s.owner("old", noFinder{})
+	next := s.owner("next", noFinder{})
+	mustBegin(t, next, begin("t1", "", 1000, 100))
+	mustEnd(t, next, end("t1", "", "in", "out\n", 10))
+
+	// The old owner does not know the turn; the log does.
+	resp, err := old.Begin(t.Context(), begin("t2", "t1", 1000, 100))
+	is.NoErr(err)
+	is.True(resp.Outcome != turnv1.Outcome_OUTCOME_NO_SUCH_TURN)
+}
+
+func TestAppendWithoutAnAnswerIsAcknowledgedOnce(t *testing.T) {
+	for name, mode := range map[string]metastore.Mode{"done": metastore.Lose, "done later": metastore.Late} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t)
+			s.store.Delay = 300 * time.Millisecond
+			o := s.owner("one", noFinder{})
+			mustBegin(t, o, begin("t1", "", 1000, 100))
+			failed := false
+			s.store.SetFault(func(r *http.Request) metastore.Mode {
+				if r.URL.Path == "/api/log-append" && !failed {
+					failed = true
+					return mode
+				}
+				return metastore.Serve
+			})
+			mustEnd(t, o, end("t1", "", "in", "out\n", 10))
+			time.Sleep(2 * s.store.Delay)
+			is.True(failed)
+			completed := 0
+			for i, b := range s.store.Records(Topic, 0) {
+				p := partition{}
+				if r := p.decode(b, int64(i)); r.GetCompleted() != nil {
+					completed++
+				}
+			}
+			is.Equal(completed, 1)
+			is.True(o.Holds(0))
+		})
+	}
+}
+
+func TestBudgetHoldsOverTheLossOfAnOwner(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	o := s.owner("one", noFinder{})
+	// Two of three turns of 100 tokens are under way when the owner is lost: what they generate is not known.
+	mustBegin(t, o, begin("t1", "", 300, 100))
+	mustBegin(t, o, begin("t2", "", 300, 100))
+	next := s.owner("two", noFinder{})
+	mustBegin(t, next, begin("t3", "", 300, 100))
+	resp, err := next.Begin(t.Context(), begin("t4", "", 300, 100))
+	is.NoErr(err)
+	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_BUDGET_SPENT)
+}
+
+func TestUnspentReservationIsReturned(t *testing.T) {
+	s := newSite(t)
+	o := s.owner("one", noFinder{})
+	for range 10 {
+		mustBegin(t, o, begin("t1", "", 100, 100))
+		_, err := o.End(t.Context(), &turnv1.EndRequest{Program: "p", Account: "a", Turn: "t1"})
+		is.New(t).NoErr(err)
+	}
+}
+
+func TestNextTurnNeedsNoRecordBeforeItStarts(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	o := s.owner("one", noFinder{})
+	mustBegin(t, o, begin("t1", "", 1000, 100))
+	mustEnd(t, o, end("t1", "", "in", "out\n", 50))
+	before := s.store.Calls("/api/log-append")
+	mustBegin(t, o, begin("t2", "t1", 1000, 100))
+	is.Equal(s.store.Calls("/api/log-append"), before)
+}
+
+func TestTurnsOfOtherAccountsAndUnknownTurnsAreRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	o := s.owner("one", noFinder{})
+	mustBegin(t, o, begin("t1", "", 1000, 100))
+	mustEnd(t, o, end("t1", "", "in", "out\n", 50))
+
+	other := begin("x1", "t1", 1000, 100)
+	other.Account, other.Program = "b", "q"
+	resp, err := o.Begin(t.Context(), other)
+	is.NoErr(err)
+	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_NO_SUCH_TURN)
+	resp, err = o.Begin(t.Context(), begin("t2", "nothing", 1000, 100))
+	is.NoErr(err)
+	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_NO_SUCH_TURN)
+}
+
+func TestUnknownTurnIsUnavailableWhileAnOwnerIsNotAsked(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	o := s.owner("one", noFinder{err: errors.New("an owner did not answer")})
+	resp, err := o.Begin(t.Context(), begin("t2", "nothing", 1000, 100))
+	is.NoErr(err)
+	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_UNAVAILABLE)
+}
+
+func TestAnotherProgramContinuesATurn(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	o := s.owner("one", noFinder{})
+	mustBegin(t, o, begin("t1", "", 1000, 100))
+	mustEnd(t, o, end("t1", "", "in1", "out1\n", 50))
+
+	r := begin("u1", "t1", 1000, 100)
+	r.Program = "q"
+	is.Equal(string(mustBegin(t, o, r).History), "in1out1\n")
+}
+
+func TestReadOfATakeOverStartsWhereTheLogWasTrimmed(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	o := s.owner("one", noFinder{})
+	mustBegin(t, o, begin("t1", "", 1000, 100))
+	mustEnd(t, o, end("t1", "", "in", "out\n", 50))
+	s.store.Trim(Topic, 0, 2)
+	next := s.owner("two", noFinder{})
+	found, err := next.Find(t.Context(), &turnv1.FindRequest{Account: "a", Turn: "t1"})
+	is.NoErr(err)
+	is.Equal(found.Outcome, turnv1.Outcome_OUTCOME_OK)
+}
--- a/internal/turnlog/partition.go
+++ b/internal/turnlog/partition.go
@@ -142,12 +142,13 @@
 	}
 	s.adopt()
 	s.expire(p.now(), expirySlack)
+	programs, turns := len(s.programs), len(s.turns)
 	p.mu.Lock()
 	p.state, p.end, p.owned = s, at, true
 	p.mu.Unlock()
 	p.metrics.takeovers.Observe(p.now().Sub(start).Seconds())
 	klog.InfoS("partition acquired", "partition", p.number, "end", at, "records", records, "bytes", bytes,
-		"programs", len(s.programs), "turns", len(s.turns), "took_ms", p.now().Sub(start).Milliseconds())
+		"programs", programs, "turns", turns, "took_ms", p.now().Sub(start).Milliseconds())
 	return nil
 }
 
