Keep accounts within their rate while the holder of their buckets changes

An instance now says who served it last and how long ago; buckets start empty after any gap; half of an account's burst is kept back for tokens in use.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -117,14 +117,15 @@
 		return t.i.holder.Take(ctx, r)
 	}
 	conn, err := t.i.pool.Conn(holder)
-	if err == nil {
-		var resp *turnv1.TakeResponse
-		if resp, err = turnv1.NewRatesClient(conn).Take(ctx, r); err == nil && resp.Outcome == turnv1.Outcome_OUTCOME_OK {
-			return resp, nil
-		}
+	if err != nil {
+		t.i.members.Refresh()
+		return nil, err
+	}
+	resp, err := turnv1.NewRatesClient(conn).Take(ctx, r)
+	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
+		t.i.members.Refresh()
 	}
-	t.i.members.Refresh()
-	return &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_NOT_OWNER}, err
+	return resp, err
 }
 
 // peers lists the other instances: those seen lately, and the seeds.
--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -13,7 +13,10 @@
 
 const (
 	// activeWithin is how recently an instance asked for tokens to count as one that the holder serves.
-	activeWithin = 1500 * time.Millisecond
+	activeWithin = 900 * time.Millisecond
+	// burstShare is the part of an account's burst that a bucket holds. The rest makes up for tokens that are used up to
+	// grantLife after they were granted, and for those granted by a holder that was cut off meanwhile.
+	burstShare = 0.5
 	// rememberFor is how long an instance counts as one that may be served by another holder, or by itself.
 	rememberFor = 15 * time.Second
 )
@@ -40,7 +43,8 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	asked   map[string]time.Time
-	holding bool
+	// lastTake is when any instance asked; zero while the buckets are held elsewhere.
+	lastTake time.Time
 }
 
 type bucket struct {
@@ -61,26 +65,29 @@
 	c := h.accounts()
 	if c == nil || !h.isHolder() {
 		h.mu.Lock()
-		h.holding = false
+		h.lastTake = time.Time{}
 		h.mu.Unlock()
-		return &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_NOT_OWNER}, nil
+		return &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_NOT_OWNER, Holder: h.self}, nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
-	if !h.holding {
-		// What the holder before has granted is not known, so the buckets start empty.
-		h.holding = true
+	if now.Sub(h.lastTake) > activeWithin {
+		// What another holder has granted meanwhile is not known, so the buckets start empty.
 		h.buckets = map[string]*bucket{}
 	}
+	h.lastTake = now
 	for name := range c.Accounts {
 		if h.buckets[name] == nil {
 			h.buckets[name] = &bucket{filled: now}
 		}
 	}
-	h.asked[r.Instance] = now
-	share := h.share(now, r.Known)
-	resp := &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK}
+	if r.ServedBy == "" || r.ServedBy == h.self || time.Duration(r.ServedMsAgo)*time.Millisecond > activeWithin {
+		// Until then the other holder counts the instance among those that it serves.
+		h.asked[r.Instance] = now
+	}
+	share := h.share(now, append(r.Known, r.Instance))
+	resp := &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK, Holder: h.self}
 	for _, d := range r.Demands {
 		a, ok := c.Accounts[d.Account]
 		if !ok {
@@ -118,7 +125,7 @@
 
 func (h *Holder) grant(a routing.Account, d *turnv1.Demand, share float64, now time.Time) *turnv1.Grant {
 	b := h.buckets[a.Name]
-	rate, burst := a.Rate*share, max(a.Burst*share, 1)
+	rate, burst := a.Rate*share, max(a.Burst*burstShare*share, 1)
 	b.tokens = min(b.tokens+rate*now.Sub(b.filled).Seconds()+float64(max(d.Unused, 0)), burst)
 	b.filled = now
 	n := min(max(d.Want, 0), int64(b.tokens))
--- a/internal/rates/lessee.go
+++ b/internal/rates/lessee.go
@@ -16,7 +16,7 @@
 	// aheadFor is the time for which tokens are taken ahead of need.
 	aheadFor = 250 * time.Millisecond
 	// heartbeat is the longest pause between two messages to the holder, by which it knows whom it serves.
-	heartbeat = 700 * time.Millisecond
+	heartbeat = 350 * time.Millisecond
 	// takeTimeout bounds a message to the holder.
 	takeTimeout = 250 * time.Millisecond
 	// waitFor is how long a request waits for a token; a bucket refills within that time where the account is not over
@@ -24,7 +24,7 @@
 	waitFor = 200 * time.Millisecond
 	// aloneAfter is how long without an answer of a holder until an instance uses its own share of each rate. It is
 	// longer than activeWithin, after which the holder no longer counts the instance as served.
-	aloneAfter = 2 * time.Second
+	aloneAfter = 1300 * time.Millisecond
 	// askPause spaces messages to the holder.
 	askPause = 10 * time.Millisecond
 	// failPause is the pause after a holder that did not answer or is none.
@@ -49,6 +49,8 @@
 	mu       sync.Mutex
 	leases   map[string]*lease
 	answered time.Time
+	// servedBy is the holder that answered last; empty once it said that it is none.
+	servedBy string
 	wake     chan struct{}
 }
 
@@ -236,12 +238,13 @@
 	resp, err := l.taker.Take(callCtx, r)
 	cancel()
 	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
+		l.released(resp)
 		l.selfGrant()
 		return false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.answered = l.now()
+	l.answered, l.servedBy = l.now(), resp.Holder
 	for _, g := range resp.Grants {
 		s := l.lease(g.Account)
 		s.own = bucket{}
@@ -258,6 +261,15 @@
 	return true
 }
 
+// released notes that the last holder has given the buckets up.
+func (l *Lessee) released(resp *turnv1.TakeResponse) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if resp != nil && resp.Holder == l.servedBy {
+		l.servedBy = ""
+	}
+}
+
 // serve hands held tokens to the requests that wait, in order.
 func (s *lease) serve(now time.Time) {
 	for len(s.waiters) > 0 && s.take(now) {
@@ -278,7 +290,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	r := &turnv1.TakeRequest{Instance: l.self, Known: l.members()}
+	r := &turnv1.TakeRequest{
+		Instance: l.self, Known: l.members(), ServedBy: l.servedBy, ServedMsAgo: now.Sub(l.answered).Milliseconds(),
+	}
 	for name, s := range l.leases {
 		if elapsed := now.Sub(s.asked); elapsed >= aheadFor/2 {
 			s.demand += demandDecay * (float64(s.arrivals)/elapsed.Seconds() - s.demand)
--- /dev/null
+++ b/internal/rates/rates_test.go
@@ -0,0 +1,155 @@
+package rates
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/routing"
+)
+
+// Bounds of the platform's rule on rates.
+const (
+	window     = 5 * time.Second
+	excess     = 0.1
+	slack      = 20
+	tick       = 50 * time.Millisecond
+	startedFor = 2 * time.Second
+)
+
+// simulation is a fleet of instances in simulated time, each of which could hold the buckets.
+type simulation struct {
+	now     time.Time
+	account routing.Account
+	holders []*Holder
+	lessees []*Lessee
+	// asks is the index of the holder that an instance reaches, or -1.
+	asks []int
+}
+
+func newSimulation(n int, a routing.Account) *simulation {
+	s := &simulation{now: time.Now(), account: a, asks: make([]int, n)}
+	c := &routing.Configuration{Accounts: map[string]routing.Account{a.Name: a}}
+	configuration := func() *routing.Configuration { return c }
+	clock := func() time.Time { return s.now }
+	for i := range n {
+		self := fmt.Sprint("instance-", i)
+		members := func() []string {
+			var out []string
+			for j := range n {
+				if j != i {
+					out = append(out, fmt.Sprint("instance-", j))
+				}
+			}
+			return out
+		}
+		h := NewHolder(configuration, members, self, func() bool { return true })
+		h.now = clock
+		l := NewLessee(configuration, members, self, taker(func(r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
+			if s.asks[i] < 0 {
+				return nil, errors.New("no holder is reached")
+			}
+			return s.holders[s.asks[i]].Take(context.Background(), r)
+		}))
+		l.now, l.answered = clock, s.now
+		l.leases[a.Name] = &lease{}
+		s.holders, s.lessees = append(s.holders, h), append(s.lessees, l)
+	}
+	return s
+}
+
+type taker func(*turnv1.TakeRequest) (*turnv1.TakeResponse, error)
+
+func (f taker) Take(_ context.Context, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
+	return f(r)
+}
+
+// step lets each instance exchange a message and then use tokens for up to wanted requests; it returns how many ran.
+func (s *simulation) step(wanted int) int {
+	s.now = s.now.Add(tick)
+	used := 0
+	for _, l := range s.lessees {
+		l.leases[s.account.Name].arrivals += int64(wanted)
+		l.exchange(context.Background())
+		for range wanted {
+			if !l.leases[s.account.Name].take(s.now) {
+				break
+			}
+			used++
+		}
+	}
+	return used
+}
+
+func TestAccountStaysWithinItsRateWhileHoldersChangeAndInstancesAreCutOff(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := routing.Account{Name: "a", Rate: rapid.Float64Range(20, 400).Draw(t, "rate")}
+		a.Burst = a.Rate * rapid.Float64Range(0.2, 1).Draw(t, "burst")
+		n := rapid.IntRange(2, 11).Draw(t, "instances")
+		s := newSimulation(n, a)
+		limit := (a.Rate*window.Seconds()+a.Burst)*(1+excess) + slack
+		var used []int
+		old, next := 0, 0
+		for i := range int(20 * time.Second / tick) {
+			if i%40 == 39 && rapid.Bool().Draw(t, "change") {
+				// Some instances stay with the old holder, some reach none, the others get a new one.
+				old, next = next, rapid.IntRange(0, n-1).Draw(t, "holder")
+				for j := range s.asks {
+					s.asks[j] = []int{next, next, old, -1}[rapid.IntRange(0, 3).Draw(t, "reach")]
+				}
+			}
+			used = append(used, s.step(int(a.Rate)))
+			sum := 0
+			for _, u := range used[max(0, len(used)-int(window/tick)):] {
+				sum += u
+			}
+			if float64(sum) > limit {
+				t.Fatalf("%d requests in a window, limit %.0f, rate %.0f, burst %.0f", sum, limit, a.Rate, a.Burst)
+			}
+		}
+	})
+}
+
+func TestDemandBelowTheRateIsServed(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, routing.Account{Name: "a", Rate: 400, Burst: 400})
+	for range int(startedFor / tick) {
+		s.step(1)
+	}
+	asked, used := 0, 0
+	for range int(10 * time.Second / tick) {
+		used += s.step(1)
+		asked += len(s.lessees)
+	}
+	is.Equal(used, asked)
+}
+
+func TestHolderThatIsNoneAnswersSo(t *testing.T) {
+	is := is.New(t)
+	h := NewHolder(func() *routing.Configuration { return &routing.Configuration{} }, func() []string { return nil }, "a",
+		func() bool { return false })
+	resp, err := h.Take(t.Context(), &turnv1.TakeRequest{Instance: "b"})
+	is.NoErr(err)
+	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_NOT_OWNER)
+}
+
+func TestRequestWaitsForATokenAndIsToldWhenThereIsNone(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, routing.Account{Name: "a", Rate: 1, Burst: 1})
+	l := s.lessees[0]
+	l.now, s.holders[0].now = time.Now, time.Now
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go l.Run(ctx)
+	d := l.Admit(ctx, s.account)
+	is.True(d != nil)
+	is.True(d.OverRate)
+	is.True(d.RetryAfter > 0)
+	is.Equal(l.Admit(ctx, routing.Account{Name: "unlimited"}), nil)
+}
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,232 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// server answers each connection with a script.
+func server(t *testing.T, script func(n int, c net.Conn, br *bufio.Reader)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func readRequest(br *bufio.Reader) (string, bool) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return "", false
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r.Header.Get("Request-Id"), err == nil
+}
+
+func ok(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(id string) Request {
+	return Request{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, Body: []byte("b")}
+}
+
+func get(t *testing.T, p *Pool, address, id string) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, address, request(id))
+	if err != nil {
+		return "", err
+	}
+	b, err := io.ReadAll(resp.Body)
+	resp.Close(err == nil)
+	return string(b), err
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	is := is.New(t)
+	p := NewPool()
+	address := server(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, more := readRequest(br)
+			if !more {
+				return
+			}
+			fmt.Fprint(c, ok(id, fmt.Sprint(n)))
+		}
+	})
+	for i := range 3 {
+		body, err := get(t, p, address, fmt.Sprint("r", i))
+		is.NoErr(err)
+		is.Equal(body, "0")
+	}
+}
+
+func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	is := is.New(t)
+	p := NewPool()
+	address := server(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		id, _ := readRequest(br)
+		fmt.Fprint(c, ok("another", "not yours"), ok(id, "yours"))
+	})
+	body, err := get(t, p, address, "r1")
+	is.NoErr(err)
+	is.Equal(body, "yours")
+}
+
+func TestConnectionWithBytesAfterTheAnswerIsNotReused(t *testing.T) {
+	is := is.New(t)
+	p := NewPool()
+	address := server(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, more := readRequest(br)
+			if !more {
+				return
+			}
+			fmt.Fprint(c, ok(id, fmt.Sprint(n)))
+			if n == 0 {
+				time.Sleep(20 * time.Millisecond)
+				fmt.Fprint(c, ok(id, "once more"))
+			}
+		}
+	})
+	_, err := get(t, p, address, "r1")
+	is.NoErr(err)
+	time.Sleep(60 * time.Millisecond)
+	body, err := get(t, p, address, "r2")
+	is.NoErr(err)
+	is.Equal(body, "1")
+}
+
+func TestConnectionThatTheServerClosedIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	p := NewPool()
+	address := server(t, func(n int, c net.Conn, br *bufio.Reader) {
+		id, _ := readRequest(br)
+		fmt.Fprint(c, ok(id, fmt.Sprint(n)))
+	})
+	_, err := get(t, p, address, "r1")
+	is.NoErr(err)
+	time.Sleep(30 * time.Millisecond)
+	body, err := get(t, p, address, "r2")
+	is.NoErr(err)
+	is.Equal(body, "1")
+}
+
+func TestEarlyAnswerEndsTheConnectionWhileTheBodyIsStillDue(t *testing.T) {
+	is := is.New(t)
+	p := NewPool()
+	address := server(t, func(n int, c net.Conn, br *bufio.Reader) {
+		if n == 0 {
+			r, err := http.ReadRequest(br)
+			if err == nil {
+				fmt.Fprint(c, ok(r.Header.Get("Request-Id"), "early"))
+				time.Sleep(time.Second)
+			}
+			return
+		}
+		id, _ := readRequest(br)
+		fmt.Fprint(c, ok(id, "second"))
+	})
+	r := request("r1")
+	r.Body = make([]byte, 32<<20)
+	resp, err := p.Do(t.Context(), address, r)
+	is.NoErr(err)
+	b, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "early")
+	resp.Close(true)
+	body, err := get(t, p, address, "r2")
+	is.NoErr(err)
+	is.Equal(body, "second")
+}
+
+func TestVerdicts(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := closed.Addr().String()
+	closed.Close()
+	for name, c := range map[string]struct {
+		address string
+		want    verdict.Verdict
+	}{
+		"no connection":            {refused, verdict.NotRun},
+		"closed after the request": {server(t, func(_ int, _ net.Conn, br *bufio.Reader) { readRequest(br) }), verdict.MayHaveRun},
+		"no answer in HTTP": {server(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			readRequest(br)
+			fmt.Fprint(c, "garbage\r\n\r\n")
+		}), verdict.MayHaveRun},
+		"silence": {server(t, func(_ int, _ net.Conn, br *bufio.Reader) {
+			readRequest(br)
+			time.Sleep(5 * time.Second)
+		}), verdict.MayHaveRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+			defer cancel()
+			_, err := NewPool().Do(ctx, c.address, request("r1"))
+			var ue *Error
+			is.True(errors.As(err, &ue))
+			is.Equal(ue.Verdict, c.want)
+		})
+	}
+}
+
+func TestBodyThatBreaksOffIsNoEnd(t *testing.T) {
+	is := is.New(t)
+	for _, head := range []string{"Content-Length: 100\r\n\r\nshort", "Transfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n"} {
+		address := server(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			id, _ := readRequest(br)
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s", id, head)
+		})
+		_, err := get(t, NewPool(), address, "r1")
+		is.True(err != nil)
+	}
+}
+
+func TestRequestIsWrittenAsGiven(t *testing.T) {
+	is := is.New(t)
+	got := make(chan string, 1)
+	address := server(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		b := make([]byte, 4096)
+		n, _ := br.Read(b)
+		got <- string(b[:n])
+		fmt.Fprint(c, ok("r1", ""))
+	})
+	r := request("r1")
+	r.Target = "/a//b/../c?x=%20&y"
+	_, err := NewPool().Do(t.Context(), address, r)
+	is.NoErr(err)
+	text := <-got
+	is.True(strings.HasPrefix(text, "POST /a//b/../c?x=%20&y HTTP/1.1\r\nHost: h\r\n"))
+	is.True(strings.HasSuffix(text, "Content-Length: 1\r\n\r\nb"))
+}
