Remember the holder before the last one when tokens are taken

Cause: an instance told its new holder only who answered last, which after one message was the new holder itself, so both holders counted it for 0.9 s.

--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -82,8 +82,7 @@
 			h.buckets[name] = &bucket{filled: now}
 		}
 	}
-	if r.ServedBy == "" || r.ServedBy == h.self || time.Duration(r.ServedMsAgo)*time.Millisecond > activeWithin {
-		// Until then the other holder counts the instance among those that it serves.
+	if !h.servedElsewhere(r.ServedBy, r.ServedMsAgo) && !h.servedElsewhere(r.ServedBefore, r.ServedBeforeMsAgo) {
 		h.asked[r.Instance] = now
 	}
 	share := h.share(now, append(r.Known, r.Instance))
@@ -99,6 +98,11 @@
 	return resp, nil
 }
 
+// servedElsewhere reports whether another holder still counts an instance among those that it serves.
+func (h *Holder) servedElsewhere(holder string, msAgo int64) bool {
+	return holder != "" && holder != h.self && time.Duration(msAgo)*time.Millisecond <= activeWithin
+}
+
 // share is the part of the known instances that this holder serves.
 func (h *Holder) share(now time.Time, told []string) float64 {
 	known := map[string]bool{h.self: true}
--- a/internal/rates/lessee.go
+++ b/internal/rates/lessee.go
@@ -49,11 +49,19 @@
 	mu       sync.Mutex
 	leases   map[string]*lease
 	answered time.Time
-	// servedBy is the holder that answered last; empty once it said that it is none.
+	// servedBy is the holder that answered last, and before the one that did so until then; each is empty once it said
+	// that it is none.
 	servedBy string
+	before   served
 	wake     chan struct{}
 }
 
+// served is a holder with the time of its last grant.
+type served struct {
+	holder string
+	at     time.Time
+}
+
 type lot struct {
 	tokens  int64
 	expires time.Time
@@ -244,6 +252,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if resp.Holder != l.servedBy {
+		l.before = served{holder: l.servedBy, at: l.answered}
+	}
 	l.answered, l.servedBy = l.now(), resp.Holder
 	for _, g := range resp.Grants {
 		s := l.lease(g.Account)
@@ -265,8 +276,12 @@
 func (l *Lessee) released(resp *turnv1.TakeResponse) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if resp != nil && resp.Holder == l.servedBy {
+	switch {
+	case resp == nil:
+	case resp.Holder == l.servedBy:
 		l.servedBy = ""
+	case resp.Holder == l.before.holder:
+		l.before.holder = ""
 	}
 }
 
@@ -291,7 +306,9 @@
 	defer l.mu.Unlock()
 	now := l.now()
 	r := &turnv1.TakeRequest{
-		Instance: l.self, Known: l.members(), ServedBy: l.servedBy, ServedMsAgo: now.Sub(l.answered).Milliseconds(),
+		Instance: l.self, Known: l.members(),
+		ServedBy: l.servedBy, ServedMsAgo: now.Sub(l.answered).Milliseconds(),
+		ServedBefore: l.before.holder, ServedBeforeMsAgo: now.Sub(l.before.at).Milliseconds(),
 	}
 	for name, s := range l.leases {
 		if elapsed := now.Sub(s.asked); elapsed >= aheadFor/2 {
