Run whole instances against stand-ins; follow the owners after leaving the group; be ready only once clients can connect

Cause of two faults that the new tests show: a stopping instance no longer read who owns the partitions that it gave up, so turns under way could not record their end and were cut (TestInstanceStopsGracefully); the ready check said yes before the clients' port was open (connection refused in TestRequestThatMustNotBeRepeatedRunsOnce).

--- /dev/null
+++ b/internal/fakes/runner/runner.go
@@ -0,0 +1,111 @@
+// Package runner is a stand-in for a backend server of the users' platform: a model engine that streams events, or a
+// plain service. It records what it ran.
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"time"
+)
+
+// Run is one request that the server worked on.
+type Run struct {
+	ID, Method, Target, Account string
+	Body                        string
+	Header                      http.Header
+	// Cancelled is set if the caller went before the end.
+	Cancelled bool
+}
+
+// Server is the stand-in.
+type Server struct {
+	*httptest.Server
+	ID, Service string
+	// Events is the number of events of a stream; 0 makes it a plain service.
+	Events int
+	// Pause is between two events, or before a plain answer.
+	Pause time.Duration
+	// Script takes over a request; it reports whether it did.
+	Script func(w http.ResponseWriter, r *http.Request, body string) bool
+
+	mu     sync.Mutex
+	runs   []*Run
+	active int
+}
+
+// Start starts a server.
+func Start(id, service string, events int) *Server {
+	s := &Server{ID: id, Service: service, Events: events}
+	s.Server = httptest.NewServer(s)
+	return s
+}
+
+// Entry is what the server registers of itself.
+func (s *Server) Entry(state string) []byte {
+	host, port, _ := net.SplitHostPort(s.Listener.Addr().String())
+	b, _ := json.Marshal(map[string]any{
+		"service": s.Service, "addr": net.JoinHostPort(host, port), "zone": "a", "slots": 8, "state": state, "seq": 1,
+		"born": 1,
+	})
+	return b
+}
+
+// Runs lists what the server worked on.
+func (s *Server) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Run, 0, len(s.runs))
+	for _, r := range s.runs {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if e := r.Header.Get("Expect-Instance"); e != "" && e != s.ID {
+		w.Header().Set("Instance-Id", s.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if s.Script != nil && s.Script(w, r, string(b)) {
+		return
+	}
+	run := &Run{
+		ID: r.Header.Get("Request-Id"), Method: r.Method, Target: r.RequestURI, Account: r.Header.Get("Tenant"),
+		Body: string(b), Header: r.Header,
+	}
+	s.mu.Lock()
+	s.runs = append(s.runs, run)
+	n := len(s.runs)
+	s.mu.Unlock()
+	w.Header().Set("Request-Id", run.ID)
+	w.Header().Set("Response-Stamp", "stamp-"+run.ID)
+	if s.Events == 0 {
+		time.Sleep(s.Pause)
+		fmt.Fprintf(w, "%s answers %s", s.ID, run.ID)
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := range s.Events {
+		fmt.Fprintf(w, "id: %d\ndata: %s/%d.%d\n\n", i+1, s.ID, n, i+1)
+		w.(http.Flusher).Flush()
+		select {
+		case <-time.After(s.Pause):
+		case <-r.Context().Done():
+			s.mu.Lock()
+			run.Cancelled = true
+			s.mu.Unlock()
+			return
+		}
+	}
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -71,7 +70,8 @@
 	pool    *peer.Pool
 	servers *upstream.Pool
 	metrics *prometheus.Registry
-	closing atomic.Bool
+	// listening is set once clients can connect, closing once they should go elsewhere.
+	listening, closing atomic.Bool
 }
 
 // partitionOfRates is the partition whose owner holds the accounts' buckets.
@@ -85,7 +85,7 @@
 		metrics: prometheus.NewRegistry(),
 	}
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
-	i.path = storepath.New(platform.NewHTTPCarrier(s.Store.Address), i.pool, i.peers)
+	i.path = storepath.New(platform.NewHTTPCarrier(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
 	store := platform.NewStore(i.path)
 	i.config = follow.NewConfig(store)
 	i.entries = follow.NewBackends(store, i.fleet)
@@ -145,7 +145,7 @@
 
 // Ready reports whether the balancer should send new connections here.
 func (i *Instance) Ready() bool {
-	return !i.closing.Load() && i.config.Current() != nil && i.fleet.IsLoaded() && i.path.InContact(contactWithin)
+	return i.listening.Load() && !i.closing.Load() && i.config.Current() != nil && i.fleet.IsLoaded() && i.path.InContact(contactWithin)
 }
 
 // Run serves until the context ends, then stops gracefully.
@@ -164,31 +164,27 @@
 	if err := i.serveChecks(metricsPort, failed); err != nil {
 		return err
 	}
-	var running sync.WaitGroup
-	groupCtx, leaveGroup := context.WithCancel(background)
-	running.Go(func() { i.members.Run(groupCtx) })
+	go i.members.Run(background)
 	go i.config.Run(background)
 	go i.entries.Run(background)
 	go i.lessee.Run(background)
 	clients, err := i.serveClients(ctx, failed)
 	if err != nil {
-		leaveGroup()
 		return err
 	}
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 	}
-	i.stop(clients, func() { leaveGroup(); running.Wait() })
+	i.stop(clients)
 	return err
 }
 
 // stop hands the partitions over, and lets the requests under way end.
-func (i *Instance) stop(clients *http.Server, leaveGroup func()) {
+func (i *Instance) stop(clients *http.Server) {
 	start := time.Now()
 	i.closing.Store(true)
 	klog.InfoS("stop", "grace_ms", i.settings.GracePeriod.Milliseconds(), "partitions", i.owner.Owned())
-	leaveGroup()
 	i.members.Leave(context.Background())
 	if clients != nil {
 		time.Sleep(unreadyFor - time.Since(start))
@@ -259,6 +255,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for clients")
 	}
+	i.listening.Store(true)
 	limits := i.config.Current().Limits
 	s := &http.Server{
 		Handler: i.gateway, ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
--- /dev/null
+++ b/internal/instance/instance_test.go
@@ -0,0 +1,385 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/fakes/metastore"
+	"github.com/berylpond/berylpond/internal/fakes/runner"
+	"github.com/berylpond/berylpond/platform"
+)
+
+const configuration = `{"version":%d,"routes":[
+	{"name":"chat","host":"h.example","pathPrefix":"/chat/","kind":"streaming","timeoutMs":4000,"maxAttempts":2,"service":"llm","retain":true,"retainS":60},
+	{"name":"read","host":"h.example","pathPrefix":"/read/","kind":"idempotent","timeoutMs":1000,"service":"tool"},
+	{"name":"pay","host":"h.example","pathPrefix":"/pay/","kind":"non_idempotent","timeoutMs":1000,"service":"tool","maxAttempts":2},
+	{"name":"open","host":"h.example","pathPrefix":"/open/","kind":"idempotent","timeoutMs":1000,"service":"tool","public":true}],
+	"services":[{"name":"llm","engine":{"chunkTokens":10,"slots":8}},{"name":"tool"}],
+	"tenants":[{"name":"acme","apiKeys":["key-a"],"ratePerS":%d,"burstSize":%d},{"name":"other","apiKeys":["key-b"]}],
+	"limits":{"bodyBytes":100000,"headerBytes":16384,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// site is a small site of the platform with instances in this process, each on a loopback address of its own.
+type site struct {
+	t     *testing.T
+	store *metastore.Store
+	url   string
+	llm   *runner.Server
+	tools []*runner.Server
+}
+
+var nextIP atomic.Int32
+
+func newSite(t *testing.T) *site {
+	s := &site{t: t, store: metastore.New(4), llm: runner.Start("llm-1", "llm", 3)}
+	for i := range 2 {
+		s.tools = append(s.tools, runner.Start(fmt.Sprint("tool-", i), "tool", 0))
+	}
+	srv := httptest.NewServer(s.store)
+	s.url = strings.TrimPrefix(srv.URL, "http://")
+	t.Cleanup(func() {
+		srv.CloseClientConnections()
+		srv.Close()
+		for _, b := range s.servers() {
+			b.CloseClientConnections()
+			b.Close()
+		}
+	})
+	s.configure(1, 1000)
+	for _, b := range s.servers() {
+		s.store.Put("keyed.servers", b.ID, b.Entry("ready"))
+	}
+	return s
+}
+
+func (s *site) servers() []*runner.Server { return append([]*runner.Server{s.llm}, s.tools...) }
+
+func (s *site) configure(version, rate int) {
+	s.store.Put("keyed.op", "config", fmt.Appendf(nil, configuration, version, rate, rate))
+}
+
+// node is a running instance.
+type node struct {
+	*Instance
+	url  string
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+func (s *site) start(seeds ...string) *node {
+	s.t.Helper()
+	ip := fmt.Sprintf("127.0.77.%d", nextIP.Add(1))
+	set := platform.Settings{
+		Instance: ip, DataCentre: "a", IP: ip, ClientAddress: net.JoinHostPort(ip, "18080"),
+		ReadyAddress: net.JoinHostPort(ip, "18081"), FirstPeerPort: 18082, LastPeerPort: 18090, SeedIPs: seeds,
+		MemoryBytes: 1 << 30, GracePeriod: 4 * time.Second, QuotaWindow: 5 * time.Second,
+		Store: platform.StoreSettings{
+			Address: s.url, Partitions: 4, MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 21, MinMemberTTL: time.Second,
+		},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n := &node{Instance: New(ctx, set), url: "http://" + set.ClientAddress, stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(n.done)
+		if err := n.Run(ctx, 0); err != nil {
+			s.t.Error(err)
+		}
+	}()
+	s.t.Cleanup(func() { cancel(); <-n.done })
+	s.eventually("ready", n.Ready)
+	return n
+}
+
+func (s *site) eventually(what string, f func() bool) {
+	s.t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			s.t.Fatalf("not in time: %s", what)
+		}
+	}
+}
+
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	// broken is set if the answer did not end.
+	broken bool
+}
+
+var ids atomic.Int64
+
+type call struct {
+	id, path, key, body, program, previous string
+	budget                                 int
+}
+
+func (s *site) do(n *node, c call) answer {
+	s.t.Helper()
+	if c.id == "" {
+		c.id = fmt.Sprint("r", ids.Add(1))
+	}
+	if c.key == "" {
+		c.key = "key-a"
+	}
+	r, err := http.NewRequest(http.MethodPost, n.url+c.path, strings.NewReader(c.body))
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	for name, value := range map[string]string{
+		"Request-Id": c.id, "Api-Key": c.key, "Deadline-Ms": "3000", "Program-Id": c.program, "Previous-Turn": c.previous,
+		"Tenant": "forged",
+	} {
+		if value != "" {
+			r.Header.Set(name, value)
+		}
+	}
+	if c.budget > 0 {
+		r.Header.Set("Token-Budget", fmt.Sprint(c.budget))
+		r.Header.Set("Token-Usage", "10,30")
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer{broken: true}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return answer{status: resp.StatusCode, body: string(b), header: resp.Header, broken: err != nil}
+}
+
+// turn sends a turn until it is served, as partitions may be on their way.
+func (s *site) turn(n *node, c call) answer {
+	s.t.Helper()
+	var a answer
+	s.eventually("turn "+c.id, func() bool {
+		a = s.do(n, c)
+		return a.status != http.StatusServiceUnavailable
+	})
+	return a
+}
+
+func TestProgramGoesOnAtAnyInstance(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	one, two := s.start(), s.start()
+	a := s.turn(one, call{id: "t1", path: "/chat/x", body: "in1", program: "p", budget: 900})
+	is.Equal(a.status, 200)
+	is.True(!a.broken)
+	is.Equal(a.header.Get("Response-Stamp"), "stamp-t1")
+	is.Equal(s.turn(two, call{id: "t2", path: "/chat/x", body: "in2", program: "p", previous: "t1", budget: 900}).status, 200)
+	is.Equal(s.turn(one, call{id: "t3", path: "/chat/x", body: "in3", program: "p", previous: "t2", budget: 900}).status, 200)
+	runs := s.llm.Runs()
+	is.Equal(len(runs), 3)
+	is.Equal(runs[1].Body, "in1llm-1/1.1\nllm-1/1.2\nllm-1/1.3\nin2")
+	is.Equal(runs[2].Body, runs[1].Body+"llm-1/2.1\nllm-1/2.2\nllm-1/2.3\nin3")
+	is.Equal(runs[0].Account, "acme")
+	is.Equal(runs[0].Header.Get("Api-Key"), "")
+}
+
+func TestProgramSurvivesTheLossOfAllInstances(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	one := s.start()
+	is.Equal(s.turn(one, call{id: "t1", path: "/chat/x", body: "in1", program: "p", budget: 900}).status, 200)
+	one.stop()
+	<-one.done
+	two := s.start()
+	is.Equal(s.turn(two, call{id: "t2", path: "/chat/x", body: "in2", program: "p", previous: "t1", budget: 900}).status, 200)
+	// A new program may continue a turn of an earlier one.
+	is.Equal(s.turn(two, call{id: "u1", path: "/chat/x", body: "in9", program: "q", previous: "t2", budget: 900}).status, 200)
+	runs := s.llm.Runs()
+	is.True(strings.HasPrefix(runs[2].Body, "in1llm-1/1.1\n"))
+	is.True(strings.HasSuffix(runs[2].Body, "in9"))
+}
+
+func TestRefusalsAreTrueAndFinal(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	is.Equal(s.turn(n, call{id: "t1", path: "/chat/x", program: "p", budget: 60}).status, 200)
+	for want, c := range map[int]call{
+		http.StatusPaymentRequired:       {path: "/chat/x", program: "p", budget: 35},
+		http.StatusNotFound:              {path: "/nowhere"},
+		http.StatusUnauthorized:          {path: "/read/x", key: "nobody's"},
+		http.StatusRequestEntityTooLarge: {path: "/read/x", body: strings.Repeat("x", 100_001)},
+	} {
+		is.Equal(s.do(n, c).status, want)
+	}
+	is.Equal(s.turn(n, call{path: "/chat/x", program: "q", previous: "never", budget: 60}).status, http.StatusNotFound)
+	is.Equal(s.turn(n, call{path: "/chat/x", program: "q", previous: "t1", key: "key-b"}).status, http.StatusNotFound)
+	is.Equal(len(s.llm.Runs()), 1)
+}
+
+func TestTurnEndsOnlyOnceItIsDurable(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	is.Equal(s.turn(n, call{id: "t1", path: "/chat/x", program: "p", budget: 900}).status, 200)
+	s.store.SetFault(func(r *http.Request) metastore.Mode {
+		if r.URL.Path == "/api/log-append" {
+			return metastore.Silent
+		}
+		return metastore.Serve
+	})
+	a := s.do(n, call{id: "t2", path: "/chat/x", program: "p", previous: "t1", budget: 900})
+	is.Equal(a.status, 200)
+	is.True(a.broken)
+	is.Equal(strings.Count(a.body, "data:"), 3)
+}
+
+func TestRequestThatMustNotBeRepeatedRunsOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	var arrivals atomic.Int32
+	for _, b := range s.tools {
+		b.Script = func(w http.ResponseWriter, r *http.Request, _ string) bool {
+			arrivals.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+	}
+	is.Equal(s.do(n, call{path: "/pay/x"}).status, http.StatusBadGateway)
+	is.Equal(arrivals.Load(), int32(1))
+	arrivals.Store(0)
+	is.Equal(s.do(n, call{path: "/read/x"}).status, http.StatusBadGateway)
+	is.True(arrivals.Load() > 1)
+}
+
+func TestRequestThatAServerDidNotRunGoesToAnother(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	s.tools[0].Script = func(w http.ResponseWriter, _ *http.Request, _ string) bool {
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	for range 6 {
+		is.Equal(s.do(n, call{path: "/pay/x"}).status, 200)
+	}
+	s.tools[1].Script = s.tools[0].Script
+	a := s.do(n, call{path: "/pay/x"})
+	is.Equal(a.status, http.StatusServiceUnavailable)
+	is.True(a.header.Get("Retry-After") != "")
+}
+
+func TestClientThatLeavesEndsTheRun(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.llm.Events, s.llm.Pause = 100, 20*time.Millisecond
+	n := s.start()
+	ctx, leave := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, n.url+"/chat/x", nil)
+	is.NoErr(err)
+	r.Host = "h.example"
+	r.Header.Set("Request-Id", "gone")
+	r.Header.Set("Api-Key", "key-a")
+	var resp *http.Response
+	s.eventually("stream", func() bool {
+		if resp, err = http.DefaultClient.Do(r); err != nil {
+			return false
+		}
+		if resp.StatusCode != 200 {
+			resp.Body.Close()
+		}
+		return resp.StatusCode == 200
+	})
+	leave()
+	resp.Body.Close()
+	s.eventually("cancelled", func() bool {
+		runs := s.llm.Runs()
+		return len(runs) == 1 && runs[0].Cancelled
+	})
+}
+
+func TestWithdrawnKeyAndNewRouteAreInForceSoon(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	is.Equal(s.do(n, call{path: "/read/x"}).status, 200)
+	s.store.Put("keyed.op", "config", []byte(strings.NewReplacer("key-a", "key-c", "/open/", "/opened/").Replace(
+		fmt.Sprintf(configuration, 9, 1000, 1000))))
+	s.eventually("withdrawn", func() bool { return s.do(n, call{path: "/read/x"}).status == http.StatusUnauthorized })
+	is.Equal(s.do(n, call{path: "/opened/x", key: "none"}).status, 200)
+	// An older version changes nothing.
+	s.configure(5, 1000)
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(s.do(n, call{path: "/read/x"}).status, http.StatusUnauthorized)
+}
+
+func TestLeavingServerGetsNoNewRequests(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	s.store.Put("keyed.servers", "tool-0", s.tools[0].Entry("draining"))
+	s.store.Put("keyed.servers", "tool-9", []byte("{broken"))
+	s.eventually("noticed", func() bool {
+		for _, e := range n.fleet.Entries() {
+			if e.ID == "tool-0" && e.Draining {
+				return true
+			}
+		}
+		return false
+	})
+	before := len(s.tools[0].Runs())
+	for range 10 {
+		is.Equal(s.do(n, call{path: "/read/x"}).status, 200)
+	}
+	is.Equal(len(s.tools[0].Runs()), before)
+}
+
+// TestInstanceThatTheStoreTurnsAwayIsServedThroughAnother turns one instance away and withdraws a key meanwhile.
+func TestInstanceThatTheStoreTurnsAwayIsServedThroughAnother(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	one := s.start()
+	two := s.start(one.settings.IP)
+	is.Equal(s.turn(two, call{id: "t1", path: "/chat/x", body: "in1", program: "p", budget: 900}).status, 200)
+	away := two.settings.IP
+	s.store.SetFault(func(r *http.Request) metastore.Mode {
+		if strings.HasPrefix(r.RemoteAddr, away+":") {
+			return metastore.Refuse
+		}
+		return metastore.Serve
+	})
+	s.store.Put("keyed.op", "config", []byte(strings.Replace(fmt.Sprintf(configuration, 9, 1000, 1000), "key-b", "key-d", 1)))
+	s.eventually("withdrawn", func() bool {
+		return s.do(two, call{path: "/read/x", key: "key-b"}).status == http.StatusUnauthorized
+	})
+	is.Equal(s.turn(two, call{id: "t2", path: "/chat/x", body: "in2", program: "p", previous: "t1", budget: 900}).status, 200)
+	is.True(two.Ready())
+}
+
+func TestInstanceStopsGracefully(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	s.llm.Pause = 200 * time.Millisecond
+	one, two := s.start(), s.start()
+	is.Equal(s.turn(one, call{id: "t1", path: "/chat/x", program: "p", budget: 900}).status, 200)
+	var wg sync.WaitGroup
+	answers := make([]answer, 8)
+	for i := range answers {
+		wg.Go(func() { answers[i] = s.do(one, call{path: "/chat/x", program: fmt.Sprint("q", i), budget: 900}) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	one.stop()
+	s.eventually("not ready", func() bool { return !one.Ready() })
+	wg.Wait()
+	for _, a := range answers {
+		is.Equal(a.status, 200)
+		is.True(!a.broken)
+	}
+	<-one.done
+	is.Equal(s.turn(two, call{id: "t2", path: "/chat/x", program: "p", previous: "t1", budget: 900}).status, 200)
+}
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -46,6 +46,10 @@
 	assigner Assigner
 	now      func() time.Time
 
+	// joining is held during a join, so that none follows a leave.
+	joining sync.Mutex
+	left    bool
+
 	mu         sync.Mutex
 	generation int64
 	joined     time.Time
@@ -70,17 +74,28 @@
 	return a
 }
 
-// Run joins the group and follows its changes until the context ends.
+// Run joins the group and follows its changes until the context ends. After Leave it only follows the owners, which the
+// requests still under way need.
 func (m *Membership) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause := joinEvery
-		if !m.join(ctx) {
+		if !m.follow(ctx) {
 			pause = retryPause
 		}
 		m.wait(ctx, pause)
 	}
 }
 
+func (m *Membership) follow(ctx context.Context) bool {
+	m.joining.Lock()
+	defer m.joining.Unlock()
+	if m.left {
+		m.readOwners(ctx)
+		return true
+	}
+	return m.join(ctx)
+}
+
 // wait lets a pause pass and reads the owners when asked to.
 func (m *Membership) wait(ctx context.Context, pause time.Duration) {
 	t := time.NewTimer(pause)
@@ -230,8 +245,11 @@
 // Self returns the instance's own peer address.
 func (m *Membership) Self() string { return m.self }
 
-// Leave gives the partitions up, so that others get them at once. Run must have ended.
+// Leave gives the partitions up, so that others get them at once.
 func (m *Membership) Leave(ctx context.Context) {
+	m.joining.Lock()
+	defer m.joining.Unlock()
+	m.left = true
 	m.assigner.Assign(nil)
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -44,7 +44,7 @@
 }
 
 func (s *site) owner(name string, f Finder) *Owner {
-	o := NewOwner(s.ctx, platform.NewStore(platform.NewHTTPCarrier(s.url)),
+	o := NewOwner(s.ctx, platform.NewStore(platform.NewHTTPCarrier(s.url, nil)),
 		platform.StoreSettings{Partitions: 1, MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 21}, name, f,
 		NewMetrics(prometheus.NewRegistry()))
 	o.Assign([]int{0})
