Let owners read the store for the fleet, and keep the group as large as it has partitions

Each instance read the configuration and the entries of backend servers itself (91 x 4.3 calls/s), and each join made every member read the owners anew. Instances with half a core or more join while the group lacks owners; the others ask an owner and are told of changes at once. Tested with a small instance that makes no call to the store.

--- a/internal/follow/backends.go
+++ b/internal/follow/backends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,10 +29,14 @@
 
 // Backends follows the entries of the backend servers.
 type Backends struct {
-	store *platform.Store
-	fleet *fleet.Fleet
-	now   func() time.Time
-
+	store     *platform.Store
+	hooks     Hooks
+	fleet     *fleet.Fleet
+	now       func() time.Time
+	confirmed confirmation
+
+	// mu guards the rest.
+	mu sync.Mutex
 	// failingSince is when the reads began to fail, zero while they succeed; outage is the end of the last outage.
 	failingSince time.Time
 	outage       time.Time
@@ -42,8 +47,28 @@
 }
 
 // NewBackends returns a follower that fills the fleet.
-func NewBackends(store *platform.Store, f *fleet.Fleet) *Backends {
-	return &Backends{store: store, fleet: f, now: time.Now, lapsed: map[string]time.Time{}, entries: map[string]string{}}
+func NewBackends(store *platform.Store, f *fleet.Fleet, h Hooks) *Backends {
+	return &Backends{store: store, hooks: h, fleet: f, now: time.Now, lapsed: map[string]time.Time{}, entries: map[string]string{}}
+}
+
+// Age is how long ago the store confirmed the entries to this instance.
+func (b *Backends) Age() time.Duration { return b.confirmed.age(b.now()) }
+
+// Replace takes over all entries as another instance knows them.
+func (b *Backends) Replace(entries []fleet.Entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	listed := map[string]bool{}
+	for _, e := range entries {
+		listed[e.ID] = true
+		b.set(e)
+	}
+	for id := range b.entries {
+		if !listed[id] {
+			b.forget(id)
+		}
+	}
+	b.fleet.Loaded()
 }
 
 // Run follows the entries until the context ends.
@@ -51,6 +76,11 @@
 	var at int64
 	fresh := true
 	for ctx.Err() == nil {
+		if b.hooks.Fed() {
+			fresh = true
+			pause(ctx, feedPause)
+			continue
+		}
 		var err error
 		if fresh {
 			at, err = b.readAll(ctx)
@@ -62,7 +92,8 @@
 		switch {
 		case err == nil:
 			fresh = false
-			b.failingSince = time.Time{}
+			b.confirmed.set(b.now())
+			b.recordSuccess()
 			pause(ctx, backendsEvery)
 		case errors.As(err, &trimmed):
 			fresh = true
@@ -73,7 +104,15 @@
 	}
 }
 
+func (b *Backends) recordSuccess() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.failingSince = time.Time{}
+}
+
 func (b *Backends) recordFailure() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := b.now()
 	if b.failingSince.IsZero() {
 		b.failingSince = now
@@ -89,6 +128,8 @@
 	if err != nil {
 		return 0, err
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	listed := map[string]bool{}
 	for _, r := range records {
 		if len(r.Value) > 0 {
@@ -112,6 +153,8 @@
 	if err != nil {
 		return at, err
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, raw := range page.Records {
 		at++
 		r, err := platform.DecodeKeyed(raw)
@@ -135,13 +178,19 @@
 		b.remove(r.Key)
 		return
 	}
-	delete(b.lapsed, r.Key)
-	if before, known := b.entries[r.Key]; !known || before != describe(e) {
+	b.set(e)
+}
+
+func (b *Backends) set(e fleet.Entry) {
+	delete(b.lapsed, e.ID)
+	before, known := b.entries[e.ID]
+	b.entries[e.ID] = describe(e)
+	b.fleet.Set(e)
+	if !known || before != describe(e) {
 		klog.InfoS("backend server", "id", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre,
 			"slots", e.Slots, "draining", e.Draining, "born", e.Incarnation)
+		b.hooks.Changed()
 	}
-	b.entries[r.Key] = describe(e)
-	b.fleet.Set(e)
 }
 
 // describe gives two entries the same text if requests would be routed alike.
@@ -172,9 +221,12 @@
 	delete(b.entries, id)
 	delete(b.lapsed, id)
 	b.fleet.Remove(id)
+	b.hooks.Changed()
 }
 
 func (b *Backends) giveUpLapsed() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for id, until := range b.lapsed {
 		if b.now().After(until) && b.now().Sub(b.outage) >= lapseGrace {
 			b.forget(id)
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,28 +18,51 @@
 const (
 	// configWait is how long a read of the configuration waits for a change. It is short against the time within which
 	// a change must be in force, so that a connection that has gone silent delays none.
-	configWait = 500 * time.Millisecond
+	configWait = 900 * time.Millisecond
 	// configTimeout bounds such a read.
-	configTimeout = 900 * time.Millisecond
+	configTimeout = 1300 * time.Millisecond
+	// feedPause is the pause between two looks at whether another instance still feeds this one.
+	feedPause = 100 * time.Millisecond
 	// retryPause is the pause after a failed read.
 	retryPause = 100 * time.Millisecond
 	// newestTimeout bounds a read of the newest records.
 	newestTimeout = 1500 * time.Millisecond
 )
 
+// Hooks tie a follower to the rest of the instance.
+type Hooks struct {
+	// Fed reports whether another instance tells this one what the store holds, so that it need not be read.
+	Fed func() bool
+	// Changed is called after each change.
+	Changed func()
+}
+
+// confirmation is when the store last confirmed what a follower knows.
+type confirmation struct{ at atomic.Int64 }
+
+func (c *confirmation) set(t time.Time) { c.at.Store(t.UnixNano()) }
+
+// age is how long ago that was; very long if it never was.
+func (c *confirmation) age(now time.Time) time.Duration { return now.Sub(time.Unix(0, c.at.Load())) }
+
 // Config follows the configuration.
 type Config struct {
-	store   *platform.Store
-	current atomic.Pointer[routing.Configuration]
-	// changed is closed and replaced with each version; see Ready.
-	ready chan struct{}
+	store     *platform.Store
+	hooks     Hooks
+	current   atomic.Pointer[routing.Configuration]
+	confirmed confirmation
+	learning  sync.Mutex
+	ready     chan struct{}
 }
 
 // NewConfig returns a follower that knows no configuration.
-func NewConfig(store *platform.Store) *Config {
-	return &Config{store: store, ready: make(chan struct{})}
+func NewConfig(store *platform.Store, h Hooks) *Config {
+	return &Config{store: store, hooks: h, ready: make(chan struct{})}
 }
 
+// Age is how long ago the store confirmed the configuration to this instance.
+func (c *Config) Age() time.Duration { return c.confirmed.age(time.Now()) }
+
 // Current returns the newest known configuration; nil before the first.
 func (c *Config) Current() *routing.Configuration { return c.current.Load() }
 
@@ -50,6 +74,11 @@
 	var at int64
 	fresh := true
 	for ctx.Err() == nil {
+		if c.hooks.Fed() {
+			fresh = true
+			pause(ctx, feedPause)
+			continue
+		}
 		var err error
 		if fresh {
 			at, err = c.readNewest(ctx)
@@ -60,6 +89,7 @@
 		switch {
 		case err == nil:
 			fresh = false
+			c.confirmed.set(time.Now())
 		case errors.As(err, &trimmed):
 			fresh = true
 		default:
@@ -112,6 +142,8 @@
 		klog.ErrorS(err, "configuration not taken", "bytes", len(raw))
 		return
 	}
+	c.learning.Lock()
+	defer c.learning.Unlock()
 	old := c.current.Load()
 	if old != nil && next.Version <= old.Version {
 		return
@@ -122,6 +154,7 @@
 	}
 	klog.InfoS("configuration in force", "version", next.Version, "before", versionOf(old), "routes", len(next.Routes),
 		"accounts", len(next.Accounts), "keys", len(next.Keys))
+	c.hooks.Changed()
 }
 
 func versionOf(c *routing.Configuration) int64 {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/follow"
 	"github.com/berylpond/berylpond/internal/gateway"
@@ -37,6 +38,8 @@
 	memoryShare = 0.7
 	// contactWithin is how long the store may be silent on every way before the instance stops being ready.
 	contactWithin = 2 * time.Second
+	// feedWithin is how long an instance relies on what another one told it before it reads the store itself.
+	feedWithin = 1800 * time.Millisecond
 	// unreadyFor is how long connections are accepted after the stop signal: the balancer asks once a second and needs
 	// two misses.
 	unreadyFor = 2500 * time.Millisecond
@@ -67,9 +70,12 @@
 	lessee  *rates.Lessee
 	holder  *rates.Holder
 	gateway *gateway.Gateway
-	pool    *peer.Pool
-	servers *upstream.Pool
-	metrics *prometheus.Registry
+	// feedServer tells other instances what this one knows, feedClient asks them.
+	feedServer *feed.Server
+	feedClient *feed.Client
+	pool       *peer.Pool
+	servers    *upstream.Pool
+	metrics    *prometheus.Registry
 	// listening is set once clients can connect, closing once they should go elsewhere.
 	listening, closing atomic.Bool
 }
@@ -87,11 +93,21 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
 	i.path = storepath.New(platform.NewHTTPCarrier(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
 	store := platform.NewStore(i.path)
-	i.config = follow.NewConfig(store)
-	i.entries = follow.NewBackends(store, i.fleet)
+	hooks := follow.Hooks{Fed: i.fed, Changed: func() { i.feedServer.Changed() }}
+	i.config = follow.NewConfig(store, hooks)
+	i.entries = follow.NewBackends(store, i.fleet, hooks)
 	finder := &finder{}
 	i.owner = turnlog.NewOwner(ctx, store, s.Store, i.start, finder, turnlog.NewMetrics(i.metrics))
-	i.members = membership.New(store, s.Store, turnlog.Topic, i.self, i.start, i.owner)
+	i.members = membership.New(membership.Options{
+		Store: store, Settings: s.Store, Topic: turnlog.Topic, Self: i.self, Start: i.start, Cores: s.Cores,
+		Assigner: i.owner, Fed: i.fed, Changed: hooks.Changed,
+	})
+	i.feedServer = feed.NewServer(i.start, feed.View{
+		Configuration: i.config.Current, Backends: i.fleet.Entries, Owners: i.members.Owners, Age: i.viewAge,
+	})
+	i.feedClient = feed.NewClient(i.pool, i.members.Readers, i.config.Current, func() bool { return !i.members.Member() }, feed.Sink{
+		Configuration: i.config.Learn, Backends: i.entries.Replace, Owners: i.members.Learn,
+	})
 	client := turns.New(s.Store.Partitions, i.members, i.pool)
 	client.Local = i.owner
 	finder.Client = client
@@ -104,6 +120,14 @@
 	return i
 }
 
+// fed reports whether another instance tells this one what the store holds.
+func (i *Instance) fed() bool { return !i.members.Member() && i.feedClient.FreshWithin(feedWithin) }
+
+// viewAge is the age of what this instance has read of the store itself; it reports false if it is fed.
+func (i *Instance) viewAge() (time.Duration, bool) {
+	return max(i.config.Age(), i.entries.Age()), !i.fed()
+}
+
 // finder breaks the circle between the owner and the client that asks other owners.
 type finder struct{ *turns.Client }
 
@@ -145,7 +169,7 @@
 
 // Ready reports whether the balancer should send new connections here.
 func (i *Instance) Ready() bool {
-	return i.listening.Load() && !i.closing.Load() && i.config.Current() != nil && i.fleet.IsLoaded() && i.path.InContact(contactWithin)
+	return i.listening.Load() && !i.closing.Load() && i.config.Current() != nil && i.fleet.IsLoaded() && (i.path.InContact(contactWithin) || i.feedClient.FreshWithin(contactWithin))
 }
 
 // Run serves until the context ends, then stops gracefully.
@@ -167,6 +191,7 @@
 	go i.members.Run(background)
 	go i.config.Run(background)
 	go i.entries.Run(background)
+	go i.feedClient.Run(background)
 	go i.lessee.Run(background)
 	clients, err := i.serveClients(ctx, failed)
 	if err != nil {
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -36,6 +36,7 @@
 	url   string
 	llm   *runner.Server
 	tools []*runner.Server
+	nodes []*node
 }
 
 var nextIP atomic.Int32
@@ -76,13 +77,15 @@
 	done chan struct{}
 }
 
-func (s *site) start(seeds ...string) *node {
+func (s *site) start(seeds ...string) *node { return s.startWith(1, seeds...) }
+
+func (s *site) startWith(cores float64, seeds ...string) *node {
 	s.t.Helper()
 	ip := fmt.Sprintf("127.0.77.%d", nextIP.Add(1))
 	set := platform.Settings{
 		Instance: ip, DataCentre: "a", IP: ip, ClientAddress: net.JoinHostPort(ip, "18080"),
 		ReadyAddress: net.JoinHostPort(ip, "18081"), FirstPeerPort: 18082, LastPeerPort: 18090, SeedIPs: seeds,
-		MemoryBytes: 1 << 30, GracePeriod: 4 * time.Second, QuotaWindow: 5 * time.Second,
+		Cores: cores, MemoryBytes: 1 << 30, GracePeriod: 4 * time.Second, QuotaWindow: 5 * time.Second,
 		Store: platform.StoreSettings{
 			Address: s.url, Partitions: 4, MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 21, MinMemberTTL: time.Second,
 		},
@@ -96,6 +99,7 @@
 		}
 	}()
 	s.t.Cleanup(func() { cancel(); <-n.done })
+	s.nodes = append(s.nodes, n)
 	s.eventually("ready", n.Ready)
 	return n
 }
@@ -361,6 +365,49 @@
 	is.True(two.Ready())
 }
 
+// TestSmallInstanceIsFedByOthers checks that an instance outside the group follows changes without reading the store.
+func TestSmallInstanceIsFedByOthers(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	for range 4 {
+		s.start()
+	}
+	s.eventually("four owners", func() bool { return s.owners() == 4 })
+	small := s.startWith(0.2)
+	s.eventually("fed", small.fed)
+	var reads atomic.Int32
+	s.store.SetFault(func(r *http.Request) metastore.Mode {
+		if strings.HasPrefix(r.RemoteAddr, small.settings.IP+":") {
+			reads.Add(1)
+		}
+		return metastore.Serve
+	})
+	s.store.Put("keyed.op", "config", []byte(strings.Replace(fmt.Sprintf(configuration, 9, 1000, 1000), "key-b", "key-d", 1)))
+	s.store.Put("keyed.servers", "tool-0", s.tools[0].Entry("draining"))
+	s.eventually("withdrawn", func() bool {
+		return s.do(small, call{path: "/read/x", key: "key-b"}).status == http.StatusUnauthorized
+	})
+	s.eventually("leaving", func() bool {
+		for _, e := range small.fleet.Entries() {
+			if e.ID == "tool-0" {
+				return e.Draining
+			}
+		}
+		return false
+	})
+	is.Equal(s.turn(small, call{id: "t1", path: "/chat/x", program: "p", budget: 900}).status, 200)
+	time.Sleep(time.Second)
+	is.Equal(reads.Load(), int32(0))
+}
+
+func (s *site) owners() int {
+	seen := map[string]bool{}
+	for _, a := range s.nodes[0].members.Owners() {
+		seen[a] = true
+	}
+	return len(seen)
+}
+
 func TestInstanceStopsGracefully(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -25,6 +26,8 @@
 	joinTimeout = 500 * time.Millisecond
 	// retryPause is the pause after a failed join.
 	retryPause = 150 * time.Millisecond
+	// observePause is the pause between two looks of an instance that is not in the group.
+	observePause = 300 * time.Millisecond
 	// refreshPause is the shortest pause between two reads of the list of owners.
 	refreshPause = 60 * time.Millisecond
 	// rememberFor is how long an instance that is no longer listed counts as one that may still serve.
@@ -41,7 +44,9 @@
 // Membership is the instance's place in the group.
 type Membership struct {
 	store    *platform.Store
-	member   platform.Member
+	name     platform.Member
+	fed      func() bool
+	changed  func()
 	self     string
 	assigner Assigner
 	now      func() time.Time
@@ -49,8 +54,12 @@
 	// joining is held during a join, so that none follows a leave.
 	joining sync.Mutex
 	left    bool
+	role    role
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// useful is when the instance last held a partition.
+	useful     time.Time
+	member     bool
 	generation int64
 	joined     time.Time
 	owners     map[int]string
@@ -59,11 +68,28 @@
 	refresh    chan struct{}
 }
 
-// New returns a membership under the peer address self; start is unique for each start of the process.
-func New(store *platform.Store, s platform.StoreSettings, topic, self, start string, a Assigner) *Membership {
+// Options say who the instance is.
+type Options struct {
+	Store    *platform.Store
+	Settings platform.StoreSettings
+	Topic    string
+	// Self is the instance's peer address, Start unique for each start of the process.
+	Self, Start string
+	// Cores is the share of a processor core that the instance gets.
+	Cores    float64
+	Assigner Assigner
+	// Fed reports whether another instance tells this one who owns what.
+	Fed func() bool
+	// Changed is called after each change of the owners.
+	Changed func()
+}
+
+// New returns a membership that has not joined.
+func New(o Options) *Membership {
 	return &Membership{
-		store: store, self: self, assigner: a, now: time.Now,
-		member: platform.Member{Group: group, Name: self + "/" + start, Topic: topic, TTL: max(memberTTL, s.MinMemberTTL)},
+		store: o.Store, self: o.Self, assigner: o.Assigner, fed: o.Fed, changed: o.Changed, now: time.Now,
+		role:   role{partitions: o.Settings.Partitions, cores: o.Cores},
+		name:   platform.Member{Group: group, Name: o.Self + "/" + o.Start, Topic: o.Topic, TTL: max(memberTTL, o.Settings.MinMemberTTL)},
 		owners: map[int]string{}, seen: map[string]time.Time{}, refresh: make(chan struct{}, 1),
 	}
 }
@@ -74,26 +100,30 @@
 	return a
 }
 
-// Run joins the group and follows its changes until the context ends. After Leave it only follows the owners, which the
+// Run keeps the instance's place in the group until the context ends. After Leave it only follows the owners, which the
 // requests still under way need.
 func (m *Membership) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause := joinEvery
-		if !m.follow(ctx) {
-			pause = retryPause
-		}
-		m.wait(ctx, pause)
+		m.wait(ctx, m.follow(ctx))
 	}
 }
 
-func (m *Membership) follow(ctx context.Context) bool {
+// follow joins the group where the instance should be in it, and returns the pause until the next look.
+func (m *Membership) follow(ctx context.Context) time.Duration {
 	m.joining.Lock()
 	defer m.joining.Unlock()
-	if m.left {
-		m.readOwners(ctx)
-		return true
+	m.decide(ctx)
+	switch {
+	case !m.Member():
+		if !m.fed() {
+			m.readOwners(ctx)
+		}
+		return observePause
+	case m.join(ctx):
+		return joinEvery
+	default:
+		return retryPause
 	}
-	return m.join(ctx)
 }
 
 // wait lets a pause pass and reads the owners when asked to.
@@ -112,6 +142,7 @@
 	}
 }
 
+// join keeps the instance in the group; it reports whether the store answered.
 func (m *Membership) join(ctx context.Context) bool {
 	for range settleRounds {
 		m.mu.Lock()
@@ -119,7 +150,7 @@
 		m.mu.Unlock()
 		sent := m.now()
 		callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
-		a, err := m.store.Join(callCtx, m.member, known)
+		a, err := m.store.Join(callCtx, m.name, known)
 		cancel()
 		if err != nil {
 			if ctx.Err() == nil {
@@ -129,6 +160,9 @@
 		}
 		m.mu.Lock()
 		m.generation, m.joined = a.Generation, sent
+		if len(a.Partitions) > 0 {
+			m.useful = sent
+		}
 		m.mu.Unlock()
 		numbers := make([]int, 0, len(a.Partitions))
 		for _, p := range a.Partitions {
@@ -172,7 +206,7 @@
 	}
 	owners := map[int]string{}
 	for _, r := range rows {
-		if r.Member != "" && r.Partition.Topic == m.member.Topic {
+		if r.Member != "" && r.Partition.Topic == m.name.Topic {
 			owners[r.Partition.Number] = address(r.Member)
 		}
 	}
@@ -181,8 +215,16 @@
 
 // Learn takes over a list of owners, read here or told by another instance.
 func (m *Membership) Learn(owners map[int]string) {
+	if m.learn(owners) {
+		m.changed()
+	}
+}
+
+// learn reports whether anything changed.
+func (m *Membership) learn(owners map[int]string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	same := maps.Equal(m.owners, owners)
 	m.owners = owners
 	now := m.now()
 	for _, a := range owners {
@@ -193,6 +235,7 @@
 			delete(m.seen, a)
 		}
 	}
+	return !same
 }
 
 // Refresh asks for a new list of owners soon.
@@ -250,10 +293,22 @@
 	m.joining.Lock()
 	defer m.joining.Unlock()
 	m.left = true
+	m.leave(ctx)
+}
+
+// leave gives the place in the group up.
+func (m *Membership) leave(ctx context.Context) {
+	m.mu.Lock()
+	was := m.member
+	m.member = false
+	m.mu.Unlock()
+	if !was {
+		return
+	}
 	m.assigner.Assign(nil)
 	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	if err := m.store.Leave(callCtx, m.member); err != nil {
+	if err := m.store.Leave(callCtx, m.name); err != nil {
 		klog.InfoS("group not left; its time to live ends it", "cause", err.Error())
 	}
 }
--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -85,8 +85,8 @@
 	if !h.servedElsewhere(r.ServedBy, r.ServedMsAgo) && !h.servedElsewhere(r.ServedBefore, r.ServedBeforeMsAgo) {
 		h.asked[r.Instance] = now
 	}
-	share := h.share(now, append(r.Known, r.Instance))
-	resp := &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK, Holder: h.self}
+	share, known := h.share(now, append(r.Known, r.Instance))
+	resp := &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK, Holder: h.self, Instances: int32(known)}
 	for _, d := range r.Demands {
 		a, ok := c.Accounts[d.Account]
 		if !ok {
@@ -103,8 +103,8 @@
 	return holder != "" && holder != h.self && time.Duration(msAgo)*time.Millisecond <= activeWithin
 }
 
-// share is the part of the known instances that this holder serves.
-func (h *Holder) share(now time.Time, told []string) float64 {
+// share is the part of the known instances that this holder serves, and how many are known.
+func (h *Holder) share(now time.Time, told []string) (float64, int) {
 	known := map[string]bool{h.self: true}
 	for _, a := range told {
 		known[a] = true
@@ -124,7 +124,7 @@
 			delete(h.asked, a)
 		}
 	}
-	return min(float64(active)/float64(len(known)), 1)
+	return min(float64(active)/float64(len(known)), 1), len(known)
 }
 
 func (h *Holder) grant(a routing.Account, d *turnv1.Demand, share float64, now time.Time) *turnv1.Grant {
--- a/internal/rates/lessee.go
+++ b/internal/rates/lessee.go
@@ -53,7 +53,9 @@
 	// that it is none.
 	servedBy string
 	before   served
-	wake     chan struct{}
+	// instances is how many there are, as the holder last said.
+	instances int
+	wake      chan struct{}
 }
 
 // served is a holder with the time of its last grant.
@@ -255,7 +257,7 @@
 	if resp.Holder != l.servedBy {
 		l.before = served{holder: l.servedBy, at: l.answered}
 	}
-	l.answered, l.servedBy = l.now(), resp.Holder
+	l.answered, l.servedBy, l.instances = l.now(), resp.Holder, int(resp.Instances)
 	for _, g := range resp.Grants {
 		s := l.lease(g.Account)
 		s.own = bucket{}
@@ -335,7 +337,7 @@
 	if c == nil || now.Sub(l.answered) < aloneAfter {
 		return
 	}
-	n := float64(len(l.members()) + 1)
+	n := float64(max(len(l.members())+1, l.instances))
 	for name, s := range l.leases {
 		a, ok := c.Accounts[name]
 		if !ok {
