Keep an account's rate for the programs under way; send clients of a cut-off instance elsewhere

First turns are refused, with when to come back, while the account's bucket is under half full. An instance without contact to the store for 1.2 s (was 2 s) is not ready, closes connections with its answers, and tells clients to come back once the balancer has noticed.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -74,8 +74,9 @@
 	return nil
 }
 
+// keepClosing ends the client's connection with this answer where its next request should reach another instance.
 func (x *exchange) keepClosing(h http.Header) {
-	if x.closing() {
+	if x.closing() || x.isolated() {
 		h.Set("Connection", "close")
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -32,6 +32,9 @@
 	retrySoon = 200 * time.Millisecond
 	// retryLater is told to clients while this instance can't serve; another attempt reaches another instance.
 	retryLater = 400 * time.Millisecond
+	// retryElsewhere is told to clients of an instance that is cut off: the balancer needs two missed checks to send
+	// them to another, of which one has passed on average.
+	retryElsewhere = 1200 * time.Millisecond
 )
 
 // Turns reaches the owners of programs.
@@ -42,7 +45,7 @@
 
 // Admitter keeps accounts within their rates.
 type Admitter interface {
-	Admit(ctx context.Context, a routing.Account) *rates.Denial
+	Admit(ctx context.Context, a routing.Account, first bool) *rates.Denial
 }
 
 // Gateway is the handler of client requests.
@@ -55,8 +58,9 @@
 	histories     *histories
 	metrics       *Metrics
 	now           func() time.Time
-	// closing reports whether connections should end with their next answer.
-	closing func() bool
+	// closing reports whether connections should end with their next answer, isolated whether the instance reaches
+	// neither the store nor one that does.
+	closing, isolated func() bool
 }
 
 // Options are what a Gateway works with.
@@ -68,13 +72,14 @@
 	Rates         Admitter
 	Metrics       *Metrics
 	Closing       func() bool
+	Isolated      func() bool
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
 	return &Gateway{
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Servers, turns: o.Turns, rates: o.Rates,
-		histories: newHistories(), metrics: o.Metrics, now: time.Now, closing: o.Closing,
+		histories: newHistories(), metrics: o.Metrics, now: time.Now, closing: o.Closing, isolated: o.Isolated,
 	}
 }
 
@@ -105,9 +110,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Gateway: g, w: w, r: r, Request: platform.DecodeRequest(r.Header), started: g.now()}
-	if g.closing() {
-		w.Header().Set("Connection", "close")
-	}
+	x.keepClosing(w.Header())
 	err := x.admit()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), x.until)
@@ -146,9 +149,9 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
-	if d := x.rates.Admit(x.r.Context(), x.account); d != nil {
+	if d := x.rates.Admit(x.r.Context(), x.account, x.startsProgram()); d != nil {
 		if !d.OverRate {
-			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonRateLimited, retryLater, "the account's rate can't be checked")
+			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonRateLimited, x.comeBack(), "the account's rate can't be checked")
 		}
 		return verdict.Refuse(http.StatusTooManyRequests, verdict.ReasonRateLimited, max(d.RetryAfter, retrySoon),
 			"the account is over its rate")
@@ -156,6 +159,17 @@
 	return nil
 }
 
+// startsProgram reports whether the request is the first turn of a program.
+func (x *exchange) startsProgram() bool { return x.route.KeepsHistory && x.Previous == "" }
+
+// comeBack is when a client that can't be served here should try again.
+func (x *exchange) comeBack() time.Duration {
+	if x.isolated() {
+		return retryElsewhere
+	}
+	return retryLater
+}
+
 func (x *exchange) authenticate() error {
 	if x.route.Public || !x.configuration.RequiresKeys() {
 		return nil
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -15,6 +15,8 @@
 	// beginLimit is how long a turn waits for the owner of its program: partitions move within the time to live of a
 	// member, and a client that is refused comes back.
 	beginLimit = 1500 * time.Millisecond
+	// isolatedBeginLimit is the same while the instance is cut off, where only its own partitions can answer.
+	isolatedBeginLimit = 150 * time.Millisecond
 	// settleLimit bounds the report of a turn that did not end whole.
 	settleLimit = 2 * time.Second
 	// noBudget is sent for programs without a budget.
@@ -74,7 +76,11 @@
 }
 
 func (x *exchange) beginTurn(ctx context.Context, known bool) (*turnv1.BeginResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(beginLimit, x.left()/2))
+	limit := min(beginLimit, x.left()/2)
+	if x.isolated() {
+		limit = isolatedBeginLimit
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	resp, err := x.turns.Begin(ctx, &turnv1.BeginRequest{
 		Program: x.programID(), Account: x.account.Name, Turn: x.ID, Previous: x.Previous, Budget: x.budget(),
@@ -82,7 +88,7 @@
 	})
 	if err != nil {
 		x.settle(0)
-		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, retryLater, "%v", err)
+		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, x.comeBack(), "%v", err)
 	}
 	switch resp.Outcome {
 	case turnv1.Outcome_OUTCOME_BUDGET_SPENT:
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -37,7 +37,7 @@
 	// is for stacks, buffers of the kernel and temporary files.
 	memoryShare = 0.7
 	// contactWithin is how long the store may be silent on every way before the instance stops being ready.
-	contactWithin = 2 * time.Second
+	contactWithin = 1200 * time.Millisecond
 	// feedWithin is how long an instance relies on what another one told it before it reads the store itself.
 	feedWithin = 1800 * time.Millisecond
 	// unreadyFor is how long connections are accepted after the stop signal: the balancer asks once a second and needs
@@ -115,7 +115,7 @@
 	i.lessee = rates.NewLessee(i.config.Current, i.members.Known, i.self, &taker{i})
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Servers: i.servers, Turns: client, Rates: i.lessee,
-		Metrics: gateway.NewMetrics(i.metrics), Closing: i.closing.Load,
+		Metrics: gateway.NewMetrics(i.metrics), Closing: i.closing.Load, Isolated: i.isolated,
 	})
 	return i
 }
@@ -169,7 +169,12 @@
 
 // Ready reports whether the balancer should send new connections here.
 func (i *Instance) Ready() bool {
-	return i.listening.Load() && !i.closing.Load() && i.config.Current() != nil && i.fleet.IsLoaded() && (i.path.InContact(contactWithin) || i.feedClient.FreshWithin(contactWithin))
+	return i.listening.Load() && !i.closing.Load() && i.config.Current() != nil && i.fleet.IsLoaded() && !i.isolated()
+}
+
+// isolated reports whether the store has been silent on every way for a while.
+func (i *Instance) isolated() bool {
+	return !i.path.InContact(contactWithin) && !i.feedClient.FreshWithin(feedWithin)
 }
 
 // Run serves until the context ends, then stops gracefully.
--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -17,6 +17,9 @@
 	// burstShare is the part of an account's burst that a bucket holds. The rest makes up for tokens that are used up to
 	// grantLife after they were granted, and for those granted by a holder that was cut off meanwhile.
 	burstShare = 0.5
+	// programReserve is the part of a bucket that new programs leave to those under way: a program that is refused
+	// halfway has spent its tokens in vain.
+	programReserve = 0.5
 	// rememberFor is how long an instance counts as one that may be served by another holder, or by itself.
 	rememberFor = 15 * time.Second
 )
@@ -135,8 +138,14 @@
 	n := min(max(d.Want, 0), int64(b.tokens))
 	b.tokens -= float64(n)
 	g := &turnv1.Grant{Account: a.Name, Tokens: n}
-	if n < d.Want && rate > 0 {
+	if rate <= 0 {
+		return g
+	}
+	if n < d.Want {
 		g.RetryAfterMs = int64((1 - min(b.tokens, 0.999)) / rate * 1000)
 	}
+	if short := burst*programReserve - b.tokens; short > 0 {
+		g.ProgramsAfterMs = max(int64(short/rate*1000), 1)
+	}
 	return g
 }
--- a/internal/rates/lessee.go
+++ b/internal/rates/lessee.go
@@ -82,6 +82,8 @@
 	own bucket
 	// retryAfter is the holder's last word on when the bucket holds a token again.
 	retryAfter time.Duration
+	// programsFrom is when the bucket should be full enough for new programs.
+	programsFrom time.Time
 }
 
 type waiter struct {
@@ -104,7 +106,8 @@
 }
 
 // Admit takes a token for a request of the account and waits for one briefly. It returns nil if the request may go on.
-func (l *Lessee) Admit(ctx context.Context, a routing.Account) *Denial {
+// The first request of a program is refused while the account has hardly enough for the programs under way.
+func (l *Lessee) Admit(ctx context.Context, a routing.Account, first bool) *Denial {
 	if a.Rate <= 0 {
 		return nil
 	}
@@ -112,6 +115,11 @@
 	s := l.lease(a.Name)
 	s.arrivals++
 	now := l.now()
+	if wait := s.programsFrom.Sub(now); first && wait > 0 {
+		l.mu.Unlock()
+		l.ask()
+		return &Denial{OverRate: true, RetryAfter: wait}
+	}
 	if len(s.waiters) == 0 && s.take(now) {
 		low := s.held(now) < int64(s.demand*aheadFor.Seconds()/2)
 		l.mu.Unlock()
@@ -262,6 +270,7 @@
 		s := l.lease(g.Account)
 		s.own = bucket{}
 		s.retryAfter = time.Duration(g.RetryAfterMs) * time.Millisecond
+		s.programsFrom = l.answered.Add(time.Duration(g.ProgramsAfterMs) * time.Millisecond)
 		if g.Tokens > 0 {
 			// The life of a grant counts from before the holder could have made it.
 			s.lots = append(s.lots, lot{tokens: g.Tokens, expires: sent.Add(grantLife)})
--- a/internal/rates/rates_test.go
+++ b/internal/rates/rates_test.go
@@ -147,9 +147,27 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go l.Run(ctx)
-	d := l.Admit(ctx, s.account)
+	d := l.Admit(ctx, s.account, false)
 	is.True(d != nil)
 	is.True(d.OverRate)
 	is.True(d.RetryAfter > 0)
-	is.Equal(l.Admit(ctx, routing.Account{Name: "unlimited"}), nil)
+	is.Equal(l.Admit(ctx, routing.Account{Name: "unlimited"}, true), nil)
+}
+
+func TestNewProgramsWaitWhileTheAccountIsShort(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, routing.Account{Name: "a", Rate: 100, Burst: 100})
+	for range int(startedFor / tick) {
+		s.step(20)
+	}
+	l := s.lessees[0]
+	d := l.Admit(t.Context(), s.account, true)
+	is.True(d != nil)
+	is.True(d.OverRate)
+	is.True(d.RetryAfter > 0 && d.RetryAfter <= 600*time.Millisecond)
+	// Once the demand is gone the bucket fills, and programs are let in again.
+	for range int(3 * time.Second / tick) {
+		s.step(1)
+	}
+	is.Equal(l.Admit(t.Context(), s.account, true), nil)
 }
