Charge programs with what is known after the loss of an owner; have restarted instances replace their predecessors

The users' budgets hold two turns at their most, so one lost grant ended programs. The partitions of the processes before waited for their time to live. Ruled out: slow reads of the log (4 to 20 ms a partition).

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -205,12 +205,31 @@
 		return
 	}
 	owners := map[int]string{}
+	predecessor := ""
 	for _, r := range rows {
-		if r.Member != "" && r.Partition.Topic == m.name.Topic {
-			owners[r.Partition.Number] = address(r.Member)
+		if r.Member == "" || r.Partition.Topic != m.name.Topic {
+			continue
+		}
+		owners[r.Partition.Number] = address(r.Member)
+		if address(r.Member) == m.self && r.Member != m.name.Name {
+			predecessor = r.Member
 		}
 	}
 	m.Learn(owners)
+	if predecessor != "" {
+		m.endPredecessor(ctx, predecessor)
+	}
+}
+
+// endPredecessor takes the process that had this address before out of the group. It has ended, as its port is ours, and
+// its partitions need not wait for its time to live.
+func (m *Membership) endPredecessor(ctx context.Context, name string) {
+	callCtx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	old := m.name
+	old.Name = name
+	err := m.store.Leave(callCtx, old)
+	klog.InfoS("predecessor taken out of the group", "member", name, "done", err == nil)
 }
 
 // Learn takes over a list of owners, read here or told by another instance.
--- a/internal/rates/lessee.go
+++ b/internal/rates/lessee.go
@@ -22,6 +22,8 @@
 	// waitFor is how long a request waits for a token; a bucket refills within that time where the account is not over
 	// its rate for longer.
 	waitFor = 200 * time.Millisecond
+	// waitForHolder is the same while no holder answers: the buckets get another within about as long.
+	waitForHolder = 700 * time.Millisecond
 	// aloneAfter is how long without an answer of a holder until an instance uses its own share of each rate. It is
 	// longer than activeWithin, after which the holder no longer counts the instance as served.
 	aloneAfter = 1300 * time.Millisecond
@@ -48,6 +50,7 @@
 
 	mu       sync.Mutex
 	leases   map[string]*lease
+	started  time.Time
 	answered time.Time
 	// servedBy is the holder that answered last, and before the one that did so until then; each is empty once it said
 	// that it is none.
@@ -100,7 +103,7 @@
 // NewLessee returns a lessee without tokens.
 func NewLessee(a Accounts, m Members, self string, t Taker) *Lessee {
 	return &Lessee{
-		accounts: a, members: m, self: self, taker: t, now: time.Now, leases: map[string]*lease{}, answered: time.Now(),
+		accounts: a, members: m, self: self, taker: t, now: time.Now, leases: map[string]*lease{}, started: time.Now(),
 		wake: make(chan struct{}, 1),
 	}
 }
@@ -132,7 +135,7 @@
 	s.waiters = append(s.waiters, w)
 	l.mu.Unlock()
 	l.ask()
-	t := time.NewTimer(waitFor)
+	t := time.NewTimer(l.patience())
 	defer t.Stop()
 	select {
 	case ok := <-w.granted:
@@ -145,6 +148,16 @@
 	return l.giveUp(s, w)
 }
 
+// patience is how long a request waits for a token: longer while the next holder is on its way.
+func (l *Lessee) patience() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.now().Sub(l.answered) > 2*heartbeat {
+		return waitForHolder
+	}
+	return waitFor
+}
+
 // giveUp withdraws a waiter; it returns nil if a token came just then.
 func (l *Lessee) giveUp(s *lease, w *waiter) *Denial {
 	l.mu.Lock()
@@ -162,8 +175,7 @@
 		}
 	default:
 	}
-	d := &Denial{OverRate: l.now().Sub(l.answered) < aloneAfter, RetryAfter: s.retryAfter}
-	return d
+	return &Denial{OverRate: l.now().Sub(l.answered) <= 2*heartbeat, RetryAfter: s.retryAfter}
 }
 
 func (l *Lessee) lease(account string) *lease {
@@ -337,13 +349,21 @@
 	return r
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // selfGrant lets the instance use its own share of each rate once no holder has answered for a while.
 func (l *Lessee) selfGrant() {
 	c := l.accounts()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
-	if c == nil || now.Sub(l.answered) < aloneAfter {
+	// A process that has just started may have used its share before, so its own start counts as an answer.
+	if c == nil || now.Sub(later(l.answered, l.started)) < aloneAfter {
 		return
 	}
 	n := float64(max(len(l.members())+1, l.instances))
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -188,7 +188,7 @@
 		resp.History, resp.Backend, resp.Foreign = found.History, found.Backend, true
 	}
 	if a.grant > 0 {
-		if outcome := o.grant(ctx, p, r, a.grant); outcome != turnv1.Outcome_OUTCOME_OK {
+		if outcome := o.grant(ctx, p, r, a); outcome != turnv1.Outcome_OUTCOME_OK {
 			o.release(r.Program, r.Turn)
 			return &turnv1.BeginResponse{Outcome: outcome}
 		}
@@ -196,11 +196,11 @@
 	return resp
 }
 
-// grant records that the program's turns may generate so many tokens in all.
-func (o *Owner) grant(ctx context.Context, p *partition, r *turnv1.BeginRequest, tokens int64) turnv1.Outcome {
+// grant records that the program's turns may generate as many tokens as the admission needs.
+func (o *Owner) grant(ctx context.Context, p *partition, r *turnv1.BeginRequest, a admission) turnv1.Outcome {
 	err := p.submit(ctx, &turnv1.Record{Change: &turnv1.Record_Granted{Granted: &turnv1.Granted{
-		Program: r.Program, Account: r.Account, Budget: r.Budget, Granted: tokens, KeepMs: r.KeepMs,
-		AtUnixMs: o.now().UnixMilli(),
+		Program: r.Program, Account: r.Account, Budget: r.Budget, Granted: a.grant, KeepMs: r.KeepMs,
+		AtUnixMs: o.now().UnixMilli(), Charged: a.charged, Forgiven: a.forgiven,
 	}}})
 	return outcomeOf(err)
 }
@@ -339,9 +339,11 @@
 	if len(inherited) == 0 {
 		inherited = p.state.inherit(r.Previous, o.now())
 	}
+	next := p.state.nextGrant(r.Program, r.Turn, r.Tokens, r.Most)
 	return &turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{
 		Program: r.Program, Account: r.Account, Turn: r.Turn, Previous: r.Previous, Input: r.Input, Output: r.Output,
 		Tokens: r.Tokens, Backend: r.Backend, Budget: r.Budget, Inherited: inherited,
-		Granted: p.state.nextGrant(r.Program, r.Turn, r.Tokens, r.Most), KeepMs: r.KeepMs, AtUnixMs: o.now().UnixMilli(),
+		Granted: next.granted, Charged: next.charged, Forgiven: next.forgiven, KeepMs: r.KeepMs,
+		AtUnixMs: o.now().UnixMilli(),
 	}}}
 }
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -24,6 +24,9 @@
 	granted  int64
 	spent    int64
 	reserved map[string]int64
+	// recorded is what the turns were charged with at the last record, and forgiven the grants that were taken back.
+	recorded int64
+	forgiven int64
 	turns    []string
 	lastUse  time.Time
 	keep     time.Duration
@@ -52,7 +55,7 @@
 	case *turnv1.Record_Granted:
 		g := c.Granted
 		p := s.program(g.Program, g.Account)
-		p.granted = max(p.granted, g.Granted)
+		p.record(g.Granted, g.Charged, g.Forgiven)
 		p.touch(g.AtUnixMs, g.KeepMs)
 	case *turnv1.Record_Completed:
 		s.complete(c.Completed)
@@ -61,7 +64,7 @@
 
 func (s *state) complete(c *turnv1.Completed) {
 	p := s.program(c.Program, c.Account)
-	p.granted = max(p.granted, c.Granted)
+	p.record(c.Granted, c.Charged, c.Forgiven)
 	p.touch(c.AtUnixMs, c.KeepMs)
 	if s.turns[c.Turn] != nil {
 		return
@@ -88,6 +91,11 @@
 	return p
 }
 
+// record takes over the sums of a durable record.
+func (p *program) record(granted, charged, forgiven int64) {
+	p.granted, p.recorded, p.forgiven = max(p.granted, granted), charged, max(p.forgiven, forgiven)
+}
+
 func (p *program) touch(atUnixMs, keepMs int64) {
 	if at := time.UnixMilli(atUnixMs); at.After(p.lastUse) {
 		p.lastUse = at
@@ -106,10 +114,16 @@
 	return n
 }
 
-// adopt counts everything that was granted as spent. A new owner calls it, as it does not know which of the turns that
-// had a reservation went on generating.
+// adopt charges the programs of an owner that was lost. Turns under way at a program's last record count at their most.
+// A turn that began since then had no record of its own: the grant that covered it is taken back, as it mostly was not
+// used, but once in a program only. So the tokens of a program exceed its budget by those of one turn at most.
 func (s *state) adopt() {
 	for _, p := range s.programs {
+		ahead := p.granted - p.recorded
+		if p.forgiven == 0 && ahead > 0 {
+			p.spent, p.granted, p.forgiven = p.recorded, p.recorded, ahead
+			continue
+		}
 		p.spent = max(p.spent, p.granted)
 	}
 }
@@ -120,6 +134,8 @@
 	// grant is the durable grant that is needed before the turn may start; zero if it is covered.
 	grant    int64
 	previous *turn
+	// forgiven is what grant's record says of grants taken back.
+	forgiven int64
 	// foreign means that the previous turn is not in this partition.
 	foreign              bool
 	charged, outstanding int64
@@ -150,7 +166,7 @@
 	p.touch(now.UnixMilli(), r.KeepMs)
 	a.charged, a.outstanding = p.charged(), p.outstanding()
 	if a.charged > p.granted {
-		a.grant = a.charged
+		a.grant, a.forgiven = a.charged, p.forgiven
 	}
 	return a
 }
@@ -169,18 +185,21 @@
 	p.spent += tokens
 }
 
+// sums are what a record says of a program's tokens.
+type sums struct{ granted, charged, forgiven int64 }
+
 // nextGrant is the grant to record with a completed turn: it covers the turns under way and one more of the same size,
 // so that the next turn of the program needs no record before it starts.
-func (s *state) nextGrant(programID, turnID string, tokens, most int64) int64 {
+func (s *state) nextGrant(programID, turnID string, tokens, most int64) sums {
 	p := s.programs[programID]
 	if p == nil {
-		return most
+		return sums{granted: tokens + most, charged: tokens}
 	}
 	charged := p.charged()
 	if reserved, ok := p.reserved[turnID]; ok {
 		charged += tokens - reserved
 	}
-	return max(p.granted, charged+most)
+	return sums{granted: max(p.granted, charged+most), charged: charged, forgiven: p.forgiven}
 }
 
 // history returns the inputs and outputs of the chain that ends with t, oldest first.
