Let a new bucket fill before its level refuses programs

Cause: buckets start empty at a new holder, so first turns got 429 for up to half a second (TestRefusalsAreTrueAndFinal failed: 429 for 402). After: passes.

--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -20,6 +20,8 @@
 	// programReserve is the part of a bucket that new programs leave to those under way: a program that is refused
 	// halfway has spent its tokens in vain.
 	programReserve = 0.5
+	// firstFill is how long a new bucket fills before its level says that the account is short.
+	firstFill = time.Second
 	// rememberFor is how long an instance counts as one that may be served by another holder, or by itself.
 	rememberFor = 15 * time.Second
 )
@@ -53,6 +55,8 @@
 type bucket struct {
 	tokens float64
 	filled time.Time
+	// since is when the bucket began, empty.
+	since time.Time
 }
 
 // NewHolder returns a holder with empty buckets. isHolder tells whether the instance holds them now.
@@ -82,7 +86,7 @@
 	h.lastTake = now
 	for name := range c.Accounts {
 		if h.buckets[name] == nil {
-			h.buckets[name] = &bucket{filled: now}
+			h.buckets[name] = &bucket{filled: now, since: now}
 		}
 	}
 	if !h.servedElsewhere(r.ServedBy, r.ServedMsAgo) && !h.servedElsewhere(r.ServedBefore, r.ServedBeforeMsAgo) {
@@ -144,7 +148,7 @@
 	if n < d.Want {
 		g.RetryAfterMs = int64((1 - min(b.tokens, 0.999)) / rate * 1000)
 	}
-	if short := burst*programReserve - b.tokens; short > 0 {
+	if short := burst*programReserve - b.tokens; short > 0 && now.Sub(b.since) > firstFill {
 		g.ProgramsAfterMs = max(int64(short/rate*1000), 1)
 	}
 	return g
