--- a/internal/fakes/runner/runner.go
+++ b/internal/fakes/runner/runner.go
@@ -33,9 +33,8 @@
 	// Script takes over a request; it reports whether it did.
 	Script func(w http.ResponseWriter, r *http.Request, body string) bool
 
-	mu     sync.Mutex
-	runs   []*Run
-	active int
+	mu   sync.Mutex
+	runs []*Run
 }
 
 // Start starts a server.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -36,7 +36,6 @@
 	reader *bufio.Reader
 	// expires is when an idle connection may no longer be used.
 	expires time.Time
-	reused  bool
 }
 
 var dialer = net.Dialer{
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -249,7 +249,6 @@
 		c.Close()
 		return
 	}
-	c.reused = true
 	c.expires = p.now().Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
