--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -219,7 +219,9 @@
 	cell := newCell(t, 3, &fakeLog{away: true})
 	is.NoErr(cell[0].Record(context.Background(), 0, 1, event("e1")))
 	cell[0].server.Stop()
+	cell[2].mu.Lock()
 	cell[2].ready = false // a new process that has not read the log
+	cell[2].mu.Unlock()
 	_, err := gather(t, cell[1], 2)
 	is.True(errors.Is(err, ErrNoMajority))
 }
