Show the stacks of an instance that does not become ready

Change: the wait for readiness bounds each check by 5 s, and a failure prints the last answer, the state of the process and the stacks of its goroutines. Ruled out: the failpoint stops the process once (times is 1), and SIGCONT removes a pending stop.

--- a/test/e2e/site_test.go
+++ b/test/e2e/site_test.go
@@ -364,16 +364,47 @@
 	s.t.Fatalf("%s: not within %s", what, within)
 }
 
+// readyProbe bounds one readiness check, so that a process that hangs is told from one that refuses.
+var readyProbe = &http.Client{Timeout: 5 * time.Second}
+
+// awaitReady waits until the instance is ready. If it does not become so, the failure shows the state of the process and
+// the stacks of its goroutines.
 func (s *site) awaitReady(in *instance) {
 	s.t.Helper()
-	s.await(in.id+" to be ready", startTimeout, func() bool {
-		resp, err := http.Get("http://" + in.callers + "/readyz")
+	last := "no check was made"
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		resp, err := readyProbe.Get("http://" + in.callers + "/readyz")
 		if err != nil {
-			return false
+			last = err.Error()
+			continue
 		}
+		body, _ := io.ReadAll(resp.Body)
 		resp.Body.Close()
-		return resp.StatusCode == http.StatusOK
-	})
+		if resp.StatusCode == http.StatusOK {
+			return
+		}
+		last = fmt.Sprintf("status %d: %s", resp.StatusCode, body)
+	}
+	s.t.Fatalf("%s: not ready within %s; last check: %s\n%s", in.id, startTimeout, last, in.dump())
+}
+
+// dump ends the process and returns its state and the stacks of its goroutines.
+func (p *process) dump() string {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		stat = []byte(err.Error())
+	}
+	p.signal(syscall.SIGQUIT)
+	select {
+	case <-p.done:
+	case <-time.After(5 * time.Second):
+		return fmt.Sprintf("process state: %s\nno stacks within 5 s", stat)
+	}
+	log := p.out.String()
+	if at := strings.Index(log, "SIGQUIT"); at >= 0 {
+		log = log[at:]
+	}
+	return fmt.Sprintf("process state: %s\n%s", stat, log)
 }
 
 // document renders the team's document; a key is made once for each account.
