Lend the rates of instances that are cut off to the side with most instances

Cause: while a data centre is cut off, the holder of the buckets kept back the whole share of the instances that do not ask it. Change: an instance that may be cut off uses a quarter of its share; a holder that most instances ask and that the store answers grants the rest. A holder that has lost the store for 1.2 s and serves a minority shrinks to a quarter. Ruled out: two holders that lend at once (only one side has a majority, and lending needs an answer of the store within 750 ms, which is less than the 900 ms for which an instance counts as served). Tests: TestDemandBelowTheRateIsServedWhileInstancesAreCutOff failed with the old share (1910 and 1855 of 2088 served); the random test of holders and cuts (400 cases) now tells a holder that goes on after a change that it has lost the store, which is the only way in which it can go on.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -111,7 +111,8 @@
 	client := turns.New(s.Store.Partitions, i.members, i.pool)
 	client.Local = i.owner
 	finder.Client = client
-	i.holder = rates.NewHolder(i.config.Current, i.members.Known, i.self, func() bool { return i.owner.Holds(partitionOfRates) })
+	i.holder = rates.NewHolder(i.config.Current, i.members.Known, i.self, func() bool { return i.owner.Holds(partitionOfRates) },
+		i.path.Silence)
 	i.lessee = rates.NewLessee(i.config.Current, i.members.Known, i.self, &taker{i})
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Servers: i.servers, Turns: client, Rates: i.lessee,
--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -24,6 +24,15 @@
 	firstFill = time.Second
 	// rememberFor is how long an instance counts as one that may be served by another holder, or by itself.
 	rememberFor = 15 * time.Second
+	// cutOffShare is the part of its share of a rate that an instance uses while it may be cut off: the balancer sends
+	// new connections elsewhere, so the other side needs the rest.
+	cutOffShare = 0.25
+	// lendWithin is how recently a holder must have heard from the store to hand out the shares of instances that do not
+	// ask it. It is shorter than activeWithin: a holder that is itself cut off never lends.
+	lendWithin = 750 * time.Millisecond
+	// cutOffAfter is how long a holder hears nothing from the store until it uses cutOffShare. It ends before another
+	// instance can hold the buckets, which takes the store 1.5 s.
+	cutOffAfter = 1200 * time.Millisecond
 )
 
 // Accounts returns the limits in force; nil before the first configuration.
@@ -34,8 +43,9 @@
 
 // Holder holds the buckets. It serves the gRPC service Rates.
 //
-// It grants an account's rate times the share of the known instances that ask it: instances that it does not reach may
-// be served by another holder on the other side of a partition, so that all together stay within the rate.
+// It grants an account's rate times the share of the known instances that ask it, and while these are most of them and
+// the store answers, all of the rate but cutOffShare of what belongs to the others: those may be served by another holder
+// on the other side of a partition, or by themselves, and all together stay within the rate.
 type Holder struct {
 	turnv1.UnimplementedRatesServer
 
@@ -43,7 +53,9 @@
 	members  Members
 	self     string
 	isHolder func() bool
-	now      func() time.Time
+	// silence is the time since the store last answered.
+	silence func() time.Duration
+	now     func() time.Time
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -59,10 +71,11 @@
 	since time.Time
 }
 
-// NewHolder returns a holder with empty buckets. isHolder tells whether the instance holds them now.
-func NewHolder(a Accounts, m Members, self string, isHolder func() bool) *Holder {
+// NewHolder returns a holder with empty buckets. isHolder tells whether the instance holds them now, silence how long ago
+// the store last answered.
+func NewHolder(a Accounts, m Members, self string, isHolder func() bool, silence func() time.Duration) *Holder {
 	return &Holder{
-		accounts: a, members: m, self: self, isHolder: isHolder, now: time.Now,
+		accounts: a, members: m, self: self, isHolder: isHolder, silence: silence, now: time.Now,
 		buckets: map[string]*bucket{}, asked: map[string]time.Time{},
 	}
 }
@@ -110,8 +123,24 @@
 	return holder != "" && holder != h.self && time.Duration(msAgo)*time.Millisecond <= activeWithin
 }
 
-// share is the part of the known instances that this holder serves, and how many are known.
+// share is the part of each rate that this holder grants, and how many instances are known.
 func (h *Holder) share(now time.Time, told []string) (float64, int) {
+	active, known := h.count(now, told)
+	served := min(float64(active)/float64(known), 1)
+	silence := h.silence()
+	// Only one side of a partition has most of the instances, so two holders never lend at once.
+	switch majority := served > 0.5; {
+	case majority && silence < lendWithin:
+		return served + (1-cutOffShare)*(1-served), known
+	case !majority && silence > cutOffAfter:
+		return served * cutOffShare, known
+	default:
+		return served, known
+	}
+}
+
+// count returns how many instances ask this holder, and how many are known.
+func (h *Holder) count(now time.Time, told []string) (active, all int) {
 	known := map[string]bool{h.self: true}
 	for _, a := range told {
 		known[a] = true
@@ -119,7 +148,6 @@
 	for _, a := range h.members() {
 		known[a] = true
 	}
-	active := 0
 	for a, at := range h.asked {
 		switch age := now.Sub(at); {
 		case age <= activeWithin:
@@ -131,7 +159,7 @@
 			delete(h.asked, a)
 		}
 	}
-	return min(float64(active)/float64(len(known)), 1), len(known)
+	return active, len(known)
 }
 
 func (h *Holder) grant(a routing.Account, d *turnv1.Demand, share float64, now time.Time) *turnv1.Grant {
--- a/internal/rates/lessee.go
+++ b/internal/rates/lessee.go
@@ -24,7 +24,7 @@
 	waitFor = 200 * time.Millisecond
 	// waitForHolder is the same while no holder answers: the buckets get another within about as long.
 	waitForHolder = 700 * time.Millisecond
-	// aloneAfter is how long without an answer of a holder until an instance uses its own share of each rate. It is
+	// aloneAfter is how long without an answer of a holder until an instance uses a part of its share of each rate. It is
 	// longer than activeWithin, after which the holder no longer counts the instance as served.
 	aloneAfter = 1300 * time.Millisecond
 	// askPause spaces messages to the holder.
@@ -356,7 +356,7 @@
 	return b
 }
 
-// selfGrant lets the instance use its own share of each rate once no holder has answered for a while.
+// selfGrant lets the instance use a part of its own share of each rate once no holder has answered for a while.
 func (l *Lessee) selfGrant() {
 	c := l.accounts()
 	l.mu.Lock()
@@ -366,7 +366,7 @@
 	if c == nil || now.Sub(later(l.answered, l.started)) < aloneAfter {
 		return
 	}
-	n := float64(max(len(l.members())+1, l.instances))
+	part := cutOffShare / float64(max(len(l.members())+1, l.instances))
 	for name, s := range l.leases {
 		a, ok := c.Accounts[name]
 		if !ok {
@@ -375,7 +375,7 @@
 		if s.own.filled.IsZero() {
 			s.own.filled = now
 		}
-		s.own.tokens = min(s.own.tokens+a.Rate/n*now.Sub(s.own.filled).Seconds(), max(a.Burst/n, 1))
+		s.own.tokens = min(s.own.tokens+a.Rate*part*now.Sub(s.own.filled).Seconds(), max(a.Burst*part, 1))
 		s.own.filled = now
 		if whole := int64(s.own.tokens); whole > 0 {
 			s.own.tokens -= float64(whole)
--- a/internal/rates/rates_test.go
+++ b/internal/rates/rates_test.go
@@ -31,10 +31,13 @@
 	lessees []*Lessee
 	// asks is the index of the holder that an instance reaches, or -1.
 	asks []int
+	// cutSince is when an instance lost the store, zero while it reaches it. Only one that has lost it can go on as a
+	// holder after another has taken the buckets.
+	cutSince []time.Time
 }
 
 func newSimulation(n int, a routing.Account) *simulation {
-	s := &simulation{now: time.Now(), account: a, asks: make([]int, n)}
+	s := &simulation{now: time.Now(), account: a, asks: make([]int, n), cutSince: make([]time.Time, n)}
 	c := &routing.Configuration{Accounts: map[string]routing.Account{a.Name: a}}
 	configuration := func() *routing.Configuration { return c }
 	clock := func() time.Time { return s.now }
@@ -49,7 +52,7 @@
 			}
 			return out
 		}
-		h := NewHolder(configuration, members, self, func() bool { return true })
+		h := NewHolder(configuration, members, self, func() bool { return true }, func() time.Duration { return s.silence(i) })
 		h.now = clock
 		l := NewLessee(configuration, members, self, taker(func(r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
 			if s.asks[i] < 0 {
@@ -64,6 +67,20 @@
 	return s
 }
 
+func (s *simulation) silence(i int) time.Duration {
+	if s.cutSince[i].IsZero() {
+		return 0
+	}
+	return s.now.Sub(s.cutSince[i])
+}
+
+// change makes next the holder, cut off from the one before.
+func (s *simulation) change(old, next int) {
+	if old != next {
+		s.cutSince[old], s.cutSince[next] = s.now, time.Time{}
+	}
+}
+
 type taker func(*turnv1.TakeRequest) (*turnv1.TakeResponse, error)
 
 func (f taker) Take(_ context.Context, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
@@ -75,18 +92,24 @@
 	s.now = s.now.Add(tick)
 	used := 0
 	for _, l := range s.lessees {
-		l.leases[s.account.Name].arrivals += int64(wanted)
-		l.exchange(context.Background())
-		for range wanted {
-			if !l.leases[s.account.Name].take(s.now) {
-				break
-			}
-			used++
-		}
+		used += s.use(l, wanted)
 	}
 	return used
 }
 
+// use lets one instance exchange a message and use tokens for up to wanted requests; it returns how many ran.
+func (s *simulation) use(l *Lessee, wanted int) int {
+	lease := l.leases[s.account.Name]
+	lease.arrivals += int64(wanted)
+	l.exchange(context.Background())
+	for n := range wanted {
+		if !lease.take(s.now) {
+			return n
+		}
+	}
+	return wanted
+}
+
 func TestAccountStaysWithinItsRateWhileHoldersChangeAndInstancesAreCutOff(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a := routing.Account{Name: "a", Rate: rapid.Float64Range(20, 400).Draw(t, "rate")}
@@ -100,6 +123,7 @@
 			if i%40 == 39 && rapid.Bool().Draw(t, "change") {
 				// Some instances stay with the old holder, some reach none, the others get a new one.
 				old, next = next, rapid.IntRange(0, n-1).Draw(t, "holder")
+				s.change(old, next)
 				for j := range s.asks {
 					s.asks[j] = []int{next, next, old, -1}[rapid.IntRange(0, 3).Draw(t, "reach")]
 				}
@@ -130,10 +154,53 @@
 	is.Equal(used, asked)
 }
 
+// A zone of a fleet is cut off, and the traffic of its clients goes to the rest, whose rate must bear it.
+func TestDemandBelowTheRateIsServedWhileInstancesAreCutOff(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		// before is the holder until the cut, reached the one that the cut-off instances reach after it.
+		before, reached int
+	}{{"the holder stays", 0, -1}, {"the holder is cut off", 8, 8}} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSimulation(9, routing.Account{Name: "a", Rate: 400, Burst: 400})
+			for j := range s.asks {
+				s.asks[j] = tt.before
+			}
+			for range int(startedFor / tick) {
+				s.step(1)
+			}
+			for j := 6; j < 9; j++ {
+				s.cutSince[j], s.asks[j] = s.now, tt.reached
+			}
+			for j := range 6 {
+				s.asks[j] = 0
+			}
+			asked, used := 0, 0
+			for i := range int(10 * time.Second / tick) {
+				s.now = s.now.Add(tick)
+				for j, l := range s.lessees {
+					if j >= 6 {
+						l.exchange(t.Context())
+						continue
+					}
+					// Three quarters of the rate, all of it at two thirds of the instances.
+					wanted := 2 + i%2
+					got := s.use(l, wanted)
+					if i > int(3*time.Second/tick) {
+						asked, used = asked+wanted, used+got
+					}
+				}
+			}
+			is.Equal(used, asked)
+		})
+	}
+}
+
 func TestHolderThatIsNoneAnswersSo(t *testing.T) {
 	is := is.New(t)
 	h := NewHolder(func() *routing.Configuration { return &routing.Configuration{} }, func() []string { return nil }, "a",
-		func() bool { return false })
+		func() bool { return false }, func() time.Duration { return 0 })
 	resp, err := h.Take(t.Context(), &turnv1.TakeRequest{Instance: "b"})
 	is.NoErr(err)
 	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_NOT_OWNER)
--- a/internal/storepath/storepath.go
+++ b/internal/storepath/storepath.go
@@ -132,9 +132,14 @@
 
 // InContact reports whether the store has answered on any way within the last d.
 func (p *Path) InContact(d time.Duration) bool {
+	return p.Silence() < d
+}
+
+// Silence is the time since the store last answered on any way; very long before its first answer.
+func (p *Path) Silence() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.lastContact.IsZero() && p.now().Sub(p.lastContact) < d
+	return p.now().Sub(p.lastContact)
 }
 
 // Served reports whether the store answers this instance itself.
