Give small accounts their whole burst, and new buckets a little to start with

Cause: a bucket held half of an account's burst. Most accounts of the grown sites are small, so that it held one or two tokens, while programs make several calls at once; after a loss of all instances every bucket began empty. Change: a bucket holds up to 10 requests beyond half of the burst, never more than the burst, and begins with up to 10. Both are half of the 20 requests that the platform tolerates in a window. Tests: TestSmallAccountMayUseItsWholeBurstAtOnce and TestNewHolderServesASmallAccountAtOnce, both failed before.

--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -14,9 +14,12 @@
 const (
 	// activeWithin is how recently an instance asked for tokens to count as one that the holder serves.
 	activeWithin = 900 * time.Millisecond
-	// burstShare is the part of an account's burst that a bucket holds. The rest makes up for tokens that are used up to
-	// grantLife after they were granted, and for those granted by a holder that was cut off meanwhile.
+	// burstShare is the part of an account's burst that a bucket holds in any case. The rest makes up for tokens that are
+	// used up to grantLife after they were granted, and for those granted by a holder that was cut off meanwhile.
 	burstShare = 0.5
+	// toleratedExcess is what the bucket of a small account may hold beyond burstShare, in requests: half of what the
+	// platform tolerates beyond a limit in a window. The other half covers what new buckets start with.
+	toleratedExcess = 10.0
 	// programReserve is the part of a bucket that new programs leave to those under way: a program that is refused
 	// halfway has spent its tokens in vain.
 	programReserve = 0.5
@@ -67,7 +70,7 @@
 type bucket struct {
 	tokens float64
 	filled time.Time
-	// since is when the bucket began, empty.
+	// since is when the bucket began.
 	since time.Time
 }
 
@@ -93,13 +96,13 @@
 	defer h.mu.Unlock()
 	now := h.now()
 	if now.Sub(h.lastTake) > activeWithin {
-		// What another holder has granted meanwhile is not known, so the buckets start empty.
+		// What another holder has granted meanwhile is not known, so the buckets start with little.
 		h.buckets = map[string]*bucket{}
 	}
 	h.lastTake = now
-	for name := range c.Accounts {
+	for name, a := range c.Accounts {
 		if h.buckets[name] == nil {
-			h.buckets[name] = &bucket{filled: now, since: now}
+			h.buckets[name] = &bucket{tokens: min(size(a)/2, toleratedExcess), filled: now, since: now}
 		}
 	}
 	if !h.servedElsewhere(r.ServedBy, r.ServedMsAgo) && !h.servedElsewhere(r.ServedBefore, r.ServedBeforeMsAgo) {
@@ -162,10 +165,14 @@
 	return active, len(known)
 }
 
+// size is the most tokens that a bucket of the account holds.
+func size(a routing.Account) float64 { return min(a.Burst, a.Burst*burstShare+toleratedExcess) }
+
 func (h *Holder) grant(a routing.Account, d *turnv1.Demand, share float64, now time.Time) *turnv1.Grant {
 	b := h.buckets[a.Name]
-	rate, burst := a.Rate*share, max(a.Burst*burstShare*share, 1)
-	b.tokens = min(b.tokens+rate*now.Sub(b.filled).Seconds()+float64(max(d.Unused, 0)), burst)
+	rate, burst := a.Rate*share, max(size(a)*share, 1)
+	filled := b.tokens + rate*now.Sub(b.filled).Seconds() + float64(max(d.Unused, 0))
+	b.tokens = min(filled, max(burst, b.tokens))
 	b.filled = now
 	n := min(max(d.Want, 0), int64(b.tokens))
 	b.tokens -= float64(n)
--- a/internal/rates/rates_test.go
+++ b/internal/rates/rates_test.go
@@ -197,6 +197,40 @@
 	}
 }
 
+// isGranted reports whether a request that waits at the instance gets a token with its next message to the holder.
+func (s *simulation) isGranted(l *Lessee) bool {
+	w := &waiter{granted: make(chan bool, 1)}
+	l.leases[s.account.Name].waiters = []*waiter{w}
+	l.exchange(context.Background())
+	select {
+	case ok := <-w.granted:
+		return ok
+	default:
+		return false
+	}
+}
+
+// A small account's program makes several calls at once, through several instances.
+func TestSmallAccountMayUseItsWholeBurstAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, routing.Account{Name: "a", Rate: 4, Burst: 4})
+	for range int(startedFor / tick) {
+		s.step(0)
+	}
+	s.now = s.now.Add(tick)
+	for _, l := range s.lessees[:4] {
+		is.True(s.isGranted(l))
+	}
+}
+
+func TestNewHolderServesASmallAccountAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, routing.Account{Name: "a", Rate: 8, Burst: 8})
+	for _, l := range s.lessees[:4] {
+		is.True(s.isGranted(l))
+	}
+}
+
 func TestHolderThatIsNoneAnswersSo(t *testing.T) {
 	is := is.New(t)
 	h := NewHolder(func() *routing.Configuration { return &routing.Configuration{} }, func() []string { return nil }, "a",
