Keep the group of owners still through an outage of the store

Cause: a member counted itself as not needed once it had held no partition for 5 to 10 s, and that time was only renewed by an answered join. When the store was back every instance that saw fewer owners than partitions joined, then left again: 133 lines "group changed" between 25 s and 29 s (generations from 126 on), and each change moved partitions and the buckets of the rates. Change: only a join that the group answers without a partition counts as not needed. Large instances join when they start, later only if fewer than half of the partitions have an owner of their own, small ones below a quarter, and only on a list of owners that is fresh. Ruled out: the platform's own reassignment (the generations rise with our joins and leaves).

--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -57,14 +57,16 @@
 	role    role
 
 	mu sync.Mutex
-	// useful is when the instance last held a partition.
-	useful     time.Time
+	// idleSince is when the group first had no partition for the instance; zero while it has, or has not been asked.
+	idleSince  time.Time
 	member     bool
 	generation int64
 	joined     time.Time
 	owners     map[int]string
 	seen       map[string]time.Time
+	// ownersRead is when owners were last asked for, learned when a list came.
 	ownersRead time.Time
+	learned    time.Time
 	refresh    chan struct{}
 }
 
@@ -160,8 +162,11 @@
 		}
 		m.mu.Lock()
 		m.generation, m.joined = a.Generation, sent
-		if len(a.Partitions) > 0 {
-			m.useful = sent
+		switch {
+		case len(a.Partitions) > 0:
+			m.idleSince = time.Time{}
+		case m.idleSince.IsZero():
+			m.idleSince = sent
 		}
 		m.mu.Unlock()
 		numbers := make([]int, 0, len(a.Partitions))
@@ -246,6 +251,7 @@
 	same := maps.Equal(m.owners, owners)
 	m.owners = owners
 	now := m.now()
+	m.learned = now
 	for _, a := range owners {
 		m.seen[a] = now
 	}
--- a/internal/membership/role.go
+++ b/internal/membership/role.go
@@ -9,13 +9,21 @@
 )
 
 const (
-	// fullCores is the share of a core from which an instance joins the group as soon as it lacks members. Smaller ones
-	// leave the work of owners to larger ones and step in only if none does.
+	// fullCores is the share of a core from which an instance joins the group when it starts. Smaller ones leave the work
+	// of owners to larger ones and step in only if few do.
 	fullCores = 0.5
+	// fewOwners and fewestOwners are the parts of the partitions that must have an owner each, or a large or a small
+	// instance joins the group. Between them and one owner for each partition the group stays as it is, since each change
+	// moves partitions.
+	fewOwners    = 0.5
+	fewestOwners = 0.25
 	// stepInAfter is how long a small instance waits for larger ones.
 	stepInAfter = 1200 * time.Millisecond
 	// replenishWithin spreads the instances that could fill a place in the group, so that few do.
 	replenishWithin = 3 * time.Second
+	// ownersFresh is the age up to which a list of owners says that the group lacks members. While the store is away the
+	// group can't be judged, and whoever joined then would move partitions when it is back.
+	ownersFresh = time.Second
 	// idleAfter and idleSpread say how long a member without a partition stays, so that the group has hardly more members
 	// than partitions.
 	idleAfter  = 5 * time.Second
@@ -60,7 +68,7 @@
 		return
 	}
 	owners := m.ownerCount()
-	if owners >= m.role.partitions {
+	if !m.role.lacks(owners, first) || !first && !m.ownersKnown(now) {
 		m.role.waiting = time.Time{}
 		return
 	}
@@ -72,10 +80,22 @@
 	}
 	klog.InfoS("group joined", "owners", owners, "partitions", m.role.partitions, "cores", m.role.cores)
 	m.mu.Lock()
-	m.member, m.useful = true, now
+	m.member, m.idleSince = true, time.Time{}
 	m.mu.Unlock()
 }
 
+// lacks reports whether a group with so many owners needs this instance.
+func (r *role) lacks(owners int, first bool) bool {
+	needed := float64(r.partitions)
+	switch {
+	case r.cores < fullCores:
+		needed *= fewestOwners
+	case !first:
+		needed *= fewOwners
+	}
+	return float64(owners) < max(needed, 1)
+}
+
 // delay is how long the instance waits for others to fill the group.
 func (r *role) delay(first bool, owners int) time.Duration {
 	switch {
@@ -88,10 +108,20 @@
 	}
 }
 
+// ownersKnown reports whether the list of owners is fresh.
+func (m *Membership) ownersKnown(now time.Time) bool {
+	if m.fed() {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.learned) <= ownersFresh
+}
+
 func (m *Membership) isIdle(now time.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return now.Sub(m.useful) > m.role.idle
+	return !m.idleSince.IsZero() && now.Sub(m.idleSince) > m.role.idle
 }
 
 // ownerCount is the number of instances that hold partitions.
