Confirm the hand-over of the buckets, and let requests wait for the next holder

Cause: the list of owners often changes before an instance has asked its last holder again. Change: an instance asks its last holder whether it has given the buckets up. A request is told that the account is over its rate only if a holder has answered since it came; else it waits up to 0.7 s and gets a 503. Tests: TestHandOverInterruptsNoAccount (231 of 360 served before) and TestRequestWaitsForTheNextHolder failed before; 100 random cases of holders and cuts pass.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -136,9 +136,11 @@
 // taker sends requests for tokens to the owner of partitionOfRates.
 type taker struct{ i *Instance }
 
+// Holder implements rates.Taker.
+func (t *taker) Holder() string { return t.i.members.OwnerOf(partitionOfRates) }
+
 // Take implements rates.Taker.
-func (t *taker) Take(ctx context.Context, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
-	holder := t.i.members.OwnerOf(partitionOfRates)
+func (t *taker) Take(ctx context.Context, holder string, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
 	if holder == t.i.self {
 		return t.i.holder.Take(ctx, r)
 	}
--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -92,6 +92,9 @@
 		h.mu.Unlock()
 		return &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_NOT_OWNER, Holder: h.self}, nil
 	}
+	if r.Instance == "" {
+		return &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK, Holder: h.self}, nil
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.now()
--- a/internal/rates/lessee.go
+++ b/internal/rates/lessee.go
@@ -35,9 +35,12 @@
 	demandDecay = 0.3
 )
 
-// Taker sends a request for tokens to the present holder.
+// Taker reaches the holders.
 type Taker interface {
-	Take(ctx context.Context, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error)
+	// Holder returns the address of the present holder; empty if none is known.
+	Holder() string
+	// Take sends a request for tokens to a holder.
+	Take(ctx context.Context, holder string, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error)
 }
 
 // Lessee admits the requests of one instance.
@@ -91,6 +94,7 @@
 
 type waiter struct {
 	granted chan bool
+	since   time.Time
 }
 
 // Denial says why a request got no token.
@@ -131,31 +135,34 @@
 		}
 		return nil
 	}
-	w := &waiter{granted: make(chan bool, 1)}
+	w := &waiter{granted: make(chan bool, 1), since: now}
 	s.waiters = append(s.waiters, w)
 	l.mu.Unlock()
 	l.ask()
-	t := time.NewTimer(l.patience())
+	if w.wait(ctx, waitFor) || !l.answeredSince(w.since) && w.wait(ctx, waitForHolder-waitFor) {
+		return nil
+	}
+	return l.giveUp(s, w)
+}
+
+// wait reports whether the waiter got a token within the limit. It returns early if there will be none for a while.
+func (w *waiter) wait(ctx context.Context, limit time.Duration) bool {
+	t := time.NewTimer(limit)
 	defer t.Stop()
 	select {
 	case ok := <-w.granted:
-		if ok {
-			return nil
-		}
+		return ok
 	case <-t.C:
 	case <-ctx.Done():
 	}
-	return l.giveUp(s, w)
+	return false
 }
 
-// patience is how long a request waits for a token: longer while the next holder is on its way.
-func (l *Lessee) patience() time.Duration {
+// answeredSince reports whether a holder has answered after a time. If not, the next holder may be on its way.
+func (l *Lessee) answeredSince(t time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.now().Sub(l.answered) > 2*heartbeat {
-		return waitForHolder
-	}
-	return waitFor
+	return l.answered.After(t)
 }
 
 // giveUp withdraws a waiter; it returns nil if a token came just then.
@@ -175,7 +182,7 @@
 		}
 	default:
 	}
-	return &Denial{OverRate: l.now().Sub(l.answered) <= 2*heartbeat, RetryAfter: s.retryAfter}
+	return &Denial{OverRate: l.answered.After(w.since), RetryAfter: s.retryAfter}
 }
 
 func (l *Lessee) lease(account string) *lease {
@@ -262,11 +269,11 @@
 
 // exchange sends one message to the holder and hands out what it grants.
 func (l *Lessee) exchange(ctx context.Context) bool {
+	holder := l.taker.Holder()
+	l.confirmRelease(ctx, holder)
 	r := l.request()
-	callCtx, cancel := context.WithTimeout(ctx, takeTimeout)
 	sent := l.now()
-	resp, err := l.taker.Take(callCtx, r)
-	cancel()
+	resp, err := l.take(ctx, holder, r)
 	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
 		l.released(resp)
 		l.selfGrant()
@@ -295,6 +302,27 @@
 	return true
 }
 
+func (l *Lessee) take(ctx context.Context, holder string, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	return l.taker.Take(ctx, holder, r)
+}
+
+// confirmRelease asks the last holder whether it has given the buckets up, once there is another. While that is not known
+// the next one counts this instance as served by the last, and grants it nothing.
+func (l *Lessee) confirmRelease(ctx context.Context, next string) {
+	l.mu.Lock()
+	last, age := l.servedBy, l.now().Sub(l.answered)
+	l.mu.Unlock()
+	if last == "" || next == "" || last == next || age > activeWithin {
+		return
+	}
+	resp, err := l.take(ctx, last, &turnv1.TakeRequest{})
+	if err == nil && resp.Outcome != turnv1.Outcome_OUTCOME_OK {
+		l.released(resp)
+	}
+}
+
 // released notes that the last holder has given the buckets up.
 func (l *Lessee) released(resp *turnv1.TakeResponse) {
 	l.mu.Lock()
--- a/internal/rates/rates_test.go
+++ b/internal/rates/rates_test.go
@@ -34,10 +34,12 @@
 	// cutSince is when an instance lost the store, zero while it reaches it. Only one that has lost it can go on as a
 	// holder after another has taken the buckets.
 	cutSince []time.Time
+	// released holds the instances that were the holder, have given the buckets up and can still be asked.
+	released map[string]bool
 }
 
 func newSimulation(n int, a routing.Account) *simulation {
-	s := &simulation{now: time.Now(), account: a, asks: make([]int, n), cutSince: make([]time.Time, n)}
+	s := &simulation{now: time.Now(), account: a, asks: make([]int, n), cutSince: make([]time.Time, n), released: map[string]bool{}}
 	c := &routing.Configuration{Accounts: map[string]routing.Account{a.Name: a}}
 	configuration := func() *routing.Configuration { return c }
 	clock := func() time.Time { return s.now }
@@ -52,14 +54,9 @@
 			}
 			return out
 		}
-		h := NewHolder(configuration, members, self, func() bool { return true }, func() time.Duration { return s.silence(i) })
+		h := NewHolder(configuration, members, self, func() bool { return !s.released[self] }, func() time.Duration { return s.silence(i) })
 		h.now = clock
-		l := NewLessee(configuration, members, self, taker(func(r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
-			if s.asks[i] < 0 {
-				return nil, errors.New("no holder is reached")
-			}
-			return s.holders[s.asks[i]].Take(context.Background(), r)
-		}))
+		l := NewLessee(configuration, members, self, &taker{s, i})
 		l.now, l.started = clock, s.now
 		l.leases[a.Name] = &lease{}
 		s.holders, s.lessees = append(s.holders, h), append(s.lessees, l)
@@ -81,10 +78,29 @@
 	}
 }
 
-type taker func(*turnv1.TakeRequest) (*turnv1.TakeResponse, error)
+// taker reaches the holder that its instance asks, and no other.
+type taker struct {
+	*simulation
+	instance int
+}
 
-func (f taker) Take(_ context.Context, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
-	return f(r)
+func (t *taker) Holder() string {
+	if t.asks[t.instance] < 0 {
+		return ""
+	}
+	return t.holders[t.asks[t.instance]].self
+}
+
+func (t *taker) Take(_ context.Context, holder string, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
+	if holder == "" || holder != t.Holder() && !t.released[holder] {
+		return nil, errors.New("the holder is not reached")
+	}
+	for _, h := range t.holders {
+		if h.self == holder {
+			return h.Take(context.Background(), r)
+		}
+	}
+	return nil, errors.New("there is no such holder")
 }
 
 // step lets each instance exchange a message and then use tokens for up to wanted requests; it returns how many ran.
@@ -231,6 +247,42 @@
 	}
 }
 
+// The list of owners changes before the instances have asked the last holder again.
+func TestHandOverInterruptsNoAccount(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, routing.Account{Name: "a", Rate: 400, Burst: 400})
+	for range int(startedFor / tick) {
+		s.step(1)
+	}
+	s.released["instance-0"] = true
+	for j := range s.asks {
+		s.asks[j] = 1
+	}
+	asked, used := 0, 0
+	for range int(2 * time.Second / tick) {
+		used += s.step(1)
+		asked += len(s.lessees)
+	}
+	is.Equal(used, asked)
+}
+
+func TestRequestWaitsForTheNextHolder(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, routing.Account{Name: "a", Rate: 100, Burst: 100})
+	s.step(0)
+	l := s.lessees[0]
+	l.now, s.holders[0].now = time.Now, time.Now
+	l.answered, s.asks[0] = time.Now(), -1
+	go func() {
+		time.Sleep(2 * waitFor)
+		l.mu.Lock()
+		s.asks[0] = 0
+		l.mu.Unlock()
+		l.exchange(t.Context())
+	}()
+	is.Equal(l.Admit(t.Context(), s.account, false), nil)
+}
+
 func TestHolderThatIsNoneAnswersSo(t *testing.T) {
 	is := is.New(t)
 	h := NewHolder(func() *routing.Configuration { return &routing.Configuration{} }, func() []string { return nil }, "a",
