Tell contact with the store apart from the age of what it said

Cause: an instance that others feed counted as in contact while its view was younger than 1.8 s, since the store may hold a reader's question for most of a second. In a cut-off data centre, where most instances are fed, they went on for 0.6 s longer than those that read the store themselves before they told the balancer. Change: a reader tells how long the store has been silent to it on all calls; a fed instance is isolated 1.2 s after the last answer that it heard of, as the others are. A question to a reader ends 0.05 s sooner. Tests: TestContactIsThatOfTheReaderWithTheStore, TestReaderThatIsLostEndsTheContact.

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -19,7 +19,7 @@
 	// configuration and a leaving backend server must be noticed.
 	holdFor = 400 * time.Millisecond
 	// askTimeout bounds a question.
-	askTimeout = holdFor + 250*time.Millisecond
+	askTimeout = holdFor + 200*time.Millisecond
 	// maxAge is the age of a reader's view from which another reader is asked.
 	maxAge = 1400 * time.Millisecond
 	// retryPause is the pause after a reader that did not answer well.
@@ -51,6 +51,9 @@
 
 	mu        sync.Mutex
 	confirmed time.Time
+	// contact is the last answer of the store that a reader told of. It is newer than confirmed, as the store may hold a
+	// reader's questions.
+	contact time.Time
 
 	reader   string
 	start    string
@@ -70,6 +73,13 @@
 	return !c.confirmed.IsZero() && c.now().Sub(c.confirmed) < d
 }
 
+// InContact reports whether the store has answered a reader that answered here within the last d.
+func (c *Client) InContact(d time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now().Sub(c.contact) < d
+}
+
 // Run asks readers until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -147,6 +157,7 @@
 	c.start, c.revision = resp.Start, resp.Revision
 	c.mu.Lock()
 	c.confirmed = c.now().Add(-age)
+	c.contact = c.now().Add(-time.Duration(resp.SilenceMs) * time.Millisecond)
 	c.mu.Unlock()
 }
 
--- /dev/null
+++ b/internal/feed/feed_test.go
@@ -0,0 +1,92 @@
+package feed
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/fleet"
+	"github.com/berylpond/berylpond/internal/routing"
+)
+
+// reader is an instance that reads the store, reached without a network.
+type reader struct {
+	server  *Server
+	age     time.Duration
+	silence time.Duration
+	lost    bool
+}
+
+func newReader() *reader {
+	r := &reader{}
+	r.server = NewServer("start", View{
+		Configuration: func() *routing.Configuration { return nil },
+		Backends:      func() []fleet.Entry { return nil },
+		Owners:        func() map[int]string { return map[int]string{0: "reader"} },
+		Age:           func() (time.Duration, bool) { return r.age, true },
+		Silence:       func() time.Duration { return r.silence },
+	})
+	return r
+}
+
+func (r *reader) Conn(string) (grpc.ClientConnInterface, error) {
+	if r.lost {
+		return nil, errors.New("not reached")
+	}
+	return r, nil
+}
+
+func (r *reader) Invoke(ctx context.Context, _ string, in, out any, _ ...grpc.CallOption) error {
+	resp := r.server.Snapshot(ctx, in.(*turnv1.SnapshotRequest))
+	to := out.(*turnv1.SnapshotResponse)
+	to.Start, to.Revision, to.Direct, to.AgeMs = resp.Start, resp.Revision, resp.Direct, resp.AgeMs
+	to.SilenceMs, to.Changed, to.Owners = resp.SilenceMs, resp.Changed, resp.Owners
+	return nil
+}
+
+func (r *reader) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, errors.New("there are no streams")
+}
+
+func newTestClient(r *reader, now *time.Time) *Client {
+	c := NewClient(r, func() []string { return []string{"reader"} }, func() *routing.Configuration { return nil },
+		func() bool { return true }, Sink{
+			Configuration: func([]byte) {}, Backends: func([]fleet.Entry) {}, Owners: func(map[int]string) {},
+		})
+	c.now = func() time.Time { return *now }
+	c.next()
+	return c
+}
+
+func TestContactIsThatOfTheReaderWithTheStore(t *testing.T) {
+	is := is.New(t)
+	r, now := newReader(), time.Now()
+	c := newTestClient(r, &now)
+	is.True(!c.InContact(time.Minute))
+	// The store holds the reader's question about the view, and answers its other calls.
+	r.age, r.silence = 900*time.Millisecond, 100*time.Millisecond
+	is.True(c.ask(t.Context()))
+	is.True(c.InContact(200 * time.Millisecond))
+	is.True(!c.FreshWithin(800 * time.Millisecond))
+	// The reader is cut off together with this instance: it still answers, and the store answers neither.
+	r.age, r.silence = 1300*time.Millisecond, 1250*time.Millisecond
+	is.True(c.ask(t.Context()))
+	is.True(!c.InContact(1200 * time.Millisecond))
+	is.True(c.FreshWithin(1800 * time.Millisecond))
+}
+
+func TestReaderThatIsLostEndsTheContact(t *testing.T) {
+	is := is.New(t)
+	r, now := newReader(), time.Now()
+	c := newTestClient(r, &now)
+	is.True(c.ask(t.Context()))
+	r.lost = true
+	is.True(!c.ask(t.Context()))
+	now = now.Add(time.Second)
+	is.True(!c.InContact(time.Second))
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -23,6 +23,8 @@
 	// Age is how long ago the store confirmed the oldest part; it reports false if the instance does not read the store
 	// itself.
 	Age func() (time.Duration, bool)
+	// Silence is the time since the store last answered the instance on any call.
+	Silence func() time.Duration
 }
 
 // Server answers other instances.
@@ -57,7 +59,9 @@
 	revision := s.revision
 	s.mu.Unlock()
 	age, direct := s.view.Age()
-	resp := &turnv1.SnapshotResponse{Start: s.start, Revision: revision, Direct: direct, AgeMs: age.Milliseconds()}
+	resp := &turnv1.SnapshotResponse{
+		Start: s.start, Revision: revision, Direct: direct, AgeMs: age.Milliseconds(), SilenceMs: s.view.Silence().Milliseconds(),
+	}
 	if c := s.view.Configuration(); c != nil && c.Version > r.ConfigurationVersion {
 		resp.Configuration = c.Raw
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -105,6 +105,7 @@
 	})
 	i.feedServer = feed.NewServer(i.start, feed.View{
 		Configuration: i.config.Current, Backends: i.fleet.Entries, Owners: i.members.Owners, Age: i.viewAge,
+		Silence: i.path.Silence,
 	})
 	i.feedClient = feed.NewClient(i.pool, i.members.Readers, i.config.Current, func() bool { return !i.members.Member() }, feed.Sink{
 		Configuration: i.config.Learn, Backends: i.entries.Replace, Owners: i.members.Learn,
@@ -178,7 +179,7 @@
 
 // isolated reports whether the store has been silent on every way for a while.
 func (i *Instance) isolated() bool {
-	return !i.path.InContact(contactWithin) && !i.feedClient.FreshWithin(feedWithin)
+	return !i.path.InContact(contactWithin) && !i.feedClient.InContact(contactWithin)
 }
 
 // Run serves until the context ends, then stops gracefully.
