Look into the log soon after an append without an answer

Cause: appends of a partition wait for each other, and one whose answer was lost was awaited for 0.3 s straight, then relayed. Change: the first attempt is awaited for 50 ms, then the log is read at its offset; if the records are there, they count. Otherwise the store counts as slow for 2 s, and attempts are awaited for 0.6 s as before. A first attempt without an answer does not count as a loss of the store. A partition that was dealt but never read no longer says that it was released. Ruled out: an acknowledgement of another process's records (writer and sequence of the record are compared); a late first attempt beside a second one (both are conditional on the same offset). Tests: TestLostAnswersDelayTurnsLittle failed before (3.3 s); TestTentativeCallWithoutAnAnswerSaysNothingOfTheStore, TestCallWithoutAnAnswerIsRelayed and TestSilenceIsTheTimeSinceTheLastAnswer are new for the path.

--- a/internal/storepath/storepath.go
+++ b/internal/storepath/storepath.go
@@ -71,9 +71,12 @@
 	if !p.tryDirect() {
 		return p.viaPeers(ctx, c)
 	}
-	callCtx, cancel := p.directContext(ctx, c.Wait)
+	callCtx, cancel := p.directContext(ctx, c)
 	reply, err := p.direct.Carry(callCtx, c)
 	cancel()
+	if err != nil && c.Tentative {
+		return reply, err
+	}
 	served := err == nil && reply.Status != http.StatusServiceUnavailable && reply.Status != http.StatusTooManyRequests
 	p.record(served, err, reply.Status)
 	if served || ctx.Err() != nil && err != nil {
@@ -86,12 +89,12 @@
 }
 
 // directContext leaves a relay a part of the call's time, beyond that for which the store may hold the call.
-func (p *Path) directContext(ctx context.Context, wait time.Duration) (context.Context, context.CancelFunc) {
+func (p *Path) directContext(ctx context.Context, c platform.Call) (context.Context, context.CancelFunc) {
 	deadline, ok := ctx.Deadline()
-	if !ok {
+	if !ok || c.Tentative {
 		return context.WithCancel(ctx)
 	}
-	return context.WithTimeout(ctx, wait+(deadline.Sub(p.now())-wait)/directShare)
+	return context.WithTimeout(ctx, c.Wait+(deadline.Sub(p.now())-c.Wait)/directShare)
 }
 
 // tryDirect reports whether the next call goes to the store itself.
--- /dev/null
+++ b/internal/storepath/storepath_test.go
@@ -0,0 +1,91 @@
+package storepath
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/platform"
+)
+
+// peer relays calls without a network.
+type peer struct{ calls atomic.Int64 }
+
+func (p *peer) Conn(string) (grpc.ClientConnInterface, error) { return p, nil }
+
+func (p *peer) Invoke(_ context.Context, _ string, _, out any, _ ...grpc.CallOption) error {
+	p.calls.Add(1)
+	out.(*turnv1.CallResponse).Status = http.StatusOK
+	return nil
+}
+
+func (p *peer) NewStream(context.Context, *grpc.StreamDesc, string, ...grpc.CallOption) (grpc.ClientStream, error) {
+	return nil, errors.New("there are no streams")
+}
+
+// newPath returns a path to a store that answers calls to /silent never.
+func newPath(t *testing.T) (*Path, *peer) {
+	srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/silent" {
+			<-r.Context().Done()
+		}
+	}))
+	t.Cleanup(srv.Close)
+	p := &peer{}
+	direct := platform.NewHTTPCarrier(strings.TrimPrefix(srv.URL, "http://"), nil)
+	return New(direct, p, func() []string { return []string{"peer"} }), p
+}
+
+func carry(t *testing.T, p *Path, c platform.Call) (platform.Reply, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	return p.Carry(ctx, c)
+}
+
+func TestCallWithoutAnAnswerIsRelayed(t *testing.T) {
+	is := is.New(t)
+	p, peer := newPath(t)
+	reply, err := carry(t, p, platform.Call{Method: http.MethodGet, Path: "/silent"})
+	is.NoErr(err)
+	is.Equal(reply.Status, http.StatusOK)
+	is.Equal(peer.calls.Load(), int64(1))
+	is.True(!p.Served())
+	// Later calls are relayed at once.
+	_, err = carry(t, p, platform.Call{Method: http.MethodGet, Path: "/"})
+	is.NoErr(err)
+	is.Equal(peer.calls.Load(), int64(2))
+}
+
+func TestTentativeCallWithoutAnAnswerSaysNothingOfTheStore(t *testing.T) {
+	is := is.New(t)
+	p, peer := newPath(t)
+	_, err := carry(t, p, platform.Call{Method: http.MethodGet, Path: "/"})
+	is.NoErr(err)
+	_, err = carry(t, p, platform.Call{Method: http.MethodGet, Path: "/silent", Tentative: true})
+	is.True(err != nil)
+	is.True(p.Served())
+	is.Equal(peer.calls.Load(), int64(0))
+}
+
+func TestSilenceIsTheTimeSinceTheLastAnswer(t *testing.T) {
+	is := is.New(t)
+	p, _ := newPath(t)
+	is.True(!p.InContact(time.Hour))
+	_, err := carry(t, p, platform.Call{Method: http.MethodGet, Path: "/"})
+	is.NoErr(err)
+	is.True(p.InContact(time.Minute))
+	is.True(p.Silence() < time.Minute)
+	now := p.now().Add(2 * time.Minute)
+	p.now = func() time.Time { return now }
+	is.True(!p.InContact(time.Minute))
+}
--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -177,6 +178,33 @@
 	}
 }
 
+// The appends of a partition wait for each other, so a lost answer must not hold them up for long.
+func TestLostAnswersDelayTurnsLittle(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	o := s.owner("one", noFinder{})
+	appends, lost := 0, 0
+	s.store.SetFault(func(r *http.Request) metastore.Mode {
+		if r.URL.Path != "/api/log-append" {
+			return metastore.Serve
+		}
+		if appends++; appends%2 == 0 {
+			lost++
+			return metastore.Lose
+		}
+		return metastore.Serve
+	})
+	start := time.Now()
+	for i := range 5 {
+		turn := "t" + strconv.Itoa(i)
+		mustBegin(t, o, begin(turn, "", 10_000, 100))
+		mustEnd(t, o, end(turn, "", "in", "out\n", 10))
+	}
+	took := time.Since(start)
+	is.True(lost >= 2)
+	is.True(took < time.Duration(lost)*appendTimeout/2)
+}
+
 func TestBudgetHoldsOverTheLossOfAnOwner(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
--- a/internal/turnlog/partition.go
+++ b/internal/turnlog/partition.go
@@ -17,6 +17,13 @@
 	// appendTimeout is how long an append is awaited before it is repeated. The store answers within milliseconds and
 	// within a quarter of a second while it is slow.
 	appendTimeout = 600 * time.Millisecond
+	// firstAnswer is how long the first answer to an append is awaited before the log is looked at: several times what the
+	// store takes. Answers may be lost, and the appends of a partition wait for each other.
+	firstAnswer = 50 * time.Millisecond
+	// lookTimeout bounds that look.
+	lookTimeout = 100 * time.Millisecond
+	// slowFor is how long the store counts as slow, and its answers are awaited, after a look that did not help.
+	slowFor = 2 * time.Second
 	// readTimeout bounds one read of the log at a take-over.
 	readTimeout = 3 * time.Second
 	// readBytes is the size of one read at a take-over.
@@ -64,8 +71,10 @@
 	busy     bool
 	end      int64
 	sequence uint64
-	queue    []*entry
-	horizons []horizon
+	// slowUntil is when the store counts as quick again; only the writing goroutine uses it.
+	slowUntil time.Time
+	queue     []*entry
+	horizons  []horizon
 
 	wake   chan struct{}
 	cancel context.CancelFunc
@@ -83,12 +92,11 @@
 	defer close(p.closed)
 	for ctx.Err() == nil {
 		if err := p.acquire(ctx); err != nil {
-			break
+			return
 		}
 		p.write(ctx)
 		p.disown()
 	}
-	p.disown()
 }
 
 func (p *partition) disown() {
@@ -191,6 +199,9 @@
 // records are not in the log and never will be.
 func (p *partition) append(ctx context.Context, at int64, records [][]byte, sequence uint64) (int64, error) {
 	p.sequence++
+	if end, done := p.tryAppend(ctx, at, records, sequence); done {
+		return end, nil
+	}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
 		end, err := p.store.Append(callCtx, p.name, at, records)
@@ -220,17 +231,48 @@
 	}
 }
 
+// tryAppend makes the first attempt of an append. If no answer comes soon it looks whether the records are in the log all
+// the same. It reports false if the outcome is not known.
+func (p *partition) tryAppend(ctx context.Context, at int64, records [][]byte, sequence uint64) (end int64, done bool) {
+	if p.now().Before(p.slowUntil) {
+		return 0, false
+	}
+	callCtx, cancel := context.WithTimeout(ctx, firstAnswer)
+	end, err := p.store.TryAppend(callCtx, p.name, at, records)
+	cancel()
+	if err == nil {
+		return end, true
+	}
+	if !errors.Is(err, platform.ErrUnknown) {
+		return 0, false
+	}
+	callCtx, cancel = context.WithTimeout(ctx, lookTimeout)
+	page, err := p.store.Read(callCtx, p.name, at, 1<<10, 0)
+	cancel()
+	if err == nil && p.isFirst(page, at, sequence) {
+		p.metrics.storeRetries.WithLabelValues("look").Inc()
+		return at + int64(len(records)), true
+	}
+	p.slowUntil = p.now().Add(slowFor)
+	return 0, false
+}
+
 // landed reports whether the record at an offset is this process's append with the given sequence.
 func (p *partition) landed(ctx context.Context, at int64, sequence uint64) (bool, error) {
 	page, err := p.read(ctx, at)
 	if err != nil {
 		return false, err
 	}
+	return p.isFirst(page, at, sequence), nil
+}
+
+// isFirst reports whether a page that was read from an offset begins with this process's append of the given sequence.
+func (p *partition) isFirst(page platform.Records, at int64, sequence uint64) bool {
 	if len(page.Records) == 0 {
-		return false, nil
+		return false
 	}
 	r := p.decode(page.Records[0], at)
-	return r != nil && r.Writer == p.writer && r.Sequence == sequence, nil
+	return r != nil && r.Writer == p.writer && r.Sequence == sequence
 }
 
 // write appends what is queued, one append at a time, until the partition is lost or the context ends.
