Let the last holder of the buckets go on until there is another

Cause: when partition 0 moves, the store names no owner until the next one has joined again, up to 0.45 s later, and the list then takes up to 0.4 s to reach fed instances. Change: a holder whose partition was dealt to another goes on for those that ask it until it knows the next; instances ask the last holder while none is listed, and tell it when they leave for the next, which replaces the question whether it has given the buckets up. Test: TestHolderGoesOnUntilThereIsAnother, and the random test with hand-overs.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -113,8 +113,7 @@
 	client := turns.New(s.Store.Partitions, i.members, i.pool)
 	client.Local = i.owner
 	finder.Client = client
-	i.holder = rates.NewHolder(i.config.Current, i.members.Known, i.self, func() bool { return i.owner.Assigned(partitionOfRates) },
-		i.path.Silence)
+	i.holder = rates.NewHolder(i.config.Current, i.members.Known, i.self, i.tenure, i.path.Silence)
 	i.lessee = rates.NewLessee(i.config.Current, i.members.Known, i.self, &taker{i})
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Servers: i.servers, Turns: client, Rates: i.lessee,
@@ -157,6 +156,17 @@
 	return resp, err
 }
 
+// tenure is the instance's right to the accounts' buckets.
+func (i *Instance) tenure() rates.Tenure {
+	if i.owner.Assigned(partitionOfRates) {
+		return rates.Holding
+	}
+	if a := i.members.OwnerOf(partitionOfRates); a == "" || a == i.self {
+		return rates.Retiring
+	}
+	return rates.None
+}
+
 // peers lists the other instances: those seen lately, and the seeds.
 func (i *Instance) peers() []string {
 	out := i.members.Known()
--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -44,6 +44,19 @@
 // Members lists the peer addresses of the other instances that were seen lately.
 type Members func() []string
 
+// Tenure is an instance's right to hold the buckets.
+type Tenure int
+
+const (
+	// None means that the instance does not hold the buckets, or that another one is known to.
+	None Tenure = iota
+	// Retiring means that the instance no longer holds the buckets and knows of no other that does. It goes on for those
+	// that still ask it, as each instance is counted at one holder only.
+	Retiring
+	// Holding means that the buckets are dealt to the instance.
+	Holding
+)
+
 // Holder holds the buckets. It serves the gRPC service Rates.
 //
 // It grants an account's rate times the share of the known instances that ask it, and while these are most of them and
@@ -55,7 +68,7 @@
 	accounts Accounts
 	members  Members
 	self     string
-	isHolder func() bool
+	tenure   func() Tenure
 	// silence is the time since the store last answered.
 	silence func() time.Duration
 	now     func() time.Time
@@ -74,26 +87,30 @@
 	since time.Time
 }
 
-// NewHolder returns a holder with empty buckets. isHolder tells whether the instance holds them now, silence how long ago
-// the store last answered.
-func NewHolder(a Accounts, m Members, self string, isHolder func() bool, silence func() time.Duration) *Holder {
+// NewHolder returns a holder without buckets. tenure tells whether the instance holds them now, silence how long ago the
+// store last answered.
+func NewHolder(a Accounts, m Members, self string, tenure func() Tenure, silence func() time.Duration) *Holder {
 	return &Holder{
-		accounts: a, members: m, self: self, isHolder: isHolder, silence: silence, now: time.Now,
+		accounts: a, members: m, self: self, tenure: tenure, silence: silence, now: time.Now,
 		buckets: map[string]*bucket{}, asked: map[string]time.Time{},
 	}
 }
 
 // Take implements turnv1.RatesServer.
 func (h *Holder) Take(_ context.Context, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
+	none := &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_NOT_OWNER, Holder: h.self}
+	if r.Leaving {
+		h.mu.Lock()
+		delete(h.asked, r.Instance)
+		h.mu.Unlock()
+		return none, nil
+	}
 	c := h.accounts()
-	if c == nil || !h.isHolder() {
+	if c == nil || h.tenure() == None {
 		h.mu.Lock()
 		h.lastTake = time.Time{}
 		h.mu.Unlock()
-		return &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_NOT_OWNER, Holder: h.self}, nil
-	}
-	if r.Instance == "" {
-		return &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK, Holder: h.self}, nil
+		return none, nil
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -133,12 +150,12 @@
 func (h *Holder) share(now time.Time, told []string) (float64, int) {
 	active, known := h.count(now, told)
 	served := min(float64(active)/float64(known), 1)
-	silence := h.silence()
-	// Only one side of a partition has most of the instances, so two holders never lend at once.
+	silence, holding := h.silence(), h.tenure() == Holding
+	// Only one side has most of the instances, so two holders never lend at once.
 	switch majority := served > 0.5; {
-	case majority && silence < lendWithin:
+	case majority && silence < lendWithin && holding:
 		return served + (1-cutOffShare)*(1-served), known
-	case !majority && silence > cutOffAfter:
+	case !majority && (silence > cutOffAfter || !holding):
 		return served * cutOffShare, known
 	default:
 		return served, known
--- a/internal/rates/lessee.go
+++ b/internal/rates/lessee.go
@@ -269,8 +269,8 @@
 
 // exchange sends one message to the holder and hands out what it grants.
 func (l *Lessee) exchange(ctx context.Context) bool {
-	holder := l.taker.Holder()
-	l.confirmRelease(ctx, holder)
+	holder := l.holder()
+	l.leave(ctx, holder)
 	r := l.request()
 	sent := l.now()
 	resp, err := l.take(ctx, holder, r)
@@ -302,23 +302,32 @@
 	return true
 }
 
+// holder returns the present holder; while none is known, the last one, which may go on.
+func (l *Lessee) holder() string {
+	if a := l.taker.Holder(); a != "" {
+		return a
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.servedBy
+}
+
 func (l *Lessee) take(ctx context.Context, holder string, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
 	return l.taker.Take(ctx, holder, r)
 }
 
-// confirmRelease asks the last holder whether it has given the buckets up, once there is another. While that is not known
-// the next one counts this instance as served by the last, and grants it nothing.
-func (l *Lessee) confirmRelease(ctx context.Context, next string) {
+// leave tells the last holder that this instance goes to the next. Until the last one has answered, the next counts this
+// instance as served by it, and grants it nothing.
+func (l *Lessee) leave(ctx context.Context, next string) {
 	l.mu.Lock()
 	last, age := l.servedBy, l.now().Sub(l.answered)
 	l.mu.Unlock()
-	if last == "" || next == "" || last == next || age > activeWithin {
+	if last == "" || last == next || age > activeWithin {
 		return
 	}
-	resp, err := l.take(ctx, last, &turnv1.TakeRequest{})
-	if err == nil && resp.Outcome != turnv1.Outcome_OUTCOME_OK {
+	if resp, err := l.take(ctx, last, &turnv1.TakeRequest{Instance: l.self, Leaving: true}); err == nil {
 		l.released(resp)
 	}
 }
--- a/internal/rates/rates_test.go
+++ b/internal/rates/rates_test.go
@@ -34,7 +34,8 @@
 	// cutSince is when an instance lost the store, zero while it reaches it. Only one that has lost it can go on as a
 	// holder after another has taken the buckets.
 	cutSince []time.Time
-	// released holds the instances that were the holder, have given the buckets up and can still be asked.
+	// released holds the instances that were the holder, have given the buckets up and can still be asked; they go on for
+	// those that do.
 	released map[string]bool
 }
 
@@ -54,7 +55,7 @@
 			}
 			return out
 		}
-		h := NewHolder(configuration, members, self, func() bool { return !s.released[self] }, func() time.Duration { return s.silence(i) })
+		h := NewHolder(configuration, members, self, func() Tenure { return s.tenure(self) }, func() time.Duration { return s.silence(i) })
 		h.now = clock
 		l := NewLessee(configuration, members, self, &taker{s, i})
 		l.now, l.started = clock, s.now
@@ -71,11 +72,25 @@
 	return s.now.Sub(s.cutSince[i])
 }
 
-// change makes next the holder, cut off from the one before.
-func (s *simulation) change(old, next int) {
-	if old != next {
-		s.cutSince[old], s.cutSince[next] = s.now, time.Time{}
+func (s *simulation) tenure(instance string) Tenure {
+	if s.released[instance] {
+		return Retiring
 	}
+	return Holding
+}
+
+// change makes next the holder: cut off from the one before, or after a hand-over that some instances learn of late.
+func (s *simulation) change(old, next int, handOver bool) {
+	if old == next {
+		return
+	}
+	s.cutSince[next] = time.Time{}
+	delete(s.released, s.holders[next].self)
+	if handOver {
+		s.released[s.holders[old].self] = true
+		return
+	}
+	s.cutSince[old] = s.now
 }
 
 // taker reaches the holder that its instance asks, and no other.
@@ -139,7 +154,7 @@
 			if i%40 == 39 && rapid.Bool().Draw(t, "change") {
 				// Some instances stay with the old holder, some reach none, the others get a new one.
 				old, next = next, rapid.IntRange(0, n-1).Draw(t, "holder")
-				s.change(old, next)
+				s.change(old, next, rapid.Bool().Draw(t, "handOver"))
 				for j := range s.asks {
 					s.asks[j] = []int{next, next, old, -1}[rapid.IntRange(0, 3).Draw(t, "reach")]
 				}
@@ -266,6 +281,26 @@
 	is.Equal(used, asked)
 }
 
+// Between two holders none is listed, and the last one goes on.
+func TestHolderGoesOnUntilThereIsAnother(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, routing.Account{Name: "a", Rate: 400, Burst: 400})
+	asked, used := 0, 0
+	for i := range int(4 * time.Second / tick) {
+		if i == int(startedFor/tick) {
+			s.released["instance-0"] = true
+			for j := range s.asks {
+				s.asks[j] = -1
+			}
+		}
+		n := s.step(1)
+		if i >= int(startedFor/tick) {
+			asked, used = asked+len(s.lessees), used+n
+		}
+	}
+	is.Equal(used, asked)
+}
+
 func TestRequestWaitsForTheNextHolder(t *testing.T) {
 	is := is.New(t)
 	s := newSimulation(1, routing.Account{Name: "a", Rate: 100, Burst: 100})
@@ -286,7 +321,7 @@
 func TestHolderThatIsNoneAnswersSo(t *testing.T) {
 	is := is.New(t)
 	h := NewHolder(func() *routing.Configuration { return &routing.Configuration{} }, func() []string { return nil }, "a",
-		func() bool { return false }, func() time.Duration { return 0 })
+		func() Tenure { return None }, func() time.Duration { return 0 })
 	resp, err := h.Take(t.Context(), &turnv1.TakeRequest{Instance: "b"})
 	is.NoErr(err)
 	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_NOT_OWNER)
