Drop a method that only tests used; name the tenure of an instance that is no holder

Cause: Owner.Holds lost its last caller when the buckets came to be held by assignment; rates.None said nothing at its place of use. Ruled out: a change of behaviour; the tests ask Owned, which reads the same state, with bounds unchanged.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -164,7 +164,7 @@
 	if a := i.members.OwnerOf(partitionOfRates); a == "" || a == i.self {
 		return rates.Retiring
 	}
-	return rates.None
+	return rates.NotHolding
 }
 
 // peers lists the other instances: those seen lately, and the seeds.
--- a/internal/rates/holder.go
+++ b/internal/rates/holder.go
@@ -48,8 +48,8 @@
 type Tenure int
 
 const (
-	// None means that the instance does not hold the buckets, or that another one is known to.
-	None Tenure = iota
+	// NotHolding means that the instance does not hold the buckets, or that another one is known to.
+	NotHolding Tenure = iota
 	// Retiring means that the instance no longer holds the buckets and knows of no other that does. It goes on for those
 	// that still ask it, as each instance is counted at one holder only.
 	Retiring
@@ -106,7 +106,7 @@
 		return none, nil
 	}
 	c := h.accounts()
-	if c == nil || h.tenure() == None {
+	if c == nil || h.tenure() == NotHolding {
 		h.mu.Lock()
 		h.lastTake = time.Time{}
 		h.mu.Unlock()
--- a/internal/rates/rates_test.go
+++ b/internal/rates/rates_test.go
@@ -321,7 +321,7 @@
 func TestHolderThatIsNoneAnswersSo(t *testing.T) {
 	is := is.New(t)
 	h := NewHolder(func() *routing.Configuration { return &routing.Configuration{} }, func() []string { return nil }, "a",
-		func() Tenure { return None }, func() time.Duration { return 0 })
+		func() Tenure { return NotHolding }, func() time.Duration { return 0 })
 	resp, err := h.Take(t.Context(), &turnv1.TakeRequest{Instance: "b"})
 	is.NoErr(err)
 	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_NOT_OWNER)
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -123,17 +123,6 @@
 	return out
 }
 
-// Holds reports whether the partition is held and read here.
-func (o *Owner) Holds(number int) bool {
-	p := o.partition(number)
-	if p == nil {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.owned
-}
-
 // Assigned reports whether the partition was dealt to this instance, read or not.
 func (o *Owner) Assigned(number int) bool { return o.partition(number) != nil }
 
--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -49,7 +49,7 @@
 		platform.StoreSettings{Partitions: 1, MaxRecordBytes: 1 << 18, MaxCallBytes: 1 << 21}, name, f,
 		NewMetrics(prometheus.NewRegistry()))
 	o.Assign([]int{0})
-	for deadline := time.Now().Add(5 * time.Second); !o.Holds(0); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(5 * time.Second); !owns(o); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			s.t.Fatalf("owner %s does not get its partition", name)
 		}
@@ -57,6 +57,9 @@
 	return o
 }
 
+// owns reports whether the only partition is held and read.
+func owns(o *Owner) bool { return len(o.Owned()) == 1 }
+
 func begin(turn, previous string, budget, most int64) *turnv1.BeginRequest {
 	return &turnv1.BeginRequest{
 		Program: "p", Account: "a", Turn: turn, Previous: previous, Budget: budget, Most: most, KeepMs: 60_000,
@@ -141,7 +144,7 @@
 	is.True(!o.Assigned(0))
 	o.Assign([]int{0})
 	is.True(o.Assigned(0))
-	is.True(!o.Holds(0))
+	is.True(!owns(o))
 	o.Assign(nil)
 	is.True(!o.Assigned(0))
 }
@@ -173,7 +176,7 @@
 				}
 			}
 			is.Equal(completed, 1)
-			is.True(o.Holds(0))
+			is.True(owns(o))
 		})
 	}
 }
