storewatch: report every change of a backend server's entry

Found by reading: a change of only the slots or the data centre called no hook and was not logged, so instances that follow a peer's feed kept the old values. Entries are now compared as a whole.

--- a/internal/storewatch/backends.go
+++ b/internal/storewatch/backends.go
@@ -44,14 +44,14 @@
 	lastOutage   time.Time
 	// lapsed holds the servers whose entries expired around an outage, with the time at which they are removed.
 	lapsed map[string]time.Time
-	// fingerprints holds the fingerprint of each server's newest entry, to detect changes.
-	fingerprints map[string]string
+	// known holds each server's newest entry, to detect changes.
+	known map[string]fleet.Entry
 }
 
 // NewBackendWatcher returns a watcher that updates the fleet f.
 func NewBackendWatcher(store *platform.Store, f *fleet.Fleet, h Hooks) *BackendWatcher {
 	return &BackendWatcher{store: store, hooks: h, fleet: f, now: time.Now, lapsed: map[string]time.Time{},
-		fingerprints: map[string]string{}}
+		known: map[string]fleet.Entry{}}
 }
 
 // Age returns the time since this instance last read the entries from the store.
@@ -66,7 +66,7 @@
 		listed[e.ID] = true
 		b.setEntry(e)
 	}
-	for id := range b.fingerprints {
+	for id := range b.known {
 		if !listed[id] {
 			b.deleteEntry(id)
 		}
@@ -140,7 +140,7 @@
 		}
 		b.applyRecord(r)
 	}
-	for id := range b.fingerprints {
+	for id := range b.known {
 		if !listed[id] {
 			b.removeEntry(id)
 		}
@@ -186,27 +186,18 @@
 
 func (b *BackendWatcher) setEntry(e fleet.Entry) {
 	delete(b.lapsed, e.ID)
-	previous, known := b.fingerprints[e.ID]
-	b.fingerprints[e.ID] = fingerprint(e)
+	previous, known := b.known[e.ID]
+	b.known[e.ID] = e
 	b.fleet.Upsert(e)
-	if !known || previous != fingerprint(e) {
+	if !known || previous != e {
 		klog.InfoS("backend server", "id", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre,
 			"slots", e.Slots, "draining", e.Draining, "born", e.Incarnation)
 		b.hooks.OnChange()
 	}
 }
 
-// fingerprint returns a text of those fields of an entry whose change is logged and reported to the hooks.
-func fingerprint(e fleet.Entry) string {
-	state := "ready"
-	if e.Draining {
-		state = "draining"
-	}
-	return e.Service + " " + e.Address + " " + state + " " + time.UnixMilli(e.Incarnation).String()
-}
-
 func (b *BackendWatcher) removeEntry(id string) {
-	if _, known := b.fingerprints[id]; !known {
+	if _, known := b.known[id]; !known {
 		return
 	}
 	if b.now().Sub(b.lastOutage) < lapseWindow {
@@ -221,7 +212,7 @@
 
 func (b *BackendWatcher) deleteEntry(id string) {
 	klog.InfoS("backend server gone", "id", id)
-	delete(b.fingerprints, id)
+	delete(b.known, id)
 	delete(b.lapsed, id)
 	b.fleet.Remove(id)
 	b.hooks.OnChange()
