fleet, gateway: send nothing new to servers that announce their shutdown; fix a race

Cause: servers that leave say so in their responses (Server-Leaving), which the gateway ignored. An instance whose view of the registry is old, or that the store does not reach, went on sending to them past the drain period. The fleet now remembers the announcement of an incarnation, also while its entry is away, avoids the server at once and never picks it after half of the drain period, which leaves the other half for connecting and sending. A response with status 421 may come from another server at a reused address and counts for nothing; a late response that is skipped counts, since it comes from the server at the other end of the connection. A picked server now carries a copy of its entry. Telling the peers of the data centre is not built: no refusal was seen that it would save.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,9 @@
 	// as a fraction of a server's slots: prefilling the prompt on another server costs as much as sharing an engine with
 	// that many more requests.
 	affinitySlack = 0.25
+	// leavingMemory is how long the announcement of a server without an entry is remembered: entries may expire with a
+	// store outage and come back, while a server that leaves exits within seconds of its announcement.
+	leavingMemory = 5 * time.Minute
 )
 
 // Entry is the registration of a backend server.
@@ -36,31 +39,57 @@
 	Incarnation int64
 }
 
-// Backend is a backend server with the load and the failures that this instance has observed.
+// Backend is a backend server that was picked for one request, with its entry as of that moment. It is safe to read
+// while the fleet changes.
 type Backend struct {
 	Entry
-	// removed is set once the entry was removed or replaced.
-	removed bool
+	server *server
+}
 
+// server is a backend server with the load and the failures that this instance has observed. The fleet's lock guards
+// it.
+type server struct {
+	Entry
 	inFlight     int
 	failures     int
 	suspectUntil time.Time
+	// leavingSince is when the server first announced in a response that it is leaving; zero if it has not.
+	leavingSince time.Time
+}
+
+// departure is the announcement of one incarnation of a server that it is leaving. It outlives the server's entry, which
+// may expire and come back.
+type departure struct {
+	service, address string
+	incarnation      int64
+	since            time.Time
+}
+
+func (d departure) appliesTo(e Entry) bool {
+	return d.service == e.Service && d.address == e.Address && d.incarnation == e.Incarnation
 }
 
 // Fleet is the set of known backend servers. It is safe for concurrent use.
 type Fleet struct {
 	dataCentre string
-	now        func() time.Time
+	// lastSend is how long after its announcement a leaving server may still be picked, if there is no other.
+	lastSend time.Duration
+	now      func() time.Time
 
 	mu        sync.Mutex
-	byID      map[string]*Backend
-	byService map[string][]*Backend
+	departed  map[string]departure
+	byID      map[string]*server
+	byService map[string][]*server
 	loaded    bool
 }
 
-// New returns an empty fleet. Servers in dataCentre are preferred.
-func New(dataCentre string) *Fleet {
-	return &Fleet{dataCentre: dataCentre, now: time.Now, byID: map[string]*Backend{}, byService: map[string][]*Backend{}}
+// New returns an empty fleet. Servers in dataCentre are preferred. drainPeriod is the time after which nothing new may
+// reach a server that has announced that it is leaving; half of it is left for connecting and sending.
+func New(dataCentre string, drainPeriod time.Duration) *Fleet {
+	return &Fleet{
+		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, departed: map[string]departure{},
+		byID: map[string]*server{}, byService: map[string][]*server{},
+	}
 }
 
 // Upsert adds a server or updates its entry. A changed incarnation, service or address makes it a new server, without
@@ -80,7 +109,14 @@
 	if b != nil {
 		f.removeLocked(e.ID)
 	}
-	b = &Backend{Entry: e}
+	b = &server{Entry: e}
+	if d, ok := f.departed[e.ID]; ok {
+		if d.appliesTo(e) {
+			b.leavingSince = d.since
+		} else {
+			delete(f.departed, e.ID)
+		}
+	}
 	f.byID[e.ID] = b
 	f.byService[e.Service] = append(f.byService[e.Service], b)
 }
@@ -97,7 +133,6 @@
 	if b == nil {
 		return
 	}
-	b.removed = true
 	delete(f.byID, id)
 	list := f.byService[b.Service]
 	for i, other := range list {
@@ -108,6 +143,37 @@
 	}
 }
 
+// MarkLeaving records that a server has announced in a response that it is leaving. It is avoided at once, and never
+// picked after half of the drain period, whatever its entry says, until it restarts.
+func (f *Fleet) MarkLeaving(b *Backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !b.server.leavingSince.IsZero() {
+		return
+	}
+	now := f.now()
+	for id, d := range f.departed {
+		if f.byID[id] == nil && now.Sub(d.since) > leavingMemory {
+			delete(f.departed, id)
+		}
+	}
+	b.server.leavingSince = now
+	d := departure{service: b.Service, address: b.Address, incarnation: b.Incarnation, since: now}
+	if current := f.byID[b.ID]; current == nil || d.appliesTo(current.Entry) {
+		f.departed[b.ID] = d
+		if current != nil {
+			current.leavingSince = now
+		}
+	}
+}
+
+// IsLeaving reports whether the server has announced that it is leaving.
+func (f *Fleet) IsLeaving(b *Backend) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !b.server.leavingSince.IsZero()
+}
+
 // MarkLoaded records that the registry has been read at least once.
 func (f *Fleet) MarkLoaded() {
 	f.mu.Lock()
@@ -147,27 +213,27 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	best := f.leastLoaded(c, func(b *Backend) bool { return now.After(b.suspectUntil) })
+	best := f.leastLoaded(c, func(b *server) bool { return b.isSound(now) })
 	if best == nil {
-		best = f.leastLoaded(c, func(*Backend) bool { return true })
+		best = f.leastLoaded(c, func(b *server) bool { return f.mayBeUsed(b, now) })
 	}
 	if best == nil {
 		return nil
 	}
-	if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && !p.Draining && now.After(p.suspectUntil) &&
+	if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && p.isSound(now) &&
 		!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
 		best = p
 	}
 	best.inFlight++
-	return best
+	return &Backend{Entry: best.Entry, server: best}
 }
 
-func (f *Fleet) leastLoaded(c Criteria, usable func(*Backend) bool) *Backend {
-	var best *Backend
+func (f *Fleet) leastLoaded(c Criteria, usable func(*server) bool) *server {
+	var best *server
 	var lowest float64
 	ties := 0
 	for _, b := range f.byService[c.Service] {
-		if b.Draining || excluded(c.Exclude, b.ID) || !usable(b) {
+		if excluded(c.Exclude, b.ID) || !usable(b) {
 			continue
 		}
 		load := b.load()
@@ -187,7 +253,17 @@
 	return best
 }
 
-func (b *Backend) load() float64 { return float64(b.inFlight) / float64(b.Slots) }
+// isSound reports whether nothing speaks against the server.
+func (b *server) isSound(now time.Time) bool {
+	return !b.Draining && b.leavingSince.IsZero() && now.After(b.suspectUntil)
+}
+
+// mayBeUsed reports whether the server may be picked for lack of a sound one.
+func (f *Fleet) mayBeUsed(b *server, now time.Time) bool {
+	return !b.Draining && (b.leavingSince.IsZero() || now.Sub(b.leavingSince) < f.lastSend)
+}
+
+func (b *server) load() float64 { return float64(b.inFlight) / float64(b.Slots) }
 
 func excluded(ids []string, id string) bool {
 	for _, x := range ids {
@@ -202,19 +278,13 @@
 func (f *Fleet) Release(b *Backend, failed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	b.inFlight--
+	s := b.server
+	s.inFlight--
 	if !failed {
-		b.failures = 0
+		s.failures = 0
 		return
 	}
-	b.failures++
-	backoff := minSuspectDuration << min(b.failures-1, 4)
-	b.suspectUntil = f.now().Add(min(backoff, maxSuspectDuration))
-}
-
-// Removed reports whether the server's entry was removed or replaced after the server was picked.
-func (f *Fleet) Removed(b *Backend) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return b.removed
+	s.failures++
+	backoff := minSuspectDuration << min(s.failures-1, 4)
+	s.suspectUntil = f.now().Add(min(backoff, maxSuspectDuration))
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -89,6 +89,9 @@
 	}
 	x.sends++
 	x.backend = b.ID
+	if resp.Leaving {
+		x.markLeaving(b)
+	}
 	backendResp := &backendResponse{Response: resp, backend: b, fleet: x.fleet}
 	if !resp.NotRun {
 		return backendResp, nil
@@ -99,6 +102,14 @@
 		"backend server %s did not run the request: status %d", b.ID, status)
 }
 
+func (x *exchange) markLeaving(b *fleet.Backend) {
+	if !x.fleet.IsLeaving(b) {
+		klog.InfoS("backend server announced that it is leaving", "request", x.ID, "backend", b.ID, "address", b.Address,
+			"born", b.Incarnation)
+	}
+	x.fleet.MarkLeaving(b)
+}
+
 // discard reads the rest of a short body and reports whether it reached the end.
 func discard(r *upstream.Response) bool {
 	const limit = 64 << 10
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -91,7 +91,7 @@
 func New(ctx context.Context, s platform.Settings) *Instance {
 	i := &Instance{
 		settings: s, startID: uuid.NewString(), self: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort)),
-		fleet: fleet.New(s.DataCentre), pool: peer.NewPool(net.ParseIP(s.IP)), backendPool: upstream.NewPool(),
+		fleet: fleet.New(s.DataCentre, s.DrainPeriod), pool: peer.NewPool(net.ParseIP(s.IP)), backendPool: upstream.NewPool(),
 		metrics: prometheus.NewRegistry(),
 	}
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -52,7 +52,8 @@
 	Status int
 	Header http.Header
 	platform.Response
-	// Length is the body's Content-Length, or -1 if it is unknown.
+	// Length is the number of bytes of the body, or -1 if it is unknown. The response to a HEAD request has none, whatever
+	// its Content-Length says.
 	Length int64
 	Body   io.Reader
 
@@ -129,6 +130,7 @@
 		go func() { written <- writeRequest(c, r) }()
 	}
 	req := &http.Request{Method: r.Method}
+	skippedLeaving := false
 	for range maxSkippedResponses {
 		resp, err := readResponse(c.reader, req)
 		if err != nil {
@@ -136,11 +138,17 @@
 		}
 		decoded := platform.DecodeResponse(resp.StatusCode, resp.Header)
 		if decoded.RequestID == r.ID || decoded.RequestID == "" && !decoded.Stamped {
+			decoded.Leaving = decoded.Leaving || skippedLeaving && resp.StatusCode != http.StatusMisdirectedRequest
+			length := resp.ContentLength
+			if r.Method == http.MethodHead {
+				length = 0
+			}
 			return &Response{
-				Status: resp.StatusCode, Header: resp.Header, Response: decoded, Length: resp.ContentLength, Body: resp.Body,
+				Status: resp.StatusCode, Header: resp.Header, Response: decoded, Length: length, Body: resp.Body,
 				conn: c, resp: resp, written: written,
 			}, nil
 		}
+		skippedLeaving = skippedLeaving || decoded.Leaving
 		if err := drain(resp.Body, maxSkippedBytes); err != nil {
 			return nil, errors.Wrap(err, "skipping an answer to another request")
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -100,6 +100,27 @@
 	is.Equal(body, "yours")
 }
 
+func TestAnnouncementOnASkippedResponseCounts(t *testing.T) {
+	is := is.New(t)
+	const notIntended = "HTTP/1.1 421 Misdirected Request\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+	leaving := "HTTP/1.1 200 OK\r\nRequest-Id: late\r\nResponse-Stamp: s\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n"
+	for _, tc := range []struct {
+		script string
+		want   bool
+	}{
+		{okResponse("r1", ""), false}, {leaving + okResponse("r1", ""), true}, {notIntended, false}, {leaving + notIntended, false},
+	} {
+		address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+			readRequest(br)
+			fmt.Fprint(c, tc.script)
+		})
+		resp, err := NewPool().Do(t.Context(), address, request("r1"))
+		is.NoErr(err)
+		is.Equal(resp.Leaving, tc.want)
+		resp.Close(true)
+	}
+}
+
 func TestConnectionWithTrailingBytesIsNotReused(t *testing.T) {
 	is := is.New(t)
 	p := NewPool()
