gateway: relay HEAD responses whole and bound buffered responses

Found by reading: a response to HEAD with a Content-Length was taken for truncated (503 or 502 for a response that was whole), and the limit on buffered bytes was ignored for known lengths. A HEAD response has no body now, whatever its length says; responses over the limit are relayed as they arrive, and one that breaks off ends the client's connection before the announced length.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 
@@ -13,8 +14,8 @@
 	"github.com/berylpond/berylpond/platform"
 )
 
-// maxBufferedBytes bounds a response of unknown length that is buffered. Responses are buffered before they are
-// relayed, so that a truncated one can still be retried or reported as a failure.
+// maxBufferedBytes bounds a response that is buffered. Responses are buffered before they are relayed, so that a
+// truncated one can still be retried or reported as a failure. Longer ones are relayed as they arrive.
 const maxBufferedBytes = 1 << 20
 
 // serveCall serves a request on a route without stored history: a plain call, or a stream.
@@ -32,6 +33,9 @@
 		if err != nil {
 			return err
 		}
+		if resp.Length > maxBufferedBytes {
+			return x.relayLong(resp)
+		}
 		body, err := readResponse(resp)
 		if err == nil {
 			return x.writeResponse(resp, body)
@@ -59,12 +63,31 @@
 	}
 }
 
+// relayLong relays a response of known length without buffering it. A truncated one ends the client's connection before
+// the announced length.
+func (x *exchange) relayLong(resp *backendResponse) error {
+	h := x.w.Header()
+	platform.CopyResponseHeaders(h, resp.Header)
+	x.setConnectionClose(h)
+	h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	x.headersSent = true
+	x.w.WriteHeader(resp.Status)
+	_, err := io.Copy(x.w, resp.Body)
+	resp.close(err == nil, false)
+	if err != nil {
+		return verdict.Fail(http.StatusBadGateway, verdict.ReasonTruncated, "the answer broke off: %v", err)
+	}
+	return nil
+}
+
 // writeResponse writes a buffered response to the client.
 func (x *exchange) writeResponse(resp *backendResponse, body []byte) error {
 	h := x.w.Header()
 	platform.CopyResponseHeaders(h, resp.Header)
 	x.setConnectionClose(h)
-	if x.r.Method != http.MethodHead {
+	if x.r.Method == http.MethodHead {
+		h["Content-Length"] = resp.Header["Content-Length"]
+	} else {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.headersSent = true
@@ -85,6 +108,9 @@
 
 // relayBuffered relays a response that is not an event stream, such as an error response on a streaming route.
 func (x *exchange) relayBuffered(resp *backendResponse) error {
+	if resp.Length > maxBufferedBytes {
+		return x.relayLong(resp)
+	}
 	body, err := readResponse(resp)
 	if err != nil {
 		return x.finalError(err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -234,12 +234,15 @@
 	return nil
 }
 
-// readAll reads a body; a length of -1 means unknown. For a known length the buffer is allocated once.
+// readAll reads a body of at most limit bytes; a length of -1 means unknown. For a known length the buffer is allocated
+// once.
 func readAll(r io.Reader, length, limit int64) ([]byte, error) {
-	if length == 0 {
+	switch {
+	case length == 0:
 		return nil, nil
-	}
-	if length > 0 {
+	case length > limit:
+		return nil, &http.MaxBytesError{Limit: limit}
+	case length > 0:
 		b := make([]byte, length)
 		_, err := io.ReadFull(r, b)
 		return b, err
