gateway, turnlog: hold budgets also on routes without stored history

Such a turn now begins at the owner as any other. Its end is reported in the background, with a durable grant ahead for the program's next turn; the response does not wait for it, since it promises nothing beyond the budget. A planned stop waits for reports under way. No turn can continue from one that is not stored. Ruled out: recording the turn as completed without its text, since a turn that names it would get a wrong history. Tests: the model of budgets with this kind of end, owner across a takeover, two instances; the last fails on the old code. The tests of internal/instance listen on addresses by process id, so that two runs on one machine do not collide.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -63,6 +64,8 @@
 	historyCache  *historyCache
 	metrics       *Metrics
 	now           func() time.Time
+	// settling counts the reports of ended turns that are under way in the background.
+	settling sync.WaitGroup
 	// draining reports whether the instance closes client connections after their next response, isolated whether it
 	// reaches neither the store nor a peer that does.
 	draining, isolated func() bool
@@ -89,6 +92,10 @@
 	}
 }
 
+// WaitForReports waits until the owners of programs know of the ended turns, for settleTimeout at most. It must be
+// called after the last request has ended.
+func (g *Gateway) WaitForReports() { g.settling.Wait() }
+
 // exchange is the state of one client request.
 type exchange struct {
 	*Gateway
@@ -121,9 +128,12 @@
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), x.respondBy)
 		defer cancel()
-		if x.route.StoresHistory {
+		switch {
+		case x.route.StoresHistory:
 			err = x.serveTurn(ctx)
-		} else {
+		case x.route.Kind == routing.Streaming && x.HasBudget && x.Program != "":
+			err = x.serveUnstoredTurn(ctx)
+		default:
 			err = x.serveCall(ctx)
 		}
 	}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -17,7 +17,7 @@
 	beginTimeout = 1500 * time.Millisecond
 	// isolatedBeginTimeout replaces it at an isolated instance, which reaches only its own partitions.
 	isolatedBeginTimeout = 150 * time.Millisecond
-	// settleTimeout bounds the report of a turn that ended without a complete response.
+	// settleTimeout bounds a report in the background of the end of a turn.
 	settleTimeout = 2 * time.Second
 	// noBudget is the wire value for programs without a budget.
 	noBudget = -1
@@ -62,6 +62,24 @@
 	return nil
 }
 
+// serveUnstoredTurn runs one turn of a program on a route that stores no history: the client sends the whole prompt, but
+// the budget holds for all turns of the program. The client's response does not wait for the owner's record, since it
+// makes no promise beyond the budget.
+func (x *exchange) serveUnstoredTurn(ctx context.Context) error {
+	if _, err := x.beginTurn(ctx, false); err != nil {
+		return err
+	}
+	resp, err := x.send(ctx, x.body, "")
+	if err != nil {
+		x.settle(0)
+		return err
+	}
+	backend := resp.backend.ID
+	out, err := x.relayStream(ctx, resp)
+	x.report(x.endRequest(out, backend, false))
+	return err
+}
+
 func (x *exchange) programID() string {
 	if x.Program == "" {
 		return x.ID
@@ -124,17 +142,21 @@
 	return r
 }
 
-// settle reports to the owner, in the background, that the turn ended without a complete response, so that only the
-// delivered tokens are charged.
+// settle reports to the owner that the turn ended without a complete response, so that only the delivered tokens are
+// charged.
 func (x *exchange) settle(tokens int64) {
-	r := &turnv1.EndRequest{Program: x.programID(), Account: x.account.Name, Turn: x.ID, Tokens: tokens}
-	turnClient, id := x.turnClient, x.ID
-	go func() {
+	x.report(&turnv1.EndRequest{Program: x.programID(), Account: x.account.Name, Turn: x.ID, Tokens: tokens})
+}
+
+// report tells the owner of the end of the turn in the background.
+func (x *exchange) report(r *turnv1.EndRequest) {
+	g, id := x.Gateway, x.ID
+	g.settling.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
 		defer cancel()
-		if err := turnClient.End(ctx, r); err != nil {
-			klog.InfoS("could not report an incomplete turn to its owner; the whole reservation stays charged", "request", id,
+		if err := g.turnClient.End(ctx, r); err != nil {
+			klog.InfoS("could not report the end of a turn to its owner; the whole reservation stays charged", "request", id,
 				"cause", err.Error())
 		}
-	}()
+	})
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -244,6 +244,8 @@
 		defer cancel()
 		if err := clients.Shutdown(ctx); err != nil {
 			klog.InfoS("requests still in progress at the end of the grace period", "cause", err.Error())
+		} else {
+			i.gateway.WaitForReports()
 		}
 	}
 	klog.InfoS("stopped", "took_ms", time.Since(start).Milliseconds())
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -17,11 +18,13 @@
 
 	"github.com/berylpond/berylpond/internal/fakes/metastore"
 	"github.com/berylpond/berylpond/internal/fakes/runner"
+	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/platform"
 )
 
 const configuration = `{"version":%d,"routes":[
 	{"name":"chat","host":"h.example","pathPrefix":"/chat/","kind":"streaming","timeoutMs":4000,"maxAttempts":2,"service":"llm","retain":true,"retainS":60},
+	{"name":"quote","host":"h.example","pathPrefix":"/quote/","kind":"streaming","timeoutMs":4000,"maxAttempts":2,"service":"llm","retainS":60},
 	{"name":"read","host":"h.example","pathPrefix":"/read/","kind":"idempotent","timeoutMs":1000,"service":"tool"},
 	{"name":"pay","host":"h.example","pathPrefix":"/pay/","kind":"non_idempotent","timeoutMs":1000,"service":"tool","maxAttempts":2},
 	{"name":"open","host":"h.example","pathPrefix":"/open/","kind":"idempotent","timeoutMs":1000,"service":"tool","public":true}],
@@ -81,7 +84,9 @@
 
 func (s *site) startWith(cores float64, seeds ...string) *node {
 	s.t.Helper()
-	ip := fmt.Sprintf("127.0.77.%d", nextIP.Add(1))
+	// Peers use the same port on different addresses. The process id keeps test runs on one machine apart.
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, nextIP.Add(1))
 	settings := platform.Settings{
 		Instance: ip, DataCentre: "a", IP: ip, ClientAddress: net.JoinHostPort(ip, "18080"),
 		ReadyAddress: net.JoinHostPort(ip, "18081"), FirstPeerPort: 18082, LastPeerPort: 18090, SeedIPs: seeds,
@@ -126,6 +131,8 @@
 type call struct {
 	id, path, key, body, program, previous string
 	budget                                 int
+	// method is POST if empty.
+	method string
 }
 
 func (s *site) do(n *node, c call) response {
@@ -136,7 +143,10 @@
 	if c.key == "" {
 		c.key = "key-a"
 	}
-	r, err := http.NewRequest(http.MethodPost, n.url+c.path, strings.NewReader(c.body))
+	if c.method == "" {
+		c.method = http.MethodPost
+	}
+	r, err := http.NewRequest(c.method, n.url+c.path, strings.NewReader(c.body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
@@ -225,6 +235,112 @@
 	is.Equal(len(s.llm.Executions()), 1)
 }
 
+// The budget of a program holds over all instances, also on a route whose clients send the whole prompt with each turn.
+func TestBudgetHoldsOnRoutesWithoutHistory(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	nodes := []*node{s.start(), s.start()}
+	// Each turn reserves and generates 30 tokens. A takeover of the partition may let the tokens of one turn go uncharged,
+	// as the platform's rule allows.
+	const budget, reservation = 100, 30
+	served := 0
+	for i := range 8 {
+		a := s.turn(nodes[i%2], call{path: "/quote/x", body: "whole prompt", program: "p", budget: budget})
+		if a.status == 200 {
+			served++
+			continue
+		}
+		is.Equal(a.status, http.StatusPaymentRequired)
+	}
+	is.True(served >= budget/reservation)
+	is.True(served*reservation <= budget+reservation)
+	executions := s.llm.Executions()
+	is.Equal(len(executions), served)
+	is.Equal(executions[2].Body, "whole prompt")
+}
+
+func TestHeadResponseIsWhole(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	for _, b := range s.tools {
+		b.Handler = func(w http.ResponseWriter, r *http.Request, _ string) bool {
+			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+			w.Header().Set("Response-Stamp", "s")
+			w.Header().Set("Content-Length", "123")
+			return true
+		}
+	}
+	a := s.do(n, call{path: "/read/x", method: http.MethodHead})
+	is.Equal(a.status, 200)
+	is.Equal(a.header.Get("Content-Length"), "123")
+}
+
+func TestLongResponseIsRelayedWholeOrVisiblyTruncated(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	const length = 3 << 20
+	sent := length
+	for _, b := range s.tools {
+		b.Handler = func(w http.ResponseWriter, r *http.Request, _ string) bool {
+			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+			w.Header().Set("Response-Stamp", "s")
+			w.Header().Set("Content-Length", fmt.Sprint(length))
+			_, err := w.Write(make([]byte, sent))
+			return err == nil
+		}
+	}
+	a := s.do(n, call{path: "/pay/x"})
+	is.Equal(a.status, 200)
+	is.Equal(len(a.body), length)
+	is.True(!a.broken)
+	sent = length / 2
+	is.True(s.do(n, call{path: "/pay/x"}).broken)
+}
+
+// A server announces in any response that it is leaving: a failure, a stream, or a refusal. The instance then uses the
+// others, although the registry still lists the server as ready and is no longer read.
+func TestServerThatAnnouncesItsShutdownGetsNoNewRequests(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	s.store.SetFault(func(*http.Request) metastore.Mode { return metastore.Silent })
+	var arrivals atomic.Int32
+	for i, announce := range []func(w http.ResponseWriter, id string){
+		func(w http.ResponseWriter, id string) {
+			w.Header().Set("Response-Stamp", "s")
+			w.WriteHeader(http.StatusInternalServerError)
+		},
+		func(w http.ResponseWriter, id string) {
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		},
+	} {
+		leaving, other := s.tools[i], s.tools[1-i]
+		arrivals.Store(0)
+		leaving.Handler = func(w http.ResponseWriter, r *http.Request, _ string) bool {
+			arrivals.Add(1)
+			w.Header().Set("Server-Leaving", "1")
+			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+			announce(w, r.Header.Get("Request-Id"))
+			return true
+		}
+		other.Handler = nil
+		for arrivals.Load() == 0 {
+			s.do(n, call{path: "/read/x"})
+		}
+		for range 10 {
+			is.Equal(s.do(n, call{path: "/read/x"}).status, 200)
+		}
+		is.Equal(arrivals.Load(), int32(1))
+		// The server starts again under its id.
+		restarted := fleet.Entry{ID: leaving.ID, Service: "tool", Address: leaving.Listener.Addr().String(), DataCentre: "a", Slots: 8,
+			Incarnation: int64(100 + i)}
+		n.fleet.Upsert(restarted)
+	}
+}
+
 func TestResponseEndsOnlyAfterTurnIsDurable(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -307,9 +307,13 @@
 		return turnv1.Outcome_OUTCOME_UNAVAILABLE
 	}
 	if !r.Complete {
+		ahead := p.state.grantAhead(r, o.now())
 		p.state.settle(r.Program, r.Turn, r.Tokens)
 		p.mu.Unlock()
-		return turnv1.Outcome_OUTCOME_OK
+		if ahead == nil {
+			return turnv1.Outcome_OUTCOME_OK
+		}
+		return outcomeOf(p.submit(ctx, &turnv1.Record{Change: &turnv1.Record_Granted{Granted: ahead}}))
 	}
 	if p.state.turns[r.Turn] != nil {
 		p.mu.Unlock()
--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -246,6 +246,34 @@
 	is.Equal(s.store.Calls("/api/log-append"), before)
 }
 
+// endUnstored ends a turn whose history is not stored.
+func endUnstored(turn string, tokens int64) *turnv1.EndRequest {
+	return &turnv1.EndRequest{Program: "p", Account: "a", Turn: turn, Tokens: tokens, Budget: 300, Most: 100, KeepMs: 60_000}
+}
+
+func TestTurnsWithoutHistoryShareABudgetAcrossATakeover(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	o := s.owner("one", stubFinder{})
+	mustBegin(t, o, begin("t1", "", 300, 100))
+	mustEnd(t, o, endUnstored("t1", 90))
+	before := s.store.Calls("/api/log-append")
+	mustBegin(t, o, begin("t2", "", 300, 100))
+	is.Equal(s.store.Calls("/api/log-append"), before)
+	mustEnd(t, o, endUnstored("t2", 90))
+
+	next := s.owner("two", stubFinder{})
+	mustBegin(t, next, begin("t3", "", 300, 100))
+	mustEnd(t, next, endUnstored("t3", 90))
+	resp, err := next.Begin(t.Context(), begin("t4", "", 300, 100))
+	is.NoErr(err)
+	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_BUDGET_SPENT)
+	// No turn can continue from one whose history is not stored.
+	resp, err = next.Begin(t.Context(), begin("t5", "t1", 1000, 100))
+	is.NoErr(err)
+	is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_NO_SUCH_TURN)
+}
+
 func TestTurnsOfOtherAccountsAndUnknownTurnsAreRefused(t *testing.T) {
 	is := is.New(t)
 	s := newFixture(t)
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -205,6 +205,19 @@
 	return totals{granted: max(p.granted, charged+reservation), charged: charged, forgiven: p.forgiven}
 }
 
+// grantAhead returns the grant to record when a turn ends whose history is not stored, so that the program's next turn
+// can start without an append. It returns nil if none is requested or the program is unknown.
+func (s *state) grantAhead(r *turnv1.EndRequest, now time.Time) *turnv1.Granted {
+	if r.Most <= 0 || s.programs[r.Program] == nil {
+		return nil
+	}
+	next := s.nextGrant(r.Program, r.Turn, r.Tokens, r.Most)
+	return &turnv1.Granted{
+		Program: r.Program, Account: r.Account, Budget: r.Budget, Granted: next.granted, Charged: next.charged,
+		Forgiven: next.forgiven, KeepMs: r.KeepMs, AtUnixMs: now.UnixMilli(),
+	}
+}
+
 // history returns the inputs and outputs of the chain that ends with t, oldest first.
 func (t *turn) history() []byte {
 	var chain []*turn
--- a/internal/turnlog/state_test.go
+++ b/internal/turnlog/state_test.go
@@ -44,11 +44,15 @@
 					open = slices.Delete(open, index, index+1)
 					tokens := rapid.Int64Range(0, reservation).Draw(t, "tokens")
 					generated += tokens
-					if rapid.Bool().Draw(t, "whole") {
+					switch rapid.SampledFrom([]string{"recorded", "without history", "broken off"}).Draw(t, "end") {
+					case "recorded":
 						next := s.nextGrant("p", id, tokens, reservation)
 						durable(&turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{
 							Program: "p", Turn: id, Tokens: tokens, Granted: next.granted, Charged: next.charged, Forgiven: next.forgiven,
 						}}})
+					case "without history":
+						ahead := s.grantAhead(&turnv1.EndRequest{Program: "p", Turn: id, Tokens: tokens, Most: reservation}, time.Now())
+						durable(&turnv1.Record{Change: &turnv1.Record_Granted{Granted: ahead}})
 					}
 					s.settle("p", id, tokens)
 				}
