gateway: never report a request as not run after an attempt that may have run

Found by reading: for a repeatable request of which one backend server may have run an attempt, the refusal of the next server became the final answer, 503, which promises that the request has not run. The gateway now remembers such an attempt and answers 502. Requests that must not be repeated were not concerned, as they are not sent again after such an attempt.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -112,8 +112,12 @@
 	// respondBy is the time by which the client must have its response.
 	respondBy time.Time
 	// sends counts the backend servers to which the request was written.
-	sends         int
+	sends int
+	// mayHaveRun is set once a backend server may have run the request, even if a later attempt was refused.
+	mayHaveRun    bool
 	triedBackends []string
+	// admitted is set once a token of the account's rate was taken.
+	admitted bool
 	// headersSent is set once a status was written to the client.
 	headersSent bool
 	// service and backend name the service and the backend server of the last attempt.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -81,7 +81,7 @@
 		}
 		if ue.Verdict != verdict.NotRun {
 			x.sends++
-			x.backend = b.ID
+			x.backend, x.mayHaveRun = b.ID, true
 		}
 		return nil, &verdict.Error{
 			Verdict: ue.Verdict, Reason: verdict.ReasonBackendFailed, Status: http.StatusBadGateway, Detail: ue.Error(),
@@ -94,6 +94,7 @@
 	}
 	backendResp := &backendResponse{Response: resp, backend: b, fleet: x.fleet}
 	if !resp.NotRun {
+		x.mayHaveRun = true
 		return backendResp, nil
 	}
 	status := resp.Status
@@ -120,10 +121,13 @@
 // finalError converts the error of the last attempt to the one that is reported to the client.
 func (x *exchange) finalError(err error) error {
 	if err == nil {
-		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryAfterTransient,
+		err = verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryAfterTransient,
 			"no backend server can be used")
 	}
 	e := *verdict.From(err)
+	if x.mayHaveRun && e.Verdict == verdict.NotRun {
+		e.Verdict = verdict.MayHaveRun
+	}
 	switch {
 	case e.Verdict == verdict.NotRun:
 		e.Status, e.RetryAfter = http.StatusServiceUnavailable, max(e.RetryAfter, retryAfterTransient)
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -394,6 +394,26 @@
 	is.True(a.header.Get("Retry-After") != "")
 }
 
+// A request that one server may have run is not reported as not run because another one refused it afterwards.
+func TestRefusalAfterABrokenAttemptIsNoPromise(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	var arrivals atomic.Int32
+	for _, b := range s.tools {
+		b.Handler = func(w http.ResponseWriter, _ *http.Request, _ string) bool {
+			if arrivals.Add(1) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			w.Header().Set("Not-Run", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		}
+	}
+	is.Equal(s.do(n, call{path: "/read/x"}).status, http.StatusBadGateway)
+	is.True(arrivals.Load() > 1)
+}
+
 func TestClientDisconnectCancelsTheRun(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
