ratelimit: give back the tokens of requests that have not run

Cause: a request takes a token of its account's rate before the owner of its program refuses it. A refusal with the verdict not-run now gives its token back to the holder, which grants it again with a new time to live; what ran stays within the rate, which the property test checks with refunds of each, every second and every tenth request. While an instance lives on its own share it gives nothing back. Ruled out: asking the owner before taking a token, since the rate then no longer protects the owners; handing the token to a waiting request at once, since it may be older than its time to live.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,8 @@
 // RateLimiter enforces the rate limits of client accounts.
 type RateLimiter interface {
 	Admit(ctx context.Context, a routing.Account, first bool) *ratelimit.Denial
+	// Refund returns the token of an admitted request that has not run and never will.
+	Refund(a routing.Account)
 }
 
 // Gateway is the HTTP handler of client requests.
@@ -178,6 +180,7 @@
 		return verdict.Refuse(http.StatusTooManyRequests, verdict.ReasonRateLimited, max(d.RetryAfter, retryAfterTransient),
 			"the account is over its rate")
 	}
+	x.admitted = true
 	return nil
 }
 
@@ -276,6 +279,9 @@
 		return
 	}
 	e := verdict.From(err)
+	if x.admitted && e.Verdict == verdict.NotRun {
+		x.rateLimiter.Refund(x.account)
+	}
 	clientGone := x.r.Context().Err() != nil
 	x.metrics.observeFailed(x, e, clientGone, elapsed)
 	klog.InfoS("not served", append(x.logFields(elapsed), "status", e.Status, "verdict", e.Verdict.String(),
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -112,6 +112,22 @@
 	return l.cancelWait(s, w)
 }
 
+// Refund returns the token of an admitted request that no backend server has run and none will. The token goes back to the
+// holder, so that it is granted again with a new time to live. Load pattern: a program whose budget is spent goes on
+// asking, and each refusal would take a token from the account's other programs.
+func (l *Limiter) Refund(a routing.Account) {
+	if a.RequestsPerSecond <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.inFallback {
+		// The token may come from the instance's own share, which the holder's buckets do not contain.
+		return
+	}
+	l.state(a.Name).unused++
+}
+
 // respondedSince reports whether a holder has responded after the given time. If not, the holder may be about to
 // change.
 func (l *Limiter) respondedSince(t time.Time) bool {
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -37,6 +37,10 @@
 	// released holds the former holders that have released the buckets and can still be reached. They continue to serve
 	// the instances that request tokens from them.
 	released map[string]bool
+	// refundEvery makes each so manyth admitted request end without having run, and its token is refunded; zero for none.
+	refundEvery int
+	// tokens counts the tokens taken.
+	tokens int
 }
 
 func newSimulation(n int, a routing.Account) *simulation {
@@ -130,17 +134,23 @@
 }
 
 // admit lets one instance exchange a message with the holder and then take tokens for up to wanted requests; it returns
-// how many got one.
+// how many got one and ran.
 func (s *simulation) admit(l *Limiter, wanted int) int {
 	state := l.states[s.account.Name]
 	state.arrivals += int64(wanted)
 	l.exchange(context.Background())
-	for n := range wanted {
+	ran := 0
+	for range wanted {
 		if !state.takeToken(s.now) {
-			return n
+			break
 		}
+		if s.tokens++; s.refundEvery > 0 && s.tokens%s.refundEvery == 0 {
+			l.Refund(s.account)
+			continue
+		}
+		ran++
 	}
-	return wanted
+	return ran
 }
 
 func TestAccountStaysWithinItsRateWhileHoldersChangeAndInstancesAreIsolated(t *testing.T) {
@@ -149,6 +159,7 @@
 		a.Burst = a.RequestsPerSecond * rapid.Float64Range(0.2, 1).Draw(t, "burst")
 		n := rapid.IntRange(2, 11).Draw(t, "instances")
 		s := newSimulation(n, a)
+		s.refundEvery = rapid.SampledFrom([]int{0, 1, 2, 10}).Draw(t, "refundEvery")
 		limit := (a.RequestsPerSecond*window.Seconds()+a.Burst)*(1+excess) + tolerance
 		var admitted []int
 		old, next := 0, 0
@@ -258,6 +269,35 @@
 	}
 }
 
+// A program whose budget is spent sends twice the account's rate. All of its requests are refused, so the account's other
+// program, which stays well below the rate, must get a token for each of its requests.
+func TestRefusedRequestsLeaveTheRateToOthers(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(1, routing.Account{Name: "a", RequestsPerSecond: 20, Burst: 20})
+	l, state := s.limiters[0], s.limiters[0].states["a"]
+	s.step(0)
+	served := 0
+	const ticks = int(10 * time.Second / tick)
+	for i := range ticks {
+		s.now = s.now.Add(tick)
+		state.arrivals += 2
+		l.exchange(t.Context())
+		for range 2 {
+			if state.takeToken(s.now) {
+				l.Refund(s.account)
+			}
+		}
+		if i%4 != 0 {
+			continue
+		}
+		state.arrivals++
+		if s.isGranted(l) {
+			served++
+		}
+	}
+	is.Equal(served, ticks/4)
+}
+
 func TestNewHolderServesASmallAccountImmediately(t *testing.T) {
 	is := is.New(t)
 	s := newSimulation(9, routing.Account{Name: "a", RequestsPerSecond: 8, Burst: 8})
