instance: test slow, stalled and broken streams

Three faults that operators of similar systems have told of, on the whole path of an instance: a slow but sound stream reaches its client whole; one that sends a byte now and then but no event ends at the client's deadline, visibly broken; one that breaks off, between events or within one, never looks complete, on routes with and without stored history. Instances of a test stop together.

--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -103,12 +103,22 @@
 			s.t.Error(err)
 		}
 	}()
-	s.t.Cleanup(func() { cancel(); <-n.done })
 	s.nodes = append(s.nodes, n)
+	s.t.Cleanup(s.stopAll)
 	s.eventually("ready", n.Ready)
 	return n
 }
 
+// stopAll stops every instance, all at once.
+func (s *site) stopAll() {
+	for _, n := range s.nodes {
+		n.stop()
+	}
+	for _, n := range s.nodes {
+		<-n.done
+	}
+}
+
 func (s *site) eventually(what string, f func() bool) {
 	s.t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); !f(); time.Sleep(5 * time.Millisecond) {
@@ -443,6 +453,68 @@
 	})
 }
 
+// streamHandler answers a stream's request with the given pieces of its body, each after an interval.
+func streamHandler(pieces []string, interval time.Duration, abort bool) func(http.ResponseWriter, *http.Request, string) bool {
+	return func(w http.ResponseWriter, r *http.Request, _ string) bool {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Stamp", "s")
+		w.Header().Set("Content-Type", "text/event-stream")
+		for _, piece := range pieces {
+			time.Sleep(interval)
+			if _, err := io.WriteString(w, piece); err != nil {
+				return true
+			}
+			w.(http.Flusher).Flush()
+		}
+		if abort {
+			panic(http.ErrAbortHandler)
+		}
+		return true
+	}
+}
+
+func repeat(piece string, n int) []string {
+	return strings.SplitAfter(strings.Repeat(piece, n), piece)[:n]
+}
+
+// A stream whose events come slowly is sound and reaches its client whole, up to the route's timeout of 4 s.
+func TestSlowStreamIsNotCut(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	s.llm.Handler = streamHandler(repeat("data: x\n\n", 4), 600*time.Millisecond, false)
+	a := s.turn(n, call{path: "/quote/x", program: "p", budget: 900})
+	is.Equal(a.status, 200)
+	is.True(!a.broken)
+	is.Equal(strings.Count(a.body, "data:"), 4)
+}
+
+// A stream that sends a byte now and then but never an event ends, visibly broken, at the client's deadline of 3 s.
+func TestStreamThatNeverCompletesAnEventEnds(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	s.llm.Handler = streamHandler(append([]string{"data: x\n\ndata: "}, repeat("y", 200)...), 50*time.Millisecond, false)
+	start := time.Now()
+	a := s.turn(n, call{path: "/quote/x", program: "p", budget: 900})
+	is.True(a.broken)
+	is.Equal(a.body, "data: x\n\n")
+	is.True(time.Since(start) < 4*time.Second)
+}
+
+// A stream that breaks off never looks complete, whether it breaks between two events or within one.
+func TestBrokenStreamIsVisiblyBroken(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	for _, route := range []string{"/quote/x", "/chat/x"} {
+		for _, last := range []string{"data: y\n\n", "data: y"} {
+			s.llm.Handler = streamHandler([]string{"data: x\n\n", last}, 0, true)
+			is.True(s.turn(n, call{path: route, program: "p", budget: 900}).broken)
+		}
+	}
+}
+
 func TestConfigurationChangesTakeEffect(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
