gateway, turnclient: name the reports of ended turns, explain a channel

Names and a comment only, from reading the change as a newcomer would: settling and settleTimeout are about reports in the background, which also tell of whole turns on routes without history. Built and vetted; turnclient and fleet pass with the race detector.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -66,8 +66,8 @@
 	historyCache  *historyCache
 	metrics       *Metrics
 	now           func() time.Time
-	// settling counts the reports of ended turns that are under way in the background.
-	settling sync.WaitGroup
+	// reports counts the reports of ended turns that are under way in the background.
+	reports sync.WaitGroup
 	// draining reports whether the instance closes client connections after their next response, isolated whether it
 	// reaches neither the store nor a peer that does.
 	draining, isolated func() bool
@@ -94,9 +94,9 @@
 	}
 }
 
-// WaitForReports waits until the owners of programs know of the ended turns, for settleTimeout at most. It must be
+// WaitForReports waits until the owners of programs know of the ended turns, for reportTimeout at most. It must be
 // called after the last request has ended.
-func (g *Gateway) WaitForReports() { g.settling.Wait() }
+func (g *Gateway) WaitForReports() { g.reports.Wait() }
 
 // exchange is the state of one client request.
 type exchange struct {
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -17,8 +17,8 @@
 	beginTimeout = 1500 * time.Millisecond
 	// isolatedBeginTimeout replaces it at an isolated instance, which reaches only its own partitions.
 	isolatedBeginTimeout = 150 * time.Millisecond
-	// settleTimeout bounds a report in the background of the end of a turn.
-	settleTimeout = 2 * time.Second
+	// reportTimeout bounds a report in the background of the end of a turn.
+	reportTimeout = 2 * time.Second
 	// noBudget is the wire value for programs without a budget.
 	noBudget = -1
 )
@@ -151,8 +151,8 @@
 // report tells the owner of the end of the turn in the background.
 func (x *exchange) report(r *turnv1.EndRequest) {
 	g, id := x.Gateway, x.ID
-	g.settling.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	g.reports.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
 		if err := g.turnClient.End(ctx, r); err != nil {
 			klog.InfoS("could not report the end of a turn to its owner; the whole reservation stays charged", "request", id,
--- a/internal/turnclient/turnclient.go
+++ b/internal/turnclient/turnclient.go
@@ -156,9 +156,10 @@
 // function ends the checks.
 func (c *Client) cancelOnReplacement(ctx context.Context, cancel context.CancelFunc, program, owner string) (stop func()) {
 	var check *time.Timer
-	ready := make(chan struct{})
+	// assigned orders the assignment of check before its use by the function.
+	assigned := make(chan struct{})
 	check = time.AfterFunc(replacementCheckInterval, func() {
-		<-ready
+		<-assigned
 		if current := c.ownerOf(program); current != "" && current != owner {
 			cancel()
 			return
@@ -167,7 +168,7 @@
 			check.Reset(replacementCheckInterval)
 		}
 	})
-	close(ready)
+	close(assigned)
 	return func() { check.Stop() }
 }
 
