--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -317,12 +317,12 @@
 	n := s.start()
 	s.store.SetFault(func(*http.Request) metastore.Mode { return metastore.Silent })
 	var arrivals atomic.Int32
-	for i, announce := range []func(w http.ResponseWriter, id string){
-		func(w http.ResponseWriter, id string) {
+	for i, announce := range []func(w http.ResponseWriter){
+		func(w http.ResponseWriter) {
 			w.Header().Set("Response-Stamp", "s")
 			w.WriteHeader(http.StatusInternalServerError)
 		},
-		func(w http.ResponseWriter, id string) {
+		func(w http.ResponseWriter) {
 			w.Header().Set("Not-Run", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		},
@@ -333,7 +333,7 @@
 			arrivals.Add(1)
 			w.Header().Set("Server-Leaving", "1")
 			w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
-			announce(w, r.Header.Get("Request-Id"))
+			announce(w)
 			return true
 		}
 		other.Handler = nil
@@ -351,6 +351,26 @@
 	}
 }
 
+// The stream that carries the announcement ends whole, and nothing new follows it.
+func TestAnnouncementOnAStreamEndsNewRequestsOnly(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	stream := streamHandler(repeat("data: x\n\n", 3), 10*time.Millisecond, false)
+	var arrivals atomic.Int32
+	s.llm.Handler = func(w http.ResponseWriter, r *http.Request, body string) bool {
+		arrivals.Add(1)
+		w.Header().Set("Server-Leaving", "1")
+		return stream(w, r, body)
+	}
+	a := s.turn(n, call{path: "/quote/x", program: "p", budget: 900})
+	is.Equal(a.status, 200)
+	is.True(!a.broken)
+	is.Equal(strings.Count(a.body, "data:"), 3)
+	is.Equal(s.do(n, call{path: "/quote/x", program: "p", budget: 900}).status, http.StatusServiceUnavailable)
+	is.Equal(arrivals.Load(), int32(1))
+}
+
 func TestResponseEndsOnlyAfterTurnIsDurable(t *testing.T) {
 	is := is.New(t)
 	s := newSite(t)
