fleet, gateway: log the request limits that backend servers announce

Logs could not tell whether instances see an announced limit or what they send meanwhile. The header is decoded, the fleet keeps the last announcement of each incarnation, and a line is written when it changes, with the requests sent since. No change of behaviour.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,6 +55,7 @@
 	suspectUntil time.Time
 	// leavingSince is when the server first announced in a response that it is leaving; zero if it has not.
 	leavingSince time.Time
+	limit        limitState
 }
 
 // departure is the announcement of one incarnation of a server that it is leaving. It outlives the server's entry, which
@@ -225,6 +226,9 @@
 		best = p
 	}
 	best.inFlight++
+	if best.limit.Announced {
+		best.limit.sent++
+	}
 	return &Backend{Entry: best.Entry, server: best}
 }
 
