ratelimit, fleet: keep announced request limits over all instances

Cause: nothing used the announcement, and the instances share no account of what they send to a server. One instance alone used up the limit that is meant for all. Class of fault: a limit of the whole system enforced, if at all, by each process by itself.

A limited server now has a token bucket at the holder, beside those of the accounts, with the same share over partitions and the same time to live; an instance picks such a server only with a token. Without one the request goes to another server; if every server is at its limit, it waits for the least loaded one and is refused as not run once its token is known to be too far off. Announcements belong to one incarnation and outlive its entry, as those of leaving servers did already.

Ruled out: equal shares of the limit for each instance.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,9 +20,6 @@
 	// as a fraction of a server's slots: prefilling the prompt on another server costs as much as sharing an engine with
 	// that many more requests.
 	affinitySlack = 0.25
-	// leavingMemory is how long the announcement of a server without an entry is remembered: entries may expire with a
-	// store outage and come back, while a server that leaves exits within seconds of its announcement.
-	leavingMemory = 5 * time.Minute
 )
 
 // Entry is the registration of a backend server.
@@ -58,18 +55,6 @@
 	limit        limitState
 }
 
-// departure is the announcement of one incarnation of a server that it is leaving. It outlives the server's entry, which
-// may expire and come back.
-type departure struct {
-	service, address string
-	incarnation      int64
-	since            time.Time
-}
-
-func (d departure) appliesTo(e Entry) bool {
-	return d.service == e.Service && d.address == e.Address && d.incarnation == e.Incarnation
-}
-
 // Fleet is the set of known backend servers. It is safe for concurrent use.
 type Fleet struct {
 	dataCentre string
@@ -78,7 +63,7 @@
 	now      func() time.Time
 
 	mu        sync.Mutex
-	departed  map[string]departure
+	announced map[string]announcement
 	byID      map[string]*server
 	byService map[string][]*server
 	loaded    bool
@@ -88,7 +73,7 @@
 // reach a server that has announced that it is leaving; half of it is left for connecting and sending.
 func New(dataCentre string, drainPeriod time.Duration) *Fleet {
 	return &Fleet{
-		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, departed: map[string]departure{},
+		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, announced: map[string]announcement{},
 		byID: map[string]*server{}, byService: map[string][]*server{},
 	}
 }
@@ -111,11 +96,11 @@
 		f.removeLocked(e.ID)
 	}
 	b = &server{Entry: e}
-	if d, ok := f.departed[e.ID]; ok {
-		if d.appliesTo(e) {
-			b.leavingSince = d.since
+	if a, ok := f.announced[e.ID]; ok {
+		if a.appliesTo(e) {
+			b.leavingSince, b.limit = a.leavingSince, a.limit
 		} else {
-			delete(f.departed, e.ID)
+			delete(f.announced, e.ID)
 		}
 	}
 	f.byID[e.ID] = b
@@ -144,37 +129,6 @@
 	}
 }
 
-// MarkLeaving records that a server has announced in a response that it is leaving. It is avoided at once, and never
-// picked after half of the drain period, whatever its entry says, until it restarts.
-func (f *Fleet) MarkLeaving(b *Backend) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !b.server.leavingSince.IsZero() {
-		return
-	}
-	now := f.now()
-	for id, d := range f.departed {
-		if f.byID[id] == nil && now.Sub(d.since) > leavingMemory {
-			delete(f.departed, id)
-		}
-	}
-	b.server.leavingSince = now
-	d := departure{service: b.Service, address: b.Address, incarnation: b.Incarnation, since: now}
-	if current := f.byID[b.ID]; current == nil || d.appliesTo(current.Entry) {
-		f.departed[b.ID] = d
-		if current != nil {
-			current.leavingSince = now
-		}
-	}
-}
-
-// IsLeaving reports whether the server has announced that it is leaving.
-func (f *Fleet) IsLeaving(b *Backend) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !b.server.leavingSince.IsZero()
-}
-
 // MarkLoaded records that the registry has been read at least once.
 func (f *Fleet) MarkLoaded() {
 	f.mu.Lock()
@@ -207,6 +161,8 @@
 	Preferred string
 	// Exclude lists the ids of servers that were already tried.
 	Exclude []string
+	// Permit takes permission to send one request to a server that limits them. Nil permits every request.
+	Permit func(Entry, RateLimit) bool
 }
 
 // Acquire picks a server and counts a request on it until Release. It returns nil if no server can be used.
@@ -214,17 +170,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	best := f.leastLoaded(c, func(b *server) bool { return b.isSound(now) })
+	best := f.pick(c, func(b *server) bool { return b.isSound(now) })
 	if best == nil {
-		best = f.leastLoaded(c, func(b *server) bool { return f.mayBeUsed(b, now) })
+		c.Preferred = ""
+		best = f.pick(c, func(b *server) bool { return f.mayBeUsed(b, now) })
 	}
 	if best == nil {
 		return nil
 	}
-	if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && p.isSound(now) &&
-		!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
-		best = p
-	}
 	best.inFlight++
 	if best.limit.Announced {
 		best.limit.sent++
@@ -232,6 +185,26 @@
 	return &Backend{Entry: best.Entry, server: best}
 }
 
+// pick returns the best server among the usable ones that permit a request, or nil. A server with a limit is asked for
+// permission only when it would be picked, so that no permission is taken in vain.
+func (f *Fleet) pick(c Criteria, usable func(*server) bool) *server {
+	denied := map[*server]bool{}
+	for {
+		best := f.leastLoaded(c, func(b *server) bool { return !denied[b] && usable(b) })
+		if best == nil {
+			return nil
+		}
+		if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) && !denied[p] &&
+			!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
+			best = p
+		}
+		if !best.limit.Announced || c.Permit == nil || c.Permit(best.Entry, best.limit.RateLimit) {
+			return best
+		}
+		denied[best] = true
+	}
+}
+
 func (f *Fleet) leastLoaded(c Criteria, usable func(*server) bool) *server {
 	var best *server
 	var lowest float64
--- a/internal/fleet/limit.go
+++ b/internal/fleet/limit.go
@@ -43,19 +43,3 @@
 	For  time.Duration
 	Sent int
 }
-
-// ObserveLimit records the limit in a response of the server to a request that was sent at the given time. It reports
-// whether that changed the limit.
-func (f *Fleet) ObserveLimit(b *Backend, l RateLimit, sent time.Time) (LimitChange, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	before := b.server.limit
-	after := before.observe(l, sent, now)
-	b.server.limit = after
-	c := LimitChange{Before: before.RateLimit, After: after.RateLimit, Sent: before.sent}
-	if before.Announced {
-		c.For = now.Sub(before.since)
-	}
-	return c, c.Before != c.After
-}
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -37,3 +37,42 @@
 	f.Upsert(e)
 	is.Equal(f.Acquire(Criteria{Service: "s"}).server.limit, limitState{})
 }
+
+func TestServerAtItsLimitIsPassedOver(t *testing.T) {
+	is := is.New(t)
+	f := New("a", drainPeriod)
+	f.Upsert(entry("x", "a"))
+	f.Upsert(entry("y", "b"))
+	limit := RateLimit{Announced: true, RequestsPerSecond: 3}
+	f.ObserveLimit(f.Acquire(Criteria{Service: "s", Exclude: []string{"y"}}), limit, time.Now())
+	permits := 1
+	var asked []string
+	c := Criteria{Service: "s", Preferred: "x", Permit: func(e Entry, l RateLimit) bool {
+		asked = append(asked, e.ID)
+		is.Equal(l, limit)
+		permits--
+		return permits >= 0
+	}}
+	is.Equal(f.Acquire(c).ID, "x")
+	is.Equal(f.Acquire(c).ID, "y")
+	is.Equal(asked, []string{"x", "x"}) // y announces no limit
+	c.Exclude = []string{"y"}
+	is.Equal(f.Acquire(c), nil)
+}
+
+func TestLimitOutlivesTheEntry(t *testing.T) {
+	is := is.New(t)
+	f := New("a", drainPeriod)
+	e := entry("x", "a")
+	f.Upsert(e)
+	b := f.Acquire(Criteria{Service: "s"})
+	f.ObserveLimit(b, RateLimit{Announced: true, RequestsPerSecond: 1}, time.Now())
+	f.Remove("x")
+	f.Upsert(e)
+	none := Criteria{Service: "s", Permit: func(Entry, RateLimit) bool { return false }}
+	is.Equal(f.Acquire(none), nil)
+	// A response to a request that was sent before the entry expired lifts it too.
+	f.ObserveLimit(b, RateLimit{}, time.Now())
+	is.Equal(f.Acquire(none).ID, "x")
+	is.Equal(len(f.announced), 0)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,11 +49,14 @@
 	End(ctx context.Context, r *turnv1.EndRequest) error
 }
 
-// RateLimiter enforces the rate limits of client accounts.
+// RateLimiter enforces the rate limits of client accounts and those that backend servers announce.
 type RateLimiter interface {
 	Admit(ctx context.Context, a routing.Account, first bool) *ratelimit.Denial
 	// Refund returns the token of an admitted request that has not run and never will.
 	Refund(a routing.Account)
+	// TakeForServer takes a token for one request to a backend server, AwaitServer waits for one.
+	TakeForServer(l ratelimit.ServerLimit) bool
+	AwaitServer(ctx context.Context, l ratelimit.ServerLimit) *ratelimit.Denial
 }
 
 // Gateway is the HTTP handler of client requests.
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -44,8 +44,11 @@
 		if x.remaining() < minAttemptTime {
 			break
 		}
-		b := x.fleet.Acquire(fleet.Criteria{Service: x.service, Preferred: preferred, Exclude: x.triedBackends})
+		b, denial := x.acquireBackend(ctx, preferred)
 		if b == nil {
+			if denial != nil && last == nil {
+				last = limitedError(denial)
+			}
 			break
 		}
 		resp, err := x.attempt(ctx, b, body)
@@ -105,23 +108,6 @@
 		"backend server %s did not run the request: status %d", b.ID, status)
 }
 
-// observeLimit records the request limit that the server announces. Only the result of running a request tells that it
-// announces none, since refusals may come from an overloaded listener.
-func (x *exchange) observeLimit(b *fleet.Backend, resp *upstream.Response, sent time.Time) {
-	if !resp.HasRateLimit && !resp.Stamped {
-		return
-	}
-	l := fleet.RateLimit{Announced: resp.HasRateLimit, RequestsPerSecond: resp.RateLimit}
-	change, changed := x.fleet.ObserveLimit(b, l, sent)
-	if !changed {
-		return
-	}
-	klog.InfoS("backend server changed its request limit", "request", x.ID, "backend", b.ID, "address", b.Address,
-		"limited", change.After.Announced, "per_second", change.After.RequestsPerSecond, "limited_before",
-		change.Before.Announced, "per_second_before", change.Before.RequestsPerSecond, "limited_ms", change.For.Milliseconds(),
-		"sent", change.Sent)
-}
-
 func (x *exchange) markLeaving(b *fleet.Backend) {
 	if !x.fleet.IsLeaving(b) {
 		klog.InfoS("backend server announced that it is leaving", "request", x.ID, "backend", b.ID, "address", b.Address,
--- a/internal/ratelimit/account.go
+++ b/internal/ratelimit/account.go
@@ -11,7 +11,8 @@
 	expires time.Time
 }
 
-// accountState is what one instance holds of an account's tokens, and the requests that wait for more.
+// accountState is what one instance holds of the tokens of an account or a backend server, and the requests that wait for
+// more.
 type accountState struct {
 	batches []tokenBatch
 	waiters []*waiter
@@ -47,6 +48,13 @@
 	return false
 }
 
+// addWaiter adds a request to those that wait for a token.
+func (s *accountState) addWaiter(now time.Time) *waiter {
+	w := &waiter{granted: make(chan bool, 1), since: now}
+	s.waiters = append(s.waiters, w)
+	return w
+}
+
 func (s *accountState) takeToken(now time.Time) bool {
 	s.expire(now)
 	if len(s.batches) == 0 {
@@ -89,3 +97,17 @@
 	}
 	s.waiters = nil
 }
+
+// fillFallback fills the bucket of the instance's own share and hands out its whole tokens.
+func (s *accountState) fillFallback(rate, burst float64, now time.Time) {
+	if s.fallback.filled.IsZero() {
+		s.fallback.filled = now
+	}
+	s.fallback.tokens = min(s.fallback.tokens+rate*now.Sub(s.fallback.filled).Seconds(), max(burst, 1))
+	s.fallback.filled = now
+	if whole := int64(s.fallback.tokens); whole > 0 {
+		s.fallback.tokens -= float64(whole)
+		s.batches = append(s.batches, tokenBatch{tokens: whole, expires: now.Add(grantTTL)})
+		s.grantWaiters(now)
+	}
+}
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -61,6 +61,11 @@
 			return true
 		}
 	}
+	for _, s := range l.servers {
+		if len(s.waiters) > 0 {
+			return true
+		}
+	}
 	return false
 }
 
@@ -86,22 +91,41 @@
 	l.inFallback = false
 	l.lastResponse, l.servedBy, l.instances = l.now(), resp.Holder, int(resp.Instances)
 	for _, g := range resp.Grants {
-		s := l.state(g.Account)
-		s.fallback = bucket{}
-		s.retryAfter = time.Duration(g.RetryAfterMs) * time.Millisecond
-		s.newProgramsFrom = l.lastResponse.Add(time.Duration(g.ProgramsAfterMs) * time.Millisecond)
-		if g.Tokens > 0 {
-			// The time to live of a grant starts at the request, which is before the holder can have made the grant.
-			s.batches = append(s.batches, tokenBatch{tokens: g.Tokens, expires: sent.Add(grantTTL)})
-		}
-		s.grantWaiters(l.now())
-		if g.RetryAfterMs > 0 && s.retryAfter > maxWait {
-			s.refuseWaiters()
-		}
+		l.distribute(g, sent)
 	}
 	return true
 }
 
+// distribute hands the tokens of a grant to the requests that wait for them and keeps the rest. The time to live of a grant
+// starts when the request for it was sent, which is before the holder can have made it.
+func (l *Limiter) distribute(g *turnv1.Grant, sent time.Time) {
+	s := l.grantee(g)
+	if s == nil {
+		return
+	}
+	s.fallback = bucket{}
+	s.retryAfter = time.Duration(g.RetryAfterMs) * time.Millisecond
+	s.newProgramsFrom = l.lastResponse.Add(time.Duration(g.ProgramsAfterMs) * time.Millisecond)
+	if g.Tokens > 0 {
+		s.batches = append(s.batches, tokenBatch{tokens: g.Tokens, expires: sent.Add(grantTTL)})
+	}
+	s.grantWaiters(l.now())
+	if g.RetryAfterMs > 0 && s.retryAfter > maxWait {
+		s.refuseWaiters()
+	}
+}
+
+// grantee returns the state that a grant is for, or nil if it was dropped meanwhile.
+func (l *Limiter) grantee(g *turnv1.Grant) *accountState {
+	if g.Server == nil {
+		return l.state(g.Account)
+	}
+	if s := l.servers[Server{ID: g.Server.Id, Incarnation: g.Server.Incarnation}]; s != nil {
+		return &s.accountState
+	}
+	return nil
+}
+
 // currentHolder returns the current holder. While none is known it returns the last one, which may still serve.
 func (l *Limiter) currentHolder() string {
 	if a := l.client.Holder(); a != "" {
@@ -168,6 +192,7 @@
 		r.Demands = append(r.Demands, &turnv1.Demand{Account: name, Want: max(wanted, 0), Unused: s.unused})
 		s.unused = 0
 	}
+	r.Demands = append(r.Demands, l.serverDemands(now)...)
 	return r
 }
 
@@ -194,17 +219,10 @@
 		if !ok {
 			continue
 		}
-		if s.fallback.filled.IsZero() {
-			s.fallback.filled = now
-		}
-		s.fallback.tokens = min(s.fallback.tokens+a.RequestsPerSecond*fraction*now.Sub(s.fallback.filled).Seconds(),
-			max(a.Burst*fraction, 1))
-		s.fallback.filled = now
-		if whole := int64(s.fallback.tokens); whole > 0 {
-			s.fallback.tokens -= float64(whole)
-			s.batches = append(s.batches, tokenBatch{tokens: whole, expires: now.Add(grantTTL)})
-			s.grantWaiters(now)
-		}
+		s.fillFallback(a.RequestsPerSecond*fraction, a.Burst*fraction, now)
+	}
+	for _, s := range l.servers {
+		s.fillFallback(s.limit*fraction, serverBurst(s.limit)*fraction, now)
 	}
 }
 
--- a/internal/ratelimit/holder.go
+++ b/internal/ratelimit/holder.go
@@ -78,8 +78,10 @@
 	sinceContact func() time.Duration
 	now          func() time.Time
 
-	mu          sync.Mutex
-	buckets     map[string]*bucket
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	// servers holds the buckets of backend servers that limit their requests.
+	servers     map[Server]*bucket
 	lastRequest map[string]time.Time
 	// lastTake is the time of the last request of any instance; zero while another instance holds the buckets.
 	lastTake time.Time
@@ -99,7 +101,7 @@
 	return &BucketHolder{
 		configuration: configuration, members: members, self: self, holderState: holderState, sinceContact: sinceContact,
 		now:     time.Now,
-		buckets: map[string]*bucket{}, lastRequest: map[string]time.Time{},
+		buckets: map[string]*bucket{}, servers: map[Server]*bucket{}, lastRequest: map[string]time.Time{},
 	}
 }
 
@@ -124,7 +126,7 @@
 	now := h.now()
 	if now.Sub(h.lastTake) > activeWithin {
 		// The tokens that another holder granted meanwhile are unknown, so the new buckets start with few tokens.
-		h.buckets = map[string]*bucket{}
+		h.buckets, h.servers = map[string]*bucket{}, map[Server]*bucket{}
 	}
 	h.lastTake = now
 	for name, a := range c.Accounts {
@@ -138,6 +140,10 @@
 	share, known := h.share(now, append(r.Known, r.Instance))
 	resp := &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK, Holder: h.self, Instances: int32(known)}
 	for _, d := range r.Demands {
+		if d.Server != nil {
+			resp.Grants = append(resp.Grants, h.grantForServer(d, share, now))
+			continue
+		}
 		a, ok := c.Accounts[d.Account]
 		if !ok {
 			resp.Grants = append(resp.Grants, &turnv1.Grant{Account: d.Account})
@@ -198,20 +204,26 @@
 func (h *BucketHolder) grant(a routing.Account, d *turnv1.Demand, share float64, now time.Time) *turnv1.Grant {
 	b := h.buckets[a.Name]
 	rate, burst := a.RequestsPerSecond*share, max(bucketSize(a)*share, 1)
-	filled := b.tokens + rate*now.Sub(b.filled).Seconds() + float64(max(d.Unused, 0))
-	b.tokens = min(filled, max(burst, b.tokens))
-	b.filled = now
-	n := min(max(d.Want, 0), int64(b.tokens))
-	b.tokens -= float64(n)
-	g := &turnv1.Grant{Account: a.Name, Tokens: n}
+	g := b.grant(rate, burst, d, now)
+	g.Account = a.Name
 	if rate <= 0 {
 		return g
 	}
-	if n < d.Want {
-		g.RetryAfterMs = int64((1 - min(b.tokens, 0.999)) / rate * 1000)
-	}
 	if deficit := burst*programReserve - b.tokens; deficit > 0 && now.Sub(b.created) > warmUp {
 		g.ProgramsAfterMs = max(int64(deficit/rate*1000), 1)
 	}
 	return g
 }
+
+// grant fills the bucket up to now and takes tokens from it.
+func (b *bucket) grant(rate, burst float64, d *turnv1.Demand, now time.Time) *turnv1.Grant {
+	filled := b.tokens + rate*now.Sub(b.filled).Seconds() + float64(max(d.Unused, 0))
+	b.tokens = min(filled, max(burst, b.tokens))
+	b.filled = now
+	g := &turnv1.Grant{Tokens: min(max(d.Want, 0), int64(b.tokens))}
+	b.tokens -= float64(g.Tokens)
+	if g.Tokens < d.Want && rate > 0 {
+		g.RetryAfterMs = int64((1 - min(b.tokens, 0.999)) / rate * 1000)
+	}
+	return g
+}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -41,6 +41,8 @@
 
 	mu     sync.Mutex
 	states map[string]*accountState
+	// servers holds the state of backend servers that limit their requests.
+	servers map[Server]*serverState
 	// started is when the process started, lastResponse when a holder last responded.
 	started      time.Time
 	lastResponse time.Time
@@ -73,6 +75,7 @@
 	return &Limiter{
 		configuration: configuration, members: members, self: self, client: client, now: time.Now,
 		states:  map[string]*accountState{},
+		servers: map[Server]*serverState{},
 		started: time.Now(),
 		wake:    make(chan struct{}, 1),
 	}
@@ -102,9 +105,13 @@
 		}
 		return nil
 	}
-	w := &waiter{granted: make(chan bool, 1), since: now}
-	s.waiters = append(s.waiters, w)
+	w := s.addWaiter(now)
 	l.mu.Unlock()
+	return l.await(ctx, s, w)
+}
+
+// await waits until the waiter gets a token or is refused.
+func (l *Limiter) await(ctx context.Context, s *accountState, w *waiter) *Denial {
 	l.requestExchange()
 	if w.wait(ctx, maxWait) || !l.respondedSince(w.since) && w.wait(ctx, maxWaitWithoutHolder-maxWait) {
 		return nil
