instance: reproduce an instance that is cut off from all servers serving nothing

Three instances in one process, one of which loses the way to every backend server: silently, or so that new connections are refused. From 3 s on it serves none of its first attempts in both cases, where two thirds are asked for.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -78,6 +78,8 @@
 	feedClient  *feed.Client
 	pool        *peer.Pool
 	backendPool *upstream.Pool
+	// dialBackend opens connections to backend servers directly.
+	dialBackend upstream.DialFunc
 	metrics     *prometheus.Registry
 	// listening is set once clients can connect, closing once shutdown has begun.
 	listening, closing atomic.Bool
@@ -91,9 +93,12 @@
 func New(ctx context.Context, s platform.Settings) *Instance {
 	i := &Instance{
 		settings: s, startID: uuid.NewString(), self: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort)),
-		fleet: fleet.New(s.DataCentre, s.DrainPeriod), pool: peer.NewPool(net.ParseIP(s.IP)), backendPool: upstream.NewPool(),
-		metrics: prometheus.NewRegistry(),
+		fleet: fleet.New(s.DataCentre, s.DrainPeriod), pool: peer.NewPool(net.ParseIP(s.IP)),
+		dialBackend: upstream.Dial, metrics: prometheus.NewRegistry(),
 	}
+	i.backendPool = upstream.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+		return i.dialBackend(ctx, address)
+	})
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
 	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
 	store := platform.NewStore(i.transport)
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -40,6 +40,8 @@
 	llm   *runner.Server
 	tools []*runner.Server
 	nodes []*node
+	// prepare, if not nil, is called for each instance before it runs.
+	prepare func(*Instance)
 }
 
 var nextIP atomic.Int32
@@ -97,6 +99,9 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Instance: New(ctx, settings), url: "http://" + settings.ClientAddress, stop: cancel, done: make(chan struct{})}
+	if s.prepare != nil {
+		s.prepare(n.Instance)
+	}
 	go func() {
 		defer close(n.done)
 		if err := n.Run(ctx, 0); err != nil {
--- /dev/null
+++ b/internal/instance/path_test.go
@@ -0,0 +1,118 @@
+package instance
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/upstream"
+)
+
+// partition cuts an instance off from every backend server.
+type partition struct {
+	// silent loses packets on every connection; refuses lets open connections live on and refuses new ones.
+	silent, refuses atomic.Bool
+}
+
+// lostPacketTimeout is how long the kernel waits for lost packets to be acknowledged.
+const lostPacketTimeout = 2 * time.Second
+
+func (p *partition) dial(ctx context.Context, address string) (net.Conn, error) {
+	switch {
+	case p.silent.Load():
+		ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case p.refuses.Load():
+		return nil, syscall.ECONNREFUSED
+	}
+	c, err := upstream.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &partitionedConn{TCPConn: c.(*net.TCPConn), partition: p}, nil
+}
+
+type partitionedConn struct {
+	*net.TCPConn
+	partition *partition
+}
+
+func (c *partitionedConn) Write(b []byte) (int, error) {
+	if !c.partition.silent.Load() {
+		return c.TCPConn.Write(b)
+	}
+	time.AfterFunc(lostPacketTimeout, func() { c.TCPConn.Close() })
+	return len(b), nil
+}
+
+// partitionedSite has three instances, the first of which can be cut off from the backend servers.
+func partitionedSite(t *testing.T) (*site, *partition) {
+	s, p := newSite(t), &partition{}
+	s.prepare = func(i *Instance) { i.dialBackend = p.dial }
+	s.start()
+	s.prepare = nil
+	s.start()
+	s.start()
+	return s, p
+}
+
+// servedShare sends calls and turns to an instance for a while, several at a time, and returns the share of first attempts
+// that were served.
+func (s *site) servedShare(n *node, duration time.Duration) float64 {
+	var served, all atomic.Int64
+	done := make(chan struct{})
+	const clients = 6
+	for i := range clients {
+		go func() {
+			defer func() { done <- struct{}{} }()
+			path := []string{"/read/x", "/pay/x", "/chat/x"}[i%3]
+			for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+				all.Add(1)
+				if a := s.do(n, call{path: path}); a.status == http.StatusOK && !a.broken {
+					served.Add(1)
+				}
+			}
+		}()
+	}
+	for range clients {
+		<-done
+	}
+	return float64(served.Load()) / float64(all.Load())
+}
+
+// contactTolerance is the time within which the platform expects an instance to have noticed a partition.
+const contactTolerance = 3 * time.Second
+
+// Guards against the callers of an instance that has lost the way to every server being served far worse than the others.
+func TestInstanceCutOffFromAllServersStillServesItsCallers(t *testing.T) {
+	for name, cut := range map[string]func(*partition, bool){
+		"silent":  func(p *partition, on bool) { p.silent.Store(on) },
+		"refuses": func(p *partition, on bool) { p.refuses.Store(on) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s, p := partitionedSite(t)
+			n := s.nodes[0]
+			s.turn(n, call{path: "/chat/x"})
+			is.Equal(s.servedShare(n, time.Second), 1.0)
+			cut(p, true)
+			n.backendPool.Close() // the server closes idle connections some day
+			first := s.servedShare(n, contactTolerance)
+			share := s.servedShare(n, 2*time.Second)
+			t.Logf("served %.2f of the first attempts in the first seconds, then %.2f", first, share)
+			is.True(share >= 2.0/3)
+			is.True(n.Ready())
+			cut(p, false)
+			time.Sleep(time.Second)
+			is.Equal(s.servedShare(n, time.Second), 1.0)
+		})
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -52,12 +52,9 @@
 	},
 }
 
-func dial(ctx context.Context, address string) (*conn, error) {
-	c, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "connecting to %s", address)
-	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+// Dial opens a connection to a backend server directly.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // isReusable reports whether an idle connection is still open and has nothing to read. Bytes that arrive without a
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -81,15 +82,22 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
+// DialFunc opens a connection to a backend server.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
+	dial DialFunc
+
 	mu   sync.Mutex
 	idle map[string][]*conn
 	now  func() time.Time
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*conn{}, now: time.Now} }
+// NewPool returns an empty pool that opens connections with dial.
+func NewPool(dial DialFunc) *Pool {
+	return &Pool{dial: dial, idle: map[string][]*conn{}, now: time.Now}
+}
 
 // Do sends a request and returns once the headers of the response have arrived. The caller must close the response.
 // When the context ends, the connection is closed, even while the body is being read. An error is an *Error.
@@ -217,7 +225,7 @@
 	for {
 		c := p.getIdle(address)
 		if c == nil {
-			return dial(ctx, address)
+			return p.open(ctx, address)
 		}
 		if c.isReusable() {
 			return c, nil
@@ -226,6 +234,14 @@
 	}
 }
 
+func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connecting to %s", address)
+	}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+}
+
 func (p *Pool) getIdle(address string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -71,7 +71,7 @@
 
 func TestConnectionIsReused(t *testing.T) {
 	is := is.New(t)
-	p := NewPool()
+	p := NewPool(Dial)
 	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
 		for {
 			id, more := readRequest(br)
@@ -90,7 +90,7 @@
 
 func TestMismatchedResponseIsSkipped(t *testing.T) {
 	is := is.New(t)
-	p := NewPool()
+	p := NewPool(Dial)
 	address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
 		id, _ := readRequest(br)
 		fmt.Fprint(c, okResponse("another", "not yours"), okResponse(id, "yours"))
@@ -114,7 +114,7 @@
 			readRequest(br)
 			fmt.Fprint(c, tc.script)
 		})
-		resp, err := NewPool().Do(t.Context(), address, request("r1"))
+		resp, err := NewPool(Dial).Do(t.Context(), address, request("r1"))
 		is.NoErr(err)
 		is.Equal(resp.Leaving, tc.want)
 		resp.Close(true)
@@ -123,7 +123,7 @@
 
 func TestConnectionWithTrailingBytesIsNotReused(t *testing.T) {
 	is := is.New(t)
-	p := NewPool()
+	p := NewPool(Dial)
 	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
 		for {
 			id, more := readRequest(br)
@@ -147,7 +147,7 @@
 
 func TestConnectionClosedByServerIsNotReused(t *testing.T) {
 	is := is.New(t)
-	p := NewPool()
+	p := NewPool(Dial)
 	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
 		id, _ := readRequest(br)
 		fmt.Fprint(c, okResponse(id, fmt.Sprint(n)))
@@ -162,7 +162,7 @@
 
 func TestConnectionIsNotReusedAfterEarlyResponse(t *testing.T) {
 	is := is.New(t)
-	p := NewPool()
+	p := NewPool(Dial)
 	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
 		if n == 0 {
 			r, err := http.ReadRequest(br)
@@ -215,7 +215,7 @@
 			is := is.New(t)
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
-			_, err := NewPool().Do(ctx, c.address, request("r1"))
+			_, err := NewPool(Dial).Do(ctx, c.address, request("r1"))
 			var ue *Error
 			is.True(errors.As(err, &ue))
 			is.Equal(ue.Verdict, c.want)
@@ -230,7 +230,7 @@
 			id, _ := readRequest(br)
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s", id, head)
 		})
-		_, err := get(t, NewPool(), address, "r1")
+		_, err := get(t, NewPool(Dial), address, "r1")
 		is.True(err != nil)
 	}
 }
@@ -246,7 +246,7 @@
 	})
 	r := request("r1")
 	r.Target = "/a//b/../c?x=%20&y"
-	_, err := NewPool().Do(t.Context(), address, r)
+	_, err := NewPool(Dial).Do(t.Context(), address, r)
 	is.NoErr(err)
 	text := <-got
 	is.True(strings.HasPrefix(text, "POST /a//b/../c?x=%20&y HTTP/1.1\r\nHost: h\r\n"))
