backendpath, tunnel: reach backend servers through peers while the own way to them is lost

Cause: an instance took each server for itself. It could not tell the loss of all from the loss of one, tried up to five servers for half a second each, and had no other way, though its peers reached them all. Class of fault: a failure of the observer's own link charged to each of the things observed.

When a connection fails and none has succeeded since it was begun, the instance now connects to three other servers at the same time. If all fail, the way is lost: connections are then opened as byte tunnels through a peer that has one, without waiting for direct attempts, and one server every half second is tried directly until the way is back. Idle connections from before the loss are not used, as they may be dead. Requests, deadlines and verdicts stay with the instance that has the client. A tunnel ends in order only if the server closed its connection in order; a stopping peer takes no new tunnels and carries the others to their end. The headers are made once the connection is open, so that the deadline they give to the server has no time of connecting in it.

Ruled out: reporting not ready. Forwarding whole requests to a peer: the verdict of a request would depend on two instances.

TestPeerThatStopsCarriesItsTunnelsToTheirEnd fails without the wait at the stop. The instances take 1.1 to 2 s to be sure; the programs of these seconds are what is still lost.

--- /dev/null
+++ b/internal/backendpath/backendpath_test.go
@@ -0,0 +1,111 @@
+package backendpath
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+)
+
+var errRefused = errors.New("refused")
+
+// network is a set of servers, some of which can't be reached directly.
+type network struct {
+	mu      sync.Mutex
+	down    map[string]bool
+	dials   []string
+	relayed []string
+}
+
+func (n *network) set(down bool, addresses ...string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, a := range addresses {
+		n.down[a] = down
+	}
+}
+
+func (n *network) direct(_ context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dials = append(n.dials, address)
+	if n.down[address] {
+		return nil, errRefused
+	}
+	a, _ := net.Pipe()
+	return a, nil
+}
+
+func (n *network) relay(_ context.Context, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.relayed = append(n.relayed, address)
+	a, _ := net.Pipe()
+	return a, nil
+}
+
+func newNetwork(t *testing.T, servers ...string) (*network, *Dialer) {
+	n := &network{down: map[string]bool{}}
+	return n, New(t.Context(), n.direct, n.relay, func() []string { return slices.Clone(servers) })
+}
+
+func TestOneUnreachableServerIsNotALostPath(t *testing.T) {
+	is := is.New(t)
+	n, d := newNetwork(t, "a", "b", "c")
+	n.set(true, "a")
+	_, err := d.Dial(t.Context(), "a")
+	is.True(errors.Is(err, errRefused))
+	is.True(!errors.Is(err, ErrLost))
+	is.True(d.LostSince().IsZero())
+	is.Equal(len(n.relayed), 0)
+}
+
+func TestLostPathIsRelayedUntilItIsBack(t *testing.T) {
+	is := is.New(t)
+	n, d := newNetwork(t, "a", "b", "c")
+	n.set(true, "a", "b", "c")
+	_, err := d.Dial(t.Context(), "a")
+	is.NoErr(err)
+	is.True(!d.LostSince().IsZero())
+	n.mu.Lock()
+	direct := len(n.dials)
+	n.mu.Unlock()
+	_, err = d.Dial(t.Context(), "b")
+	is.NoErr(err)
+	_, err = d.DialDirect(t.Context(), "b")
+	is.True(errors.Is(err, ErrLost)) // peers are told at once
+	n.mu.Lock()
+	is.Equal(n.relayed, []string{"a", "b"})
+	is.Equal(len(n.dials), direct) // no request waits for a direct connection
+	n.mu.Unlock()
+	n.set(false, "a", "b", "c")
+	for deadline := time.Now().Add(5 * probeInterval); !d.LostSince().IsZero(); time.Sleep(10 * time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // regained
+	}
+	_, err = d.DialDirect(t.Context(), "a")
+	is.NoErr(err)
+}
+
+func TestFailureDuringASuccessElsewhereNeedsNoCheck(t *testing.T) {
+	is := is.New(t)
+	n, d := newNetwork(t, "a", "b", "c")
+	start := d.now()
+	_, err := d.Dial(t.Context(), "b")
+	is.NoErr(err)
+	is.True(!d.isLost(t.Context(), "a", start.Add(-time.Millisecond)))
+	is.Equal(n.dials, []string{"b"})
+}
+
+func TestOnlyServerThatFailsIsNotALostPath(t *testing.T) {
+	is := is.New(t)
+	n, d := newNetwork(t, "a")
+	n.set(true, "a")
+	_, err := d.Dial(t.Context(), "a")
+	is.True(errors.Is(err, errRefused))
+	is.True(d.LostSince().IsZero())
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -154,6 +154,31 @@
 	return out
 }
 
+// Addresses returns the addresses of the servers that are not draining.
+func (f *Fleet) Addresses() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := make([]string, 0, len(f.byID))
+	for _, b := range f.byID {
+		if !b.Draining {
+			out = append(out, b.Address)
+		}
+	}
+	return out
+}
+
+// HasAddress reports whether a server has the address.
+func (f *Fleet) HasAddress(address string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, b := range f.byID {
+		if b.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // Criteria holds the criteria for picking a server.
 type Criteria struct {
 	Service string
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -127,6 +127,8 @@
 	headersSent bool
 	// service and backend name the service and the backend server of the last attempt.
 	service, backend string
+	// via is the peer address of the instance through which the last response came; empty if it came directly.
+	via string
 }
 
 // ServeHTTP implements http.Handler.
@@ -311,6 +313,9 @@
 	if x.Program != "" {
 		f = append(f, "program", x.Program)
 	}
+	if x.via != "" {
+		f = append(f, "via", x.via)
+	}
 	return f
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -73,9 +73,11 @@
 	sent := x.now()
 	resp, err := x.servers.Do(ctx, b.Address, upstream.Request{
 		ID: x.ID, Method: x.r.Method, Target: x.target, Host: x.r.Host, Body: body,
-		Header: platform.ForwardHeaders(x.r.Header, platform.ForwardOptions{
-			Backend: b.ID, Account: x.account.Name, Deadline: x.remaining(),
-		}),
+		Header: func() http.Header {
+			return platform.ForwardHeaders(x.r.Header, platform.ForwardOptions{
+				Backend: b.ID, Account: x.account.Name, Deadline: x.remaining(),
+			})
+		},
 	})
 	if err != nil {
 		x.fleet.Release(b, ctx.Err() == nil)
@@ -92,7 +94,7 @@
 		}
 	}
 	x.sends++
-	x.backend = b.ID
+	x.backend, x.via = b.ID, resp.Via
 	if resp.Leaving {
 		x.markLeaving(b)
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendpath"
 	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/gateway"
@@ -26,6 +27,7 @@
 	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/storetransport"
 	"github.com/berylpond/berylpond/internal/storewatch"
+	"github.com/berylpond/berylpond/internal/tunnel"
 	"github.com/berylpond/berylpond/internal/turnclient"
 	"github.com/berylpond/berylpond/internal/turnlog"
 	"github.com/berylpond/berylpond/internal/upstream"
@@ -78,8 +80,10 @@
 	feedClient  *feed.Client
 	pool        *peer.Pool
 	backendPool *upstream.Pool
+	backendPath *backendpath.Dialer
 	// dialBackend opens connections to backend servers directly.
-	dialBackend upstream.DialFunc
+	dialBackend backendpath.DialFunc
+	tunnels     *tunnel.Server
 	metrics     *prometheus.Registry
 	// listening is set once clients can connect, closing once shutdown has begun.
 	listening, closing atomic.Bool
@@ -96,9 +100,11 @@
 		fleet: fleet.New(s.DataCentre, s.DrainPeriod), pool: peer.NewPool(net.ParseIP(s.IP)),
 		dialBackend: upstream.Dial, metrics: prometheus.NewRegistry(),
 	}
-	i.backendPool = upstream.NewPool(func(ctx context.Context, address string) (net.Conn, error) {
+	i.backendPath = backendpath.New(ctx, func(ctx context.Context, address string) (net.Conn, error) {
 		return i.dialBackend(ctx, address)
-	})
+	}, tunnel.NewClient(i.pool, i.peers).Dial, i.fleet.Addresses)
+	i.backendPool = upstream.NewPool(i.backendPath)
+	i.tunnels = tunnel.NewServer(i.backendPath.DialDirect, i.fleet.HasAddress, i.closing.Load)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
 	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
 	store := platform.NewStore(i.transport)
@@ -252,6 +258,7 @@
 		} else {
 			i.gateway.WaitForReports()
 		}
+		i.tunnels.Wait(ctx)
 	}
 	klog.InfoS("stopped", "took_ms", time.Since(start).Milliseconds())
 	klog.Flush()
@@ -266,6 +273,7 @@
 	turnv1.RegisterTurnsServer(s, i.owner)
 	turnv1.RegisterRatesServer(s, i.holder)
 	turnv1.RegisterRelayServer(s, &relay{i: i})
+	turnv1.RegisterTunnelsServer(s, i.tunnels)
 	go func() {
 		if err := s.Serve(l); err != nil {
 			failed <- errors.Wrap(err, "serving peers")
--- a/internal/instance/path_test.go
+++ b/internal/instance/path_test.go
@@ -116,3 +116,53 @@
 		})
 	}
 }
+
+// Guards against a response that breaks off in a tunnel reaching the caller as a whole one.
+func TestCloseDelimitedResponseThroughAPeerIsWholeOrVisiblyBroken(t *testing.T) {
+	is := is.New(t)
+	s, p := partitionedSite(t)
+	n := s.nodes[0]
+	var reset atomic.Bool
+	for _, b := range s.tools {
+		b.Handler = func(w http.ResponseWriter, r *http.Request, _ string) bool {
+			c, rw, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				return false
+			}
+			rw.WriteString("HTTP/1.1 200 OK\r\nRequest-Id: " + r.Header.Get("Request-Id") + "\r\nResponse-Stamp: s\r\n\r\nwhole")
+			rw.Flush()
+			if reset.Load() {
+				time.Sleep(50 * time.Millisecond)
+				c.(*net.TCPConn).SetLinger(0)
+			}
+			c.Close()
+			return true
+		}
+	}
+	p.refuses.Store(true)
+	a := s.do(n, call{path: "/pay/x"})
+	is.Equal(a.status, http.StatusOK)
+	is.Equal(a.body, "whole")
+	is.True(!n.backendPath.LostSince().IsZero()) // it came through a peer
+	reset.Store(true)
+	is.Equal(s.do(n, call{path: "/pay/x"}).status, http.StatusBadGateway)
+}
+
+// Guards against the planned stop of a peer cutting the streams that it carries for an instance without a way of its own.
+func TestPeerThatStopsCarriesItsTunnelsToTheirEnd(t *testing.T) {
+	is := is.New(t)
+	s, p := partitionedSite(t)
+	p.refuses.Store(true)
+	// The stream outlasts the time for which a stopping instance takes new connections.
+	s.llm.EventInterval = 950 * time.Millisecond
+	done := make(chan response)
+	go func() { done <- s.do(s.nodes[0], call{path: "/quote/x"}) }()
+	s.eventually("the stream has begun", func() bool { return len(s.llm.Executions()) == 1 })
+	for _, n := range s.nodes[1:] {
+		n.stop()
+	}
+	a := <-done
+	is.Equal(a.status, http.StatusOK)
+	is.True(!a.broken)
+	is.True(!s.llm.Executions()[0].Cancelled)
+}
--- /dev/null
+++ b/internal/tunnel/server.go
@@ -0,0 +1,116 @@
+// Package tunnel carries connections to backend servers through another instance, for instances that have lost their own
+// way to the servers. Requests, deadlines and verdicts stay with the instance that opens the tunnel; the other one copies
+// bytes.
+package tunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+	"k8s.io/klog/v2"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendpath"
+)
+
+// chunkBytes is the largest number of bytes in one message.
+const chunkBytes = 16 << 10
+
+// Server serves the gRPC service Tunnels.
+type Server struct {
+	turnv1.UnimplementedTunnelsServer
+	// dial connects to a backend server directly. An error that is backendpath.ErrLost means that no server can be reached.
+	dial backendpath.DialFunc
+	// isServer reports whether an address is that of a registered backend server.
+	isServer func(address string) bool
+	// draining reports whether the instance is shutting down.
+	draining func() bool
+	open     sync.WaitGroup
+}
+
+// NewServer returns a server that connects with dial to addresses for which isServer is true, until the instance drains.
+func NewServer(dial backendpath.DialFunc, isServer func(address string) bool, draining func() bool) *Server {
+	return &Server{dial: dial, isServer: isServer, draining: draining}
+}
+
+// Wait waits until every tunnel is closed or the context ends. It must be called while the instance is draining.
+func (s *Server) Wait(ctx context.Context) {
+	closed := make(chan struct{})
+	go func() {
+		s.open.Wait()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-ctx.Done():
+		klog.InfoS("tunnels of other instances are still open at the end of the grace period")
+	}
+}
+
+// Open implements turnv1.TunnelsServer.
+func (s *Server) Open(stream turnv1.Tunnels_OpenServer) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return err
+	}
+	s.open.Add(1)
+	defer s.open.Done()
+	switch {
+	case s.draining():
+		return status.Error(codes.Unavailable, "the instance is shutting down")
+	case !s.isServer(first.Address):
+		return status.Errorf(codes.Unavailable, "%s is no known backend server", first.Address)
+	}
+	c, err := s.dial(stream.Context(), first.Address)
+	if errors.Is(err, backendpath.ErrLost) {
+		return status.Error(codes.Unavailable, err.Error())
+	}
+	if err != nil {
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	defer c.Close()
+	if err := stream.Send(&turnv1.TunnelResponse{}); err != nil {
+		return err
+	}
+	go copyToServer(c, stream)
+	return copyFromServer(stream, c)
+}
+
+// copyToServer closes the connection once the other instance closes the tunnel, so that the server notices.
+func copyToServer(c net.Conn, stream turnv1.Tunnels_OpenServer) {
+	defer c.Close()
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if _, err := c.Write(m.Data); err != nil {
+			klog.V(1).InfoS("writing to a backend server for another instance failed", "cause", err.Error())
+			return
+		}
+	}
+}
+
+// copyFromServer returns nil only if the server has closed the connection in order.
+func copyFromServer(stream turnv1.Tunnels_OpenServer, c net.Conn) error {
+	buf := make([]byte, chunkBytes)
+	for {
+		n, err := c.Read(buf)
+		if n > 0 {
+			if err := stream.Send(&turnv1.TunnelResponse{Data: buf[:n]}); err != nil {
+				return err
+			}
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return status.Error(codes.Aborted, err.Error())
+		}
+	}
+}
--- /dev/null
+++ b/internal/tunnel/tunnel_test.go
@@ -0,0 +1,187 @@
+package tunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendpath"
+	"github.com/berylpond/berylpond/internal/peer"
+)
+
+// carrier is an instance that carries tunnels.
+type carrier struct {
+	*Server
+	address  string
+	rpc      *grpc.Server
+	draining atomic.Bool
+}
+
+func startCarrier(t *testing.T, dial backendpath.DialFunc, known ...string) *carrier {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &carrier{address: l.Addr().String(), rpc: peer.NewServer()}
+	c.Server = NewServer(dial, func(a string) bool {
+		for _, k := range known {
+			if a == k {
+				return true
+			}
+		}
+		return false
+	}, c.draining.Load)
+	turnv1.RegisterTunnelsServer(c.rpc, c.Server)
+	go c.rpc.Serve(l)
+	t.Cleanup(c.rpc.Stop)
+	return c
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
+func newClient(t *testing.T, peers ...string) *Client {
+	pool := peer.NewPool(nil)
+	t.Cleanup(pool.Close)
+	return NewClient(pool, func() []string { return append([]string(nil), peers...) })
+}
+
+// startBackend runs script for each connection.
+func startBackend(t *testing.T, script func(*net.TCPConn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go script(c.(*net.TCPConn))
+		}
+	}()
+	return l.Addr().String()
+}
+
+func TestTunnelCopiesBothWaysAndTellsAnOrderlyEnd(t *testing.T) {
+	is := is.New(t)
+	const size = 5 * chunkBytes / 2
+	backend := startBackend(t, func(c *net.TCPConn) {
+		defer c.Close()
+		if _, err := io.CopyN(c, c, size); err != nil {
+			t.Error(err)
+		}
+	})
+	client := newClient(t, startCarrier(t, dialTCP, backend).address)
+	c, err := client.Dial(t.Context(), backend)
+	is.NoErr(err)
+	sent := make([]byte, size)
+	for i := range sent {
+		sent[i] = byte(i * 7)
+	}
+	go c.Write(sent)
+	got, err := io.ReadAll(c)
+	is.NoErr(err)
+	is.Equal(got, sent)
+}
+
+func TestBrokenConnectionIsNoOrderlyEnd(t *testing.T) {
+	is := is.New(t)
+	received := make(chan struct{})
+	reset := startBackend(t, func(c *net.TCPConn) {
+		c.Write([]byte("part"))
+		c.SetLinger(0)
+		c.Close()
+	})
+	silent := startBackend(t, func(c *net.TCPConn) {
+		c.Write([]byte("part"))
+		<-received
+		c.Close()
+	})
+	for _, backend := range []string{reset, silent} {
+		carrier := startCarrier(t, dialTCP, backend)
+		c, err := newClient(t, carrier.address).Dial(t.Context(), backend)
+		is.NoErr(err)
+		if backend == silent {
+			_, err = io.ReadFull(c, make([]byte, len("part")))
+			is.NoErr(err)
+			carrier.rpc.Stop()
+			close(received)
+		}
+		_, err = io.ReadAll(c)
+		is.True(err != nil) // the server resets the connection, then the carrier ends
+	}
+}
+
+func TestClosedTunnelClosesTheConnectionToTheServer(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	backend := startBackend(t, func(c *net.TCPConn) {
+		io.Copy(io.Discard, c)
+		close(closed)
+	})
+	carrier := startCarrier(t, dialTCP, backend)
+	client := newClient(t, carrier.address)
+	c, err := client.Dial(t.Context(), backend)
+	is.NoErr(err)
+	is.NoErr(c.SetDeadline(time.Now().Add(50 * time.Millisecond)))
+	select {
+	case <-closed:
+	case <-time.After(2 * time.Second):
+		t.Fatal("the connection is still open after the deadline")
+	}
+	carrier.draining.Store(true)
+	carrier.Wait(t.Context())
+	_, err = client.Dial(t.Context(), backend)
+	is.True(err != nil) // the peer is draining
+}
+
+func TestPeersWithoutAWayArePassedOver(t *testing.T) {
+	is := is.New(t)
+	backend := startBackend(t, func(c *net.TCPConn) { c.Close() })
+	var asked atomic.Int32
+	lost := func(context.Context, string) (net.Conn, error) {
+		asked.Add(1)
+		return nil, backendpath.ErrLost
+	}
+	client := newClient(t, startCarrier(t, lost, backend).address, startCarrier(t, lost, backend).address,
+		startCarrier(t, dialTCP, backend).address)
+	for range 20 {
+		c, err := client.Dial(t.Context(), backend)
+		is.NoErr(err)
+		c.Close()
+	}
+	is.True(asked.Load() <= 2) // each is asked at most once a second
+}
+
+func TestServerThatRefusesIsNotTriedThroughEveryPeer(t *testing.T) {
+	is := is.New(t)
+	var asked atomic.Int32
+	refuse := func(context.Context, string) (net.Conn, error) {
+		asked.Add(1)
+		return nil, errors.New("connection refused")
+	}
+	client := newClient(t, startCarrier(t, refuse, "10.0.0.1:80").address, startCarrier(t, refuse, "10.0.0.1:80").address)
+	_, err := client.Dial(t.Context(), "10.0.0.1:80")
+	is.True(err != nil)
+	is.Equal(asked.Load(), int32(1))
+}
+
+func TestOnlyRegisteredServersAreReached(t *testing.T) {
+	is := is.New(t)
+	carrier := startCarrier(t, dialTCP, "10.0.0.1:80")
+	_, err := newClient(t, carrier.address).Dial(t.Context(), carrier.address)
+	is.True(err != nil)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -36,6 +36,9 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// used is when the last response on the idle connection ended. If the direct way to the servers was lost after that, the
+	// connection may be dead.
+	used time.Time
 	// expires is the time after which the idle connection must not be reused.
 	expires time.Time
 }
@@ -57,6 +60,14 @@
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
+// via returns the peer address of the instance that the connection goes through, or "".
+func (c *conn) via() string {
+	if v, ok := c.Conn.(interface{ Via() string }); ok {
+		return v.Via()
+	}
+	return ""
+}
+
 // isReusable reports whether an idle connection is still open and has nothing to read. Bytes that arrive without a
 // request in flight belong to no request, and a connection that the server has closed would lose the next request.
 func (c *conn) isReusable() bool {
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -44,7 +45,8 @@
 	// Target is the path and query as the client sent them.
 	Target string
 	Host   string
-	Header http.Header
+	// Header returns the headers. It is called once the connection is open, as they say how much time is left.
+	Header func() http.Header
 	Body   []byte
 }
 
@@ -57,6 +59,8 @@
 	// its Content-Length says.
 	Length int64
 	Body   io.Reader
+	// Via is the peer address of the instance that the connection goes through; empty if it is direct.
+	Via string
 
 	pool    *Pool
 	conn    *conn
@@ -82,22 +86,25 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// DialFunc opens a connection to a backend server.
-type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+// Path opens connections to backend servers.
+type Path interface {
+	// Dial opens a connection that lasts at least until the context ends.
+	Dial(ctx context.Context, address string) (net.Conn, error)
+	// LostSince returns when this instance lost the direct way to the servers; zero while it has one.
+	LostSince() time.Time
+}
 
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
 type Pool struct {
-	dial DialFunc
+	path Path
 
 	mu   sync.Mutex
 	idle map[string][]*conn
 	now  func() time.Time
 }
 
-// NewPool returns an empty pool that opens connections with dial.
-func NewPool(dial DialFunc) *Pool {
-	return &Pool{dial: dial, idle: map[string][]*conn{}, now: time.Now}
-}
+// NewPool returns an empty pool.
+func NewPool(p Path) *Pool { return &Pool{path: p, idle: map[string][]*conn{}, now: time.Now} }
 
 // Do sends a request and returns once the headers of the response have arrived. The caller must close the response.
 // When the context ends, the connection is closed, even while the body is being read. An error is an *Error.
@@ -153,7 +160,7 @@
 			}
 			return &Response{
 				Status: resp.StatusCode, Header: resp.Header, Response: decoded, Length: length, Body: resp.Body,
-				conn: c, resp: resp, written: written,
+				Via: c.via(), conn: c, resp: resp, written: written,
 			}, nil
 		}
 		skippedLeaving = skippedLeaving || decoded.Leaving
@@ -181,7 +188,7 @@
 	for _, s := range []string{r.Method, " ", r.Target, " HTTP/1.1\r\nHost: ", r.Host, "\r\n"} {
 		w.WriteString(s)
 	}
-	if err := r.Header.WriteSubset(w, map[string]bool{"Host": true, "Content-Length": true}); err != nil {
+	if err := r.Header().WriteSubset(w, map[string]bool{"Host": true, "Content-Length": true}); err != nil {
 		return err
 	}
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
@@ -227,7 +234,7 @@
 		if c == nil {
 			return p.open(ctx, address)
 		}
-		if c.isReusable() {
+		if c.used.After(p.path.LostSince()) && c.isReusable() {
 			return c, nil
 		}
 		c.Close()
@@ -235,7 +242,7 @@
 }
 
 func (p *Pool) open(ctx context.Context, address string) (*conn, error) {
-	c, err := p.dial(ctx, address)
+	c, err := p.path.Dial(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "connecting to %s", address)
 	}
@@ -268,7 +275,7 @@
 	if serverTimeout > 0 {
 		ttl = serverTimeout - idleMargin
 	}
-	if ttl <= 0 {
+	if _, ok := c.Conn.(syscall.Conn); !ok || ttl <= 0 {
 		c.Close()
 		return
 	}
@@ -276,7 +283,8 @@
 		c.Close()
 		return
 	}
-	c.expires = p.now().Add(ttl)
+	c.used = p.now()
+	c.expires = c.used.Add(ttl)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[address]) >= maxIdlePerServer {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -48,12 +48,21 @@
 	return r.Header.Get("Request-Id"), err == nil
 }
 
+// directPath never loses the way to the servers.
+type directPath struct{}
+
+func (directPath) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return Dial(ctx, address)
+}
+
+func (directPath) LostSince() time.Time { return time.Time{} }
+
 func okResponse(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
 
 func request(id string) Request {
-	return Request{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{"Request-Id": {id}}, Body: []byte("b")}
+	return Request{ID: id, Method: http.MethodPost, Target: "/x", Host: "h", Header: func() http.Header { return http.Header{"Request-Id": {id}} }, Body: []byte("b")}
 }
 
 func get(t *testing.T, p *Pool, address, id string) (string, error) {
@@ -71,7 +80,7 @@
 
 func TestConnectionIsReused(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(Dial)
+	p := NewPool(directPath{})
 	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
 		for {
 			id, more := readRequest(br)
@@ -90,7 +99,7 @@
 
 func TestMismatchedResponseIsSkipped(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(Dial)
+	p := NewPool(directPath{})
 	address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
 		id, _ := readRequest(br)
 		fmt.Fprint(c, okResponse("another", "not yours"), okResponse(id, "yours"))
@@ -114,7 +123,7 @@
 			readRequest(br)
 			fmt.Fprint(c, tc.script)
 		})
-		resp, err := NewPool(Dial).Do(t.Context(), address, request("r1"))
+		resp, err := NewPool(directPath{}).Do(t.Context(), address, request("r1"))
 		is.NoErr(err)
 		is.Equal(resp.Leaving, tc.want)
 		resp.Close(true)
@@ -123,7 +132,7 @@
 
 func TestConnectionWithTrailingBytesIsNotReused(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(Dial)
+	p := NewPool(directPath{})
 	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
 		for {
 			id, more := readRequest(br)
@@ -147,7 +156,7 @@
 
 func TestConnectionClosedByServerIsNotReused(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(Dial)
+	p := NewPool(directPath{})
 	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
 		id, _ := readRequest(br)
 		fmt.Fprint(c, okResponse(id, fmt.Sprint(n)))
@@ -162,7 +171,7 @@
 
 func TestConnectionIsNotReusedAfterEarlyResponse(t *testing.T) {
 	is := is.New(t)
-	p := NewPool(Dial)
+	p := NewPool(directPath{})
 	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
 		if n == 0 {
 			r, err := http.ReadRequest(br)
@@ -215,7 +224,7 @@
 			is := is.New(t)
 			ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 			defer cancel()
-			_, err := NewPool(Dial).Do(ctx, c.address, request("r1"))
+			_, err := NewPool(directPath{}).Do(ctx, c.address, request("r1"))
 			var ue *Error
 			is.True(errors.As(err, &ue))
 			is.Equal(ue.Verdict, c.want)
@@ -230,7 +239,7 @@
 			id, _ := readRequest(br)
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\n%s", id, head)
 		})
-		_, err := get(t, NewPool(Dial), address, "r1")
+		_, err := get(t, NewPool(directPath{}), address, "r1")
 		is.True(err != nil)
 	}
 }
@@ -246,7 +255,7 @@
 	})
 	r := request("r1")
 	r.Target = "/a//b/../c?x=%20&y"
-	_, err := NewPool(Dial).Do(t.Context(), address, r)
+	_, err := NewPool(directPath{}).Do(t.Context(), address, r)
 	is.NoErr(err)
 	text := <-got
 	is.True(strings.HasPrefix(text, "POST /a//b/../c?x=%20&y HTTP/1.1\r\nHost: h\r\n"))
