ratelimit, gateway: use announced limits fully and tell every instance of them

Verbose logs showed three causes. Each instance learned of a limit from a response of its own, so servers with a limit of 1.6 a second got 4.2, most of it first requests of instances that did not know. And requests stayed in their data centre, whose other servers filled up.

Now an instance reports changes of a limit to the holder of the buckets, which passes them on with the next exchange; the newest observation counts, and the lack of a limit only as of the request. A token is asked for when a limited server is the best choice for a request, and not held ahead; the answer takes milliseconds, and without a token the next server is used. After the first denial the servers of all data centres are compared alike.

The end of TestOverloadOfLimitedServersIsRefused asked one client to be refused in 20 tries, which a client that waits for tokens need not be; instead every refusal under load must be a 503 that says when to come back.

--- a/internal/fleet/announcement.go
+++ b/internal/fleet/announcement.go
@@ -70,23 +70,3 @@
 	defer f.mu.Unlock()
 	return !f.announcer(b).leavingSince.IsZero()
 }
-
-// ObserveLimit records the limit in a response of the server to a request that was sent at the given time. It reports
-// whether that changed the limit.
-func (f *Fleet) ObserveLimit(b *Backend, l RateLimit, sent time.Time) (LimitChange, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.now()
-	s := f.announcer(b)
-	before := s.limit
-	s.limit = before.observe(l, sent, now)
-	c := LimitChange{Before: before.RateLimit, After: s.limit.RateLimit, Sent: before.sent}
-	if before.Announced {
-		c.For = now.Sub(before.since)
-	}
-	if c.Before == c.After {
-		return c, false
-	}
-	f.remember(s, now)
-	return c, true
-}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/berylpond/berylpond/internal/backendlimit"
 )
 
 const (
@@ -186,8 +188,10 @@
 	Preferred string
 	// Exclude lists the ids of servers that were already tried.
 	Exclude []string
+	// AnyDataCentre picks the least loaded server of all data centres alike.
+	AnyDataCentre bool
 	// Permit takes permission to send one request to a server that limits them. Nil permits every request.
-	Permit func(Entry, RateLimit) bool
+	Permit func(backendlimit.Server, backendlimit.Limit) bool
 }
 
 // Acquire picks a server and counts a request on it until Release. It returns nil if no server can be used.
@@ -223,7 +227,8 @@
 			!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
 			best = p
 		}
-		if !best.limit.Announced || c.Permit == nil || c.Permit(best.Entry, best.limit.RateLimit) {
+		if !best.limit.Announced || c.Permit == nil ||
+			c.Permit(backendlimit.Server{ID: best.ID, Incarnation: best.Incarnation}, best.limit.Limit) {
 			return best
 		}
 		denied[best] = true
@@ -239,7 +244,7 @@
 			continue
 		}
 		load := b.load()
-		if b.DataCentre != f.dataCentre {
+		if b.DataCentre != f.dataCentre && !c.AnyDataCentre {
 			load += remotePenalty
 		}
 		switch {
@@ -276,6 +281,16 @@
 	return false
 }
 
+// Cancel undoes Acquire for a request that was not sent.
+func (f *Fleet) Cancel(b *Backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.server.inFlight--
+	if b.server.limit.sent > 0 {
+		b.server.limit.sent--
+	}
+}
+
 // Release ends a request on a server. failed reports a failure that indicates a problem with the server.
 func (f *Fleet) Release(b *Backend, failed bool) {
 	f.mu.Lock()
--- a/internal/fleet/limit_test.go
+++ b/internal/fleet/limit_test.go
@@ -5,37 +5,31 @@
 	"time"
 
 	"github.com/matryer/is"
-)
 
-func TestLimitIsLiftedOnlyByAResponseToALaterRequest(t *testing.T) {
-	is := is.New(t)
-	start := time.Unix(1000, 0)
-	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	limited, unlimited := RateLimit{Announced: true, RequestsPerSecond: 5}, RateLimit{}
+	"github.com/berylpond/berylpond/internal/backendlimit"
+)
 
-	s := limitState{}.observe(unlimited, at(0), at(1))
-	is.Equal(s, limitState{})
-	s = s.observe(limited, at(10), at(20))
-	is.Equal(s.RateLimit, limited)
-	// Sent before the announcement, and overtaken by it.
-	is.Equal(s.observe(unlimited, at(15), at(30)), s)
-	lower := RateLimit{Announced: true, RequestsPerSecond: 2}
-	s = s.observe(lower, at(30), at(40))
-	is.Equal(s.RateLimit, lower)
-	is.Equal(s.since, at(20))
-	is.Equal(s.observe(unlimited, at(41), at(50)), limitState{})
+// limit is an announcement of the server x as of now.
+func limit(perSecond float64) (backendlimit.Server, backendlimit.State) {
+	l := backendlimit.Limit{Announced: perSecond > 0, RequestsPerSecond: perSecond}
+	return backendlimit.Server{ID: "x"}, backendlimit.State{Limit: l, AsOf: time.Now()}
 }
 
+func denyAll(backendlimit.Server, backendlimit.Limit) bool { return false }
+
 func TestRestartedServerHasNoLimit(t *testing.T) {
 	is := is.New(t)
 	f := New("a", drainPeriod)
 	e := entry("x", "a")
 	f.Upsert(e)
-	_, changed := f.ObserveLimit(f.Acquire(Criteria{Service: "s"}), RateLimit{Announced: true, RequestsPerSecond: 1}, time.Now())
+	_, changed := f.UpdateLimit(limit(1))
 	is.True(changed)
+	is.Equal(f.Acquire(Criteria{Service: "s", Permit: denyAll}), nil)
 	e.Incarnation = 2
 	f.Upsert(e)
-	is.Equal(f.Acquire(Criteria{Service: "s"}).server.limit, limitState{})
+	is.Equal(f.Acquire(Criteria{Service: "s", Permit: denyAll}).Incarnation, int64(2))
+	_, changed = f.UpdateLimit(limit(1)) // of the earlier incarnation
+	is.True(!changed)
 }
 
 func TestServerAtItsLimitIsPassedOver(t *testing.T) {
@@ -43,13 +37,12 @@
 	f := New("a", drainPeriod)
 	f.Upsert(entry("x", "a"))
 	f.Upsert(entry("y", "b"))
-	limit := RateLimit{Announced: true, RequestsPerSecond: 3}
-	f.ObserveLimit(f.Acquire(Criteria{Service: "s", Exclude: []string{"y"}}), limit, time.Now())
+	f.UpdateLimit(limit(3))
 	permits := 1
 	var asked []string
-	c := Criteria{Service: "s", Preferred: "x", Permit: func(e Entry, l RateLimit) bool {
-		asked = append(asked, e.ID)
-		is.Equal(l, limit)
+	c := Criteria{Service: "s", Preferred: "x", Permit: func(s backendlimit.Server, l backendlimit.Limit) bool {
+		asked = append(asked, s.ID)
+		is.Equal(l.RequestsPerSecond, 3.0)
 		permits--
 		return permits >= 0
 	}}
@@ -65,14 +58,27 @@
 	f := New("a", drainPeriod)
 	e := entry("x", "a")
 	f.Upsert(e)
-	b := f.Acquire(Criteria{Service: "s"})
-	f.ObserveLimit(b, RateLimit{Announced: true, RequestsPerSecond: 1}, time.Now())
+	f.UpdateLimit(limit(1))
 	f.Remove("x")
 	f.Upsert(e)
-	none := Criteria{Service: "s", Permit: func(Entry, RateLimit) bool { return false }}
-	is.Equal(f.Acquire(none), nil)
-	// A response to a request that was sent before the entry expired lifts it too.
-	f.ObserveLimit(b, RateLimit{}, time.Now())
-	is.Equal(f.Acquire(none).ID, "x")
+	c := Criteria{Service: "s", Permit: denyAll}
+	is.Equal(f.Acquire(c), nil)
+	change, _ := f.UpdateLimit(limit(0))
+	is.True(!change.After.Announced)
+	is.Equal(f.Acquire(c).ID, "x")
 	is.Equal(len(f.announced), 0)
 }
+
+func TestAnyDataCentreComparesLoadsAlone(t *testing.T) {
+	is := is.New(t)
+	f := New("a", drainPeriod)
+	for _, e := range []Entry{entry("near", "a"), entry("far", "b")} {
+		e.Slots = 100
+		f.Upsert(e)
+	}
+	picked := map[string]int{}
+	for range 20 {
+		picked[f.Acquire(Criteria{Service: "s", AnyDataCentre: true}).ID]++
+	}
+	is.Equal(picked, map[string]int{"near": 10, "far": 10})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"k8s.io/klog/v2"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/routing"
@@ -54,9 +55,13 @@
 	Admit(ctx context.Context, a routing.Account, first bool) *ratelimit.Denial
 	// Refund returns the token of an admitted request that has not run and never will.
 	Refund(a routing.Account)
-	// TakeForServer takes a token for one request to a backend server, AwaitServer waits for one.
+	// TakeForServer takes a token that this instance holds for one request to a backend server. AskForServer asks the holder
+	// for one as well, and AwaitServer waits until there is one.
 	TakeForServer(l ratelimit.ServerLimit) bool
+	AskForServer(ctx context.Context, l ratelimit.ServerLimit) bool
 	AwaitServer(ctx context.Context, l ratelimit.ServerLimit) *ratelimit.Denial
+	// ReportServer tells the other instances of a change of a backend server's limit.
+	ReportServer(server backendlimit.Server, s backendlimit.State)
 }
 
 // Gateway is the HTTP handler of client requests.
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -3,44 +3,72 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
-	"k8s.io/klog/v2"
-
+	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/upstream"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
-// acquireBackend picks a backend server. Servers at their announced limit are passed over; if that leaves none, the request
-// waits for the least loaded of them. A denial tells that it waited in vain.
+// maxAsked is for how many servers at their limit a request asks for a token before it takes another server.
+const maxAsked = 2
+
+// acquireBackend picks a backend server. If the best one limits its requests, a token is asked for; servers without one are
+// passed over. If that leaves none, the request waits for the best of them, and a denial tells that it waited in vain.
+//
+// Once a server has had no token, those of all data centres are compared alike. Load pattern: most servers of one data
+// centre are limited, and the load of the others there, of which this instance sees only its own part, would grow far
+// beyond that of the servers elsewhere.
 func (x *exchange) acquireBackend(ctx context.Context, preferred string) (*fleet.Backend, *ratelimit.Denial) {
-	c := fleet.Criteria{Service: x.service, Preferred: preferred, Exclude: x.triedBackends}
+	c := fleet.Criteria{Service: x.service, Preferred: preferred, Exclude: slices.Clone(x.triedBackends)}
 	var atLimit []ratelimit.ServerLimit
-	c.Permit = func(e fleet.Entry, l fleet.RateLimit) bool {
-		limit := serverLimit(e, l)
-		if x.rateLimiter.TakeForServer(limit) {
-			return true
+	for len(atLimit) < maxAsked {
+		b, limit := x.pickBackend(c)
+		if b == nil {
+			break
 		}
-		atLimit = append(atLimit, limit)
-		return false
+		if limit == nil || x.rateLimiter.AskForServer(ctx, *limit) {
+			return b, nil
+		}
+		x.fleet.Cancel(b)
+		atLimit = append(atLimit, *limit)
+		c.Exclude, c.AnyDataCentre = append(c.Exclude, b.ID), true
+	}
+	if len(atLimit) == 0 {
+		return nil, nil
 	}
-	if b := x.fleet.Acquire(c); b != nil || len(atLimit) == 0 {
+	c.Permit = func(server backendlimit.Server, l backendlimit.Limit) bool {
+		return x.rateLimiter.TakeForServer(serverLimit(server, l))
+	}
+	if b := x.fleet.Acquire(c); b != nil {
 		return b, nil
 	}
 	awaited := atLimit[0]
 	if d := x.rateLimiter.AwaitServer(ctx, awaited); d != nil {
 		return nil, d
 	}
-	c.Permit = func(e fleet.Entry, l fleet.RateLimit) bool { return serverLimit(e, l).Server == awaited.Server }
+	c.Exclude = x.triedBackends
+	c.Permit = func(server backendlimit.Server, _ backendlimit.Limit) bool { return server == awaited.Server }
 	return x.fleet.Acquire(c), nil
 }
 
-func serverLimit(e fleet.Entry, l fleet.RateLimit) ratelimit.ServerLimit {
-	return ratelimit.ServerLimit{
-		Server: ratelimit.Server{ID: e.ID, Incarnation: e.Incarnation}, RequestsPerSecond: l.RequestsPerSecond,
+// pickBackend picks the best backend server. If that one limits its requests and this instance holds no token for it, the
+// limit is returned too.
+func (x *exchange) pickBackend(c fleet.Criteria) (b *fleet.Backend, needed *ratelimit.ServerLimit) {
+	c.Permit = func(server backendlimit.Server, l backendlimit.Limit) bool {
+		if limit := serverLimit(server, l); !x.rateLimiter.TakeForServer(limit) {
+			needed = &limit
+		}
+		return true
 	}
+	return x.fleet.Acquire(c), needed
+}
+
+func serverLimit(server backendlimit.Server, l backendlimit.Limit) ratelimit.ServerLimit {
+	return ratelimit.ServerLimit{Server: server, RequestsPerSecond: l.RequestsPerSecond}
 }
 
 // limitedError is the refusal of a request for which every backend server is at its limit.
@@ -49,19 +77,18 @@
 		"every backend server is at its announced limit")
 }
 
-// observeLimit records the request limit that the server announces. Only the result of running a request tells that it
-// announces none, since refusals may come from an overloaded listener.
+// observeLimit records the request limit that the server announces, and tells the other instances if it changed. Only the
+// result of running a request tells that there is none, since refusals may come from an overloaded listener.
 func (x *exchange) observeLimit(b *fleet.Backend, resp *upstream.Response, sent time.Time) {
 	if !resp.HasRateLimit && !resp.Stamped {
 		return
 	}
-	l := fleet.RateLimit{Announced: resp.HasRateLimit, RequestsPerSecond: resp.RateLimit}
-	change, changed := x.fleet.ObserveLimit(b, l, sent)
+	server := backendlimit.Server{ID: b.ID, Incarnation: b.Incarnation}
+	s := backendlimit.Observed(backendlimit.Limit{Announced: resp.HasRateLimit, RequestsPerSecond: resp.RateLimit}, sent, x.now())
+	change, changed := x.fleet.UpdateLimit(server, s)
 	if !changed {
 		return
 	}
-	klog.InfoS("backend server changed its request limit", "request", x.ID, "backend", b.ID, "address", b.Address,
-		"limited", change.After.Announced, "per_second", change.After.RequestsPerSecond, "limited_before",
-		change.Before.Announced, "per_second_before", change.Before.RequestsPerSecond, "limited_ms", change.For.Milliseconds(),
-		"sent", change.Sent)
+	x.rateLimiter.ReportServer(server, s)
+	fleet.LogLimitChange(b.ID, change, "request", x.ID)
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -18,6 +18,7 @@
 	"k8s.io/klog/v2"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/backendpath"
 	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
@@ -130,6 +131,11 @@
 	i.holder = ratelimit.NewBucketHolder(i.config.Current, i.group.RecentPeers, i.self, i.holderState,
 		i.transport.SinceContact)
 	i.limiter = ratelimit.NewLimiter(i.config.Current, i.group.RecentPeers, i.self, &rateClient{i})
+	i.limiter.OnLimit = func(server backendlimit.Server, l backendlimit.State) {
+		if change, changed := i.fleet.UpdateLimit(server, l); changed {
+			fleet.LogLimitChange(server.ID, change, "learned_from", "holder")
+		}
+	}
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
--- a/internal/instance/limit_test.go
+++ b/internal/instance/limit_test.go
@@ -52,21 +52,24 @@
 	return most
 }
 
-// load sends requests at every instance, one at a time at each, and returns how many were not served.
-func (s *site) load(path string, interval, duration time.Duration) int {
-	var failed atomic.Int64
+// load sends requests at every instance, one at a time at each, and returns the responses to those that were not served.
+func (s *site) load(path string, interval, duration time.Duration) []response {
+	var mu sync.Mutex
+	var failed []response
 	var wg sync.WaitGroup
 	for _, n := range s.nodes {
 		wg.Go(func() {
 			for end := time.Now().Add(duration); time.Now().Before(end); time.Sleep(interval) {
-				if s.do(n, call{path: path}).status != http.StatusOK {
-					failed.Add(1)
+				if a := s.do(n, call{path: path}); a.status != http.StatusOK {
+					mu.Lock()
+					failed = append(failed, a)
+					mu.Unlock()
 				}
 			}
 		})
 	}
 	wg.Wait()
-	return int(failed.Load())
+	return failed
 }
 
 // Guards against servers in need being sent several times the limit that they announce.
@@ -80,7 +83,7 @@
 	var limited limitedServer
 	limited.attach(s.tools[0], "5.0")
 	start := time.Now()
-	is.Equal(s.load("/read/x", 20*time.Millisecond, 6*time.Second), 0)
+	is.Equal(len(s.load("/read/x", 20*time.Millisecond, 6*time.Second)), 0)
 	busiest := limited.busiest(start.Add(time.Second), window)
 	t.Logf("at most %d requests in %v", busiest, window)
 	is.True(busiest <= limit*4*3/2+5) // the limit holds over all instances
@@ -88,7 +91,7 @@
 
 	limited.announces.Store(false)
 	lifted := time.Now()
-	is.Equal(s.load("/read/x", 20*time.Millisecond, 3*time.Second), 0)
+	is.Equal(len(s.load("/read/x", 20*time.Millisecond, 3*time.Second)), 0)
 	is.True(limited.busiest(lifted.Add(time.Second), 2*time.Second) > limit*4) // all is sent again
 }
 
@@ -106,20 +109,15 @@
 	}
 	start := time.Now()
 	refused := s.load("/read/x", 20*time.Millisecond, 6*time.Second)
-	is.True(refused > 0)
+	is.True(len(refused) > 0)
 	for i := range limited {
 		busiest := limited[i].busiest(start.Add(time.Second), window)
-		t.Logf("server %d: at most %d requests in %v, %d refused in all", i, busiest, window, refused)
+		t.Logf("server %d: at most %d requests in %v, %d refused in all", i, busiest, window, len(refused))
 		is.True(busiest <= limit*4*3/2+5)
 		is.True(busiest >= limit*4/2)
 	}
-	a := s.do(s.nodes[0], call{path: "/read/x"})
-	for range 20 {
-		if a.status == http.StatusServiceUnavailable {
-			break
-		}
-		a = s.do(s.nodes[0], call{path: "/read/x"})
+	for _, a := range refused {
+		is.Equal(a.status, http.StatusServiceUnavailable)
+		is.True(a.header.Get("Retry-After") != "")
 	}
-	is.Equal(a.status, http.StatusServiceUnavailable)
-	is.True(a.header.Get("Retry-After") != "")
 }
--- a/internal/ratelimit/account.go
+++ b/internal/ratelimit/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -33,6 +34,8 @@
 type waiter struct {
 	granted chan bool
 	since   time.Time
+	// brief marks a waiter that is refused if the next grant has no token for it.
+	brief bool
 }
 
 // wait reports whether the waiter got a token within the limit. It returns early if the waiter is refused.
@@ -91,11 +94,15 @@
 	}
 }
 
-func (s *accountState) refuseWaiters() {
-	for _, w := range s.waiters {
+// refuseWaiters refuses those of the waiting requests for which refuse is true.
+func (s *accountState) refuseWaiters(refuse func(*waiter) bool) {
+	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
+		if !refuse(w) {
+			return false
+		}
 		w.granted <- false
-	}
-	s.waiters = nil
+		return true
+	})
 }
 
 // fillFallback fills the bucket of the instance's own share and hands out its whole tokens.
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -7,6 +7,7 @@
 	"k8s.io/klog/v2"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendlimit"
 )
 
 const (
@@ -73,7 +74,7 @@
 func (l *Limiter) exchange(ctx context.Context) bool {
 	holder := l.currentHolder()
 	l.leave(ctx, holder)
-	r := l.buildRequest()
+	r := l.buildRequest(holder)
 	sent := l.now()
 	resp, err := l.sendTake(ctx, holder, r)
 	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
@@ -81,6 +82,14 @@
 		l.grantFallback()
 		return false
 	}
+	l.recordResponse(resp, r, sent)
+	l.learnLimits(resp)
+	return true
+}
+
+// recordResponse records that the holder has responded to a request that was sent at the given time, and distributes the
+// granted tokens.
+func (l *Limiter) recordResponse(resp *turnv1.TakeResponse, r *turnv1.TakeRequest, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if resp.Holder != l.servedBy {
@@ -90,10 +99,13 @@
 	}
 	l.inFallback = false
 	l.lastResponse, l.servedBy, l.instances = l.now(), resp.Holder, int(resp.Instances)
+	for _, m := range r.Observed {
+		delete(l.unreported, backendlimit.Server{ID: m.Id, Incarnation: m.Incarnation})
+	}
+	l.limitsRevision = resp.LimitsRevision
 	for _, g := range resp.Grants {
 		l.distribute(g, sent)
 	}
-	return true
 }
 
 // distribute hands the tokens of a grant to the requests that wait for them and keeps the rest. The time to live of a grant
@@ -110,9 +122,8 @@
 		s.batches = append(s.batches, tokenBatch{tokens: g.Tokens, expires: sent.Add(grantTTL)})
 	}
 	s.grantWaiters(l.now())
-	if g.RetryAfterMs > 0 && s.retryAfter > maxWait {
-		s.refuseWaiters()
-	}
+	farOff := g.RetryAfterMs > 0 && s.retryAfter > maxWait
+	s.refuseWaiters(func(w *waiter) bool { return farOff || w.brief && !w.since.After(sent) })
 }
 
 // grantee returns the state that a grant is for, or nil if it was dropped meanwhile.
@@ -120,7 +131,7 @@
 	if g.Server == nil {
 		return l.state(g.Account)
 	}
-	if s := l.servers[Server{ID: g.Server.Id, Incarnation: g.Server.Incarnation}]; s != nil {
+	if s := l.servers[backendlimit.Server{ID: g.Server.Id, Incarnation: g.Server.Incarnation}]; s != nil {
 		return &s.accountState
 	}
 	return nil
@@ -169,15 +180,19 @@
 	}
 }
 
-// buildRequest returns a request with the demand of every account.
-func (l *Limiter) buildRequest() *turnv1.TakeRequest {
+// buildRequest returns a request to the holder with the demand of every account.
+func (l *Limiter) buildRequest(holder string) *turnv1.TakeRequest {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.now()
+	if holder != l.servedBy {
+		l.limitsRevision = 0
+	}
 	r := &turnv1.TakeRequest{
 		Instance: l.self, Known: l.members(),
 		ServedBy: l.servedBy, ServedMsAgo: now.Sub(l.lastResponse).Milliseconds(),
 		ServedBefore: l.previous.holder, ServedBeforeMsAgo: now.Sub(l.previous.at).Milliseconds(),
+		Observed: l.limitReports(now), LimitsRevision: l.limitsRevision,
 	}
 	for name, s := range l.states {
 		if elapsed := now.Sub(s.demandUpdated); elapsed >= prefetchWindow/2 {
--- a/internal/ratelimit/holder.go
+++ b/internal/ratelimit/holder.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/routing"
 )
 
@@ -81,8 +83,12 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	// servers holds the buckets of backend servers that limit their requests.
-	servers     map[Server]*bucket
+	servers     map[backendlimit.Server]*bucket
 	lastRequest map[string]time.Time
+	// limits holds the announced limits of backend servers. limitsRevision increases with each change; it begins at a random
+	// number, so that revisions of different holders differ.
+	limits         limits
+	limitsRevision int64
 	// lastTake is the time of the last request of any instance; zero while another instance holds the buckets.
 	lastTake time.Time
 }
@@ -101,7 +107,8 @@
 	return &BucketHolder{
 		configuration: configuration, members: members, self: self, holderState: holderState, sinceContact: sinceContact,
 		now:     time.Now,
-		buckets: map[string]*bucket{}, servers: map[Server]*bucket{}, lastRequest: map[string]time.Time{},
+		buckets: map[string]*bucket{}, servers: map[backendlimit.Server]*bucket{}, lastRequest: map[string]time.Time{},
+		limits: limits{}, limitsRevision: 1 + rand.Int64N(1<<62),
 	}
 }
 
@@ -126,7 +133,7 @@
 	now := h.now()
 	if now.Sub(h.lastTake) > activeWithin {
 		// The tokens that another holder granted meanwhile are unknown, so the new buckets start with few tokens.
-		h.buckets, h.servers = map[string]*bucket{}, map[Server]*bucket{}
+		h.buckets, h.servers = map[string]*bucket{}, map[backendlimit.Server]*bucket{}
 	}
 	h.lastTake = now
 	for name, a := range c.Accounts {
@@ -139,6 +146,7 @@
 	}
 	share, known := h.share(now, append(r.Known, r.Instance))
 	resp := &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK, Holder: h.self, Instances: int32(known)}
+	h.exchangeLimits(r, resp, now)
 	for _, d := range r.Demands {
 		if d.Server != nil {
 			resp.Grants = append(resp.Grants, h.grantForServer(d, share, now))
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -6,6 +6,7 @@
 	"time"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/routing"
 )
 
@@ -38,11 +39,18 @@
 	self          string
 	client        HolderClient
 	now           func() time.Time
+	// OnLimit, if not nil, is called with what the holder tells about the limit of a backend server.
+	OnLimit func(backendlimit.Server, backendlimit.State)
 
 	mu     sync.Mutex
 	states map[string]*accountState
 	// servers holds the state of backend servers that limit their requests.
-	servers map[Server]*serverState
+	servers map[backendlimit.Server]*serverState
+	// limits holds the announced limits of backend servers, and unreported those that changed since the last request to the
+	// holder that was answered. limitsRevision is the revision that the holder last sent, zero for a new holder.
+	limits         limits
+	unreported     map[backendlimit.Server]bool
+	limitsRevision int64
 	// started is when the process started, lastResponse when a holder last responded.
 	started      time.Time
 	lastResponse time.Time
@@ -75,7 +83,8 @@
 	return &Limiter{
 		configuration: configuration, members: members, self: self, client: client, now: time.Now,
 		states:  map[string]*accountState{},
-		servers: map[Server]*serverState{},
+		servers: map[backendlimit.Server]*serverState{},
+		limits:  limits{}, unreported: map[backendlimit.Server]bool{},
 		started: time.Now(),
 		wake:    make(chan struct{}, 1),
 	}
--- a/internal/ratelimit/server.go
+++ b/internal/ratelimit/server.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendlimit"
 )
 
 const (
@@ -14,22 +14,16 @@
 	// minServerRate is the rate at which a server is used that announces a limit of zero, in requests per second, so that
 	// the end of the limit is noticed.
 	minServerRate = 0.1
-	// serverSkew is how many times its even share of a server's limit an instance requests at a time: most requests come
-	// from the instances in the server's own data centre.
-	serverSkew = 2
+	// askTimeout bounds the wait for the holder's answer to a request for a single token. It usually comes within a few
+	// milliseconds.
+	askTimeout = 100 * time.Millisecond
 	// serverRetention is how long the state of a server is kept after the last request that asked for it.
 	serverRetention = 15 * time.Second
 )
 
-// Server identifies one incarnation of a backend server.
-type Server struct {
-	ID          string
-	Incarnation int64
-}
-
 // ServerLimit is the limit that a backend server announces for the requests of all instances together.
 type ServerLimit struct {
-	Server
+	backendlimit.Server
 	RequestsPerSecond float64
 }
 
@@ -38,37 +32,50 @@
 	accountState
 	// limit is the announced limit in requests per second.
 	limit float64
-	// missed counts the requests that found no token since the last request to the holder.
-	missed int64
 	// used is when a request last asked for a token.
 	used time.Time
 }
 
-// TakeForServer takes a token for one request to a backend server that limits its requests. It never waits: with most
-// servers of a service unlimited, a request is served sooner by another server. Without a token the next request to the
-// holder asks for one.
+// TakeForServer takes a token that this instance holds for one request to a backend server that limits its requests.
 func (l *Limiter) TakeForServer(limit ServerLimit) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.server(limit)
-	if len(s.waiters) == 0 && s.takeToken(l.now()) {
+	return len(s.waiters) == 0 && s.takeToken(l.now())
+}
+
+// AskForServer takes a token for one request to a backend server, if need be from the holder, but does not wait until the
+// server's bucket has one: another server may serve the request sooner. Tokens are not requested ahead. Among hundreds of
+// instances, those that hold one for a server rarely pick that server before the token expires.
+func (l *Limiter) AskForServer(ctx context.Context, limit ServerLimit) bool {
+	s, w := l.waitForServer(limit, true)
+	if w == nil {
 		return true
 	}
-	s.missed++
-	return false
+	l.requestExchange()
+	return w.wait(ctx, askTimeout) || l.cancelWait(&s.accountState, w) == nil
 }
 
-// AwaitServer is TakeForServer for a request that no other server can take: it waits as Admit does.
+// AwaitServer is AskForServer for a request that no other server can take: it waits for a token as Admit does.
 func (l *Limiter) AwaitServer(ctx context.Context, limit ServerLimit) *Denial {
+	s, w := l.waitForServer(limit, false)
+	if w == nil {
+		return nil
+	}
+	return l.await(ctx, &s.accountState, w)
+}
+
+// waitForServer adds a waiter for a token, or takes one that this instance holds and returns no waiter.
+func (l *Limiter) waitForServer(limit ServerLimit, brief bool) (*serverState, *waiter) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	s := l.server(limit)
 	if len(s.waiters) == 0 && s.takeToken(l.now()) {
-		l.mu.Unlock()
-		return nil
+		return s, nil
 	}
 	w := s.addWaiter(l.now())
-	l.mu.Unlock()
-	return l.await(ctx, &s.accountState, w)
+	w.brief = brief
+	return s, w
 }
 
 // server returns the state of a server and records that it is in use. l.mu must be held.
@@ -91,9 +98,8 @@
 			delete(l.servers, server)
 			continue
 		}
-		want := serverWant(s.limit, l.instances, s.missed, int64(len(s.waiters)), s.heldTokens(now))
-		s.missed = 0
-		if want <= 0 && s.unused == 0 {
+		want := max(int64(len(s.waiters))-s.heldTokens(now), 0)
+		if want == 0 && s.unused == 0 {
 			continue
 		}
 		out = append(out, &turnv1.Demand{Want: want, Unused: s.unused, Server: &turnv1.ServerLimit{
@@ -104,21 +110,13 @@
 	return out
 }
 
-// serverWant returns the number of tokens to request: one for each waiting request, and for those that went elsewhere up to
-// serverSkew even shares of what the limit allows while a grant lives. More would expire unused while other instances
-// lack them.
-func serverWant(limit float64, instances int, missed, waiting, held int64) int64 {
-	share := math.Ceil(serverSkew * limit * grantTTL.Seconds() / float64(max(instances, 1)))
-	return max(waiting+min(missed, int64(share))-held, 0)
-}
-
 // serverBurst returns the size of the bucket of a server with the given limit, in tokens.
 func serverBurst(limit float64) float64 { return limit * serverBurstTime.Seconds() }
 
 // grantForServer grants tokens for requests to a backend server. The bucket of a server begins empty, since its limit is no
 // promise that it has been idle. h.mu must be held.
 func (h *BucketHolder) grantForServer(d *turnv1.Demand, share float64, now time.Time) *turnv1.Grant {
-	key := Server{ID: d.Server.Id, Incarnation: d.Server.Incarnation}
+	key := backendlimit.Server{ID: d.Server.Id, Incarnation: d.Server.Incarnation}
 	b := h.servers[key]
 	if b == nil {
 		h.dropUnusedServers(now)
