upstream, gateway: bound what a server in trouble can send without end

A response's head without end was read into memory until the request's deadline, and a stream of events without end was both relayed and kept. The head is now bounded, interim responses included, and so is the output of a stream; both end the connection, and the caller sees a failure. Bodies and single events were bounded already.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -17,6 +17,9 @@
 	streamBufferBytes = 8 << 10
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
+	// maxStreamBytes bounds the output of one stream, which is held until the turn is recorded. It is far above what a model
+	// generates in one turn.
+	maxStreamBytes = 4 << 20
 )
 
 // relayedStream records what was relayed to the client.
@@ -88,6 +91,8 @@
 		switch {
 		case len(pending) > maxEventBytes:
 			return errors.Wrap(errStreamTruncated, "an event is too long")
+		case len(out.output) > maxStreamBytes:
+			return errors.Wrap(errStreamTruncated, "the stream is too long")
 		case errors.Is(err, io.EOF) && len(pending) > 0:
 			return errors.Wrap(errStreamTruncated, "the last event has no end")
 		case errors.Is(err, io.EOF):
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -527,6 +527,32 @@
 	is.True(time.Since(start) < 4*time.Second)
 }
 
+// Guards against a server in trouble that sends events without end filling the memory.
+func TestStreamWithoutEndIsCutEarly(t *testing.T) {
+	is := is.New(t)
+	s := newSite(t)
+	n := s.start()
+	ended := make(chan struct{}, 1)
+	s.llm.Handler = func(w http.ResponseWriter, r *http.Request, _ string) bool {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		w.Header().Set("Response-Stamp", "s")
+		event := "data: " + strings.Repeat("x", 8000) + "\n\n"
+		for r.Context().Err() == nil {
+			if _, err := io.WriteString(w, event); err != nil {
+				break
+			}
+		}
+		ended <- struct{}{}
+		return true
+	}
+	start := time.Now()
+	a := s.turn(n, call{path: "/quote/x"})
+	is.True(a.broken)
+	is.True(len(a.body) < 16<<20)
+	is.True(time.Since(start) < 2*time.Second) // it does not wait for the deadline
+	<-ended
+}
+
 // A stream that breaks off never looks complete, whether it breaks between two events or within one.
 func TestBrokenStreamIsVisiblyBroken(t *testing.T) {
 	is := is.New(t)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,10 +32,38 @@
 	readBufferBytes = 4 << 10
 )
 
+// maxHeadBytes bounds the status line and the headers of a response, those of interim responses included. It is far above
+// what servers send.
+const maxHeadBytes = 256 << 10
+
+// ErrHeadTooLong means that a server has sent more than maxHeadBytes without reaching the end of a response's head.
+var ErrHeadTooLong = errors.New("the head of the answer is too long")
+
+// headLimiter ends a read with ErrHeadTooLong once a response's head is too long. Bytes without end would otherwise fill the
+// memory until the request's deadline.
+type headLimiter struct {
+	io.Reader
+	// left is the number of bytes that may still be read; negative while no head is being read.
+	left int64
+}
+
+func (l *headLimiter) Read(b []byte) (int, error) {
+	if l.left < 0 {
+		return l.Reader.Read(b)
+	}
+	if l.left == 0 {
+		return 0, ErrHeadTooLong
+	}
+	n, err := l.Reader.Read(b[:min(int64(len(b)), l.left)])
+	l.left -= int64(n)
+	return n, err
+}
+
 // conn is one connection to a backend server. It carries one request at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headLimiter
 	// used is when the last response on the idle connection ended. If the direct way to the servers was lost after that, the
 	// connection may be dead.
 	used time.Time
@@ -55,6 +83,11 @@
 	},
 }
 
+func newConn(c net.Conn) *conn {
+	head := &headLimiter{Reader: c, left: -1}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
+}
+
 // Dial opens a connection to a backend server directly.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	return dialer.DialContext(ctx, "tcp", address)
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -147,7 +147,7 @@
 	req := &http.Request{Method: r.Method}
 	skippedLeaving := false
 	for range maxSkippedResponses {
-		resp, err := readResponse(c.reader, req)
+		resp, err := c.readHead(req)
 		if err != nil {
 			return nil, err
 		}
@@ -171,9 +171,12 @@
 	return nil, ErrTooManyMismatched
 }
 
-func readResponse(br *bufio.Reader, req *http.Request) (*http.Response, error) {
+// readHead reads the status and the headers of the next final response.
+func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	c.head.left = maxHeadBytes
+	defer func() { c.head.left = -1 }()
 	for {
-		resp, err := http.ReadResponse(br, req)
+		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the answer")
 		}
@@ -246,7 +249,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connecting to %s", address)
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes)}, nil
+	return newConn(c), nil
 }
 
 func (p *Pool) getIdle(address string) *conn {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -261,3 +262,42 @@
 	is.True(strings.HasPrefix(text, "POST /a//b/../c?x=%20&y HTTP/1.1\r\nHost: h\r\n"))
 	is.True(strings.HasSuffix(text, "Content-Length: 1\r\n\r\nb"))
 }
+
+// Guards against a server in trouble that sends a head without end filling the memory.
+func TestHeadWithoutEndIsGivenUpEarly(t *testing.T) {
+	for name, piece := range map[string]string{
+		"one line":     strings.Repeat("x", 4096),
+		"many lines":   "X-Filler: " + strings.Repeat("x", 4000) + "\r\n",
+		"many interim": "HTTP/1.1 103 Early Hints\r\nLink: " + strings.Repeat("x", 4000) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := NewPool(directPath{})
+			var sent atomic.Int64
+			closed := make(chan struct{})
+			address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				defer close(closed)
+				readRequest(br)
+				if name != "many interim" {
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\nX-First: ")
+				}
+				for {
+					n, err := io.WriteString(c, piece)
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			})
+			start := time.Now()
+			_, err := get(t, p, address, "r1")
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Verdict, verdict.MayHaveRun)
+			is.True(time.Since(start) < time.Second) // it does not wait for the deadline
+			<-closed
+			t.Logf("the server could send %d bytes", sent.Load())
+			is.True(sent.Load() < 32<<20) // what the sockets hold and what is read
+		})
+	}
+}
