--- a/internal/backendpath/backendpath.go
+++ b/internal/backendpath/backendpath.go
@@ -37,6 +37,7 @@
 	direct, relay DialFunc
 	// servers lists the addresses of the registered servers.
 	servers func() []string
+	metrics *Metrics
 	now     func() time.Time
 
 	mu sync.Mutex
@@ -54,8 +55,10 @@
 }
 
 // New returns a dialer. ctx ends its background work.
-func New(ctx context.Context, direct, relay DialFunc, servers func() []string) *Dialer {
-	return &Dialer{ctx: ctx, direct: direct, relay: relay, servers: servers, now: time.Now, lastSuccess: time.Now()}
+func New(ctx context.Context, direct, relay DialFunc, servers func() []string, m *Metrics) *Dialer {
+	return &Dialer{
+		ctx: ctx, direct: direct, relay: relay, servers: servers, metrics: m, now: time.Now, lastSuccess: time.Now(),
+	}
 }
 
 // LostSince returns when this instance lost the way to the servers; zero while it has one.
@@ -68,9 +71,11 @@
 // Dial connects to a server, through another instance if need be.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
 	c, err := d.DialDirect(ctx, address)
-	if errors.Is(err, ErrLost) {
-		return d.relay(ctx, address)
+	if !errors.Is(err, ErrLost) {
+		return c, err
 	}
+	c, err = d.relay(ctx, address)
+	d.metrics.observeRelay(err)
 	return c, err
 }
 
@@ -100,6 +105,7 @@
 		klog.InfoS("way to the backend servers regained", "lost_ms", d.lastSuccess.Sub(d.lostSince).Milliseconds())
 	}
 	d.lostSince = time.Time{}
+	d.metrics.lost.Set(0)
 }
 
 // isLost reports whether no server can be reached, after a connection to one of them that was begun at the given time has
@@ -143,6 +149,7 @@
 	d.check = nil
 	if c.lost && d.lostSince.IsZero() {
 		d.lostSince = d.now()
+		d.metrics.lost.Set(1)
 		klog.InfoS("way to the backend servers lost", "failed", failed, "probed", others,
 			"last_success_ms", d.lostSince.Sub(d.lastSuccess).Milliseconds())
 		go d.awaitReturn()
--- a/internal/backendpath/backendpath_test.go
+++ b/internal/backendpath/backendpath_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 var errRefused = errors.New("refused")
@@ -51,7 +52,7 @@
 
 func newNetwork(t *testing.T, servers ...string) (*network, *Dialer) {
 	n := &network{down: map[string]bool{}}
-	return n, New(t.Context(), n.direct, n.relay, func() []string { return slices.Clone(servers) })
+	return n, New(t.Context(), n.direct, n.relay, func() []string { return slices.Clone(servers) }, NewMetrics(prometheus.NewRegistry()))
 }
 
 func TestOneUnreachableServerIsNotALostPath(t *testing.T) {
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -30,9 +30,14 @@
 		if b == nil {
 			break
 		}
-		if limit == nil || x.rateLimiter.AskForServer(ctx, *limit) {
+		if limit == nil {
 			return b, nil
 		}
+		if x.rateLimiter.AskForServer(ctx, *limit) {
+			x.metrics.limited.WithLabelValues("granted").Inc()
+			return b, nil
+		}
+		x.metrics.limited.WithLabelValues("passed_over").Inc()
 		x.fleet.Cancel(b)
 		atLimit = append(atLimit, *limit)
 		c.Exclude, c.AnyDataCentre = append(c.Exclude, b.ID), true
@@ -48,8 +53,10 @@
 	}
 	awaited := atLimit[0]
 	if d := x.rateLimiter.AwaitServer(ctx, awaited); d != nil {
+		x.metrics.limited.WithLabelValues("refused").Inc()
 		return nil, d
 	}
+	x.metrics.limited.WithLabelValues("awaited").Inc()
 	c.Exclude = x.triedBackends
 	c.Permit = func(server backendlimit.Server, _ backendlimit.Limit) bool { return server == awaited.Server }
 	return x.fleet.Acquire(c), nil
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -13,6 +13,7 @@
 	requests          *prometheus.CounterVec
 	refusals          *prometheus.CounterVec
 	retries           *prometheus.CounterVec
+	limited           *prometheus.CounterVec
 	latency           *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
 }
@@ -31,6 +32,10 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "berylpond_gateway_retries_total", Help: "Requests sent to another backend server, by reason.",
 		}, []string{"reason"}),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "berylpond_gateway_limited_servers_total",
+			Help: "Picks of a backend server that limits its requests, by what came of them.",
+		}, []string{"outcome"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "berylpond_gateway_request_seconds", Help: "From the headers of a request to the end of its answer.",
 			Buckets: buckets,
@@ -40,7 +45,7 @@
 			Help: "From the headers of a request to its first event.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.requests, m.refusals, m.retries, m.latency, m.firstEventSeconds)
+	r.MustRegister(m.requests, m.refusals, m.retries, m.limited, m.latency, m.firstEventSeconds)
 	return m
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -103,7 +103,7 @@
 	}
 	i.backendPath = backendpath.New(ctx, func(ctx context.Context, address string) (net.Conn, error) {
 		return i.dialBackend(ctx, address)
-	}, tunnel.NewClient(i.pool, i.peers).Dial, i.fleet.Addresses)
+	}, tunnel.NewClient(i.pool, i.peers).Dial, i.fleet.Addresses, backendpath.NewMetrics(i.metrics))
 	i.backendPool = upstream.NewPool(i.backendPath)
 	i.tunnels = tunnel.NewServer(i.backendPath.DialDirect, i.fleet.HasAddress, i.closing.Load)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
