backendpath, upstream: check the path when no server responds for half a second

Now a request that has had no response for half a second has the path checked, if no other request has had one meanwhile. The silence itself ends no request: a sound server may be silent for longer, and in the other kind of cut open connections live on.

Tests: TestSilenceIsSuspiciousOnlyIfNoServerResponds, TestSuspicionIsCheckedBeforeAConnectionFails.

--- a/internal/backendpath/backendpath.go
+++ b/internal/backendpath/backendpath.go
@@ -97,6 +97,15 @@
 	return nil, err
 }
 
+// Suspect has the path checked in the background: nothing has arrived from any server since the given time, when a request
+// was sent to the address. Load pattern: packets vanish, and requests on open connections wait for seconds until the kernel
+// gives these up, while no new connection is needed that would fail.
+func (d *Dialer) Suspect(address string, since time.Time) {
+	if d.LostSince().IsZero() {
+		go d.isLost(d.ctx, address, since)
+	}
+}
+
 func (d *Dialer) recordSuccess() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/backendpath/backendpath_test.go
+++ b/internal/backendpath/backendpath_test.go
@@ -110,3 +110,25 @@
 	is.True(errors.Is(err, errRefused))
 	is.True(d.LostSince().IsZero())
 }
+
+func TestSuspicionIsCheckedBeforeAConnectionFails(t *testing.T) {
+	is := is.New(t)
+	n, d := newNetwork(t, "a", "b", "c")
+	start := d.now()
+	d.Suspect("a", start)
+	for deadline := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
+		n.mu.Lock()
+		probed := len(n.dials)
+		n.mu.Unlock()
+		if probed == 2 {
+			break
+		}
+		is.True(time.Now().Before(deadline)) // b and c are probed
+	}
+	is.True(d.LostSince().IsZero())
+	n.set(true, "a", "b", "c")
+	d.Suspect("a", d.now())
+	for deadline := time.Now().Add(time.Second); d.LostSince().IsZero(); time.Sleep(time.Millisecond) {
+		is.True(time.Now().Before(deadline)) // lost
+	}
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -34,6 +34,10 @@
 	maxSkippedBytes = 1 << 20
 )
 
+// suspiciousSilence is how long a request is without a response until the path to the servers is checked, if no other
+// request has had one either. Silence alone ends no request: sound servers may be silent for longer.
+const suspiciousSilence = 500 * time.Millisecond
+
 // ErrTooManyMismatched means that a connection carried too many responses to other requests.
 var ErrTooManyMismatched = errors.New("too many answers to other requests")
 
@@ -92,6 +96,8 @@
 	Dial(ctx context.Context, address string) (net.Conn, error)
 	// LostSince returns when this instance lost the direct way to the servers; zero while it has one.
 	LostSince() time.Time
+	// Suspect tells that no server has responded since the given time, when a request was sent to the address.
+	Suspect(address string, since time.Time)
 }
 
 // Pool keeps idle connections to backend servers. It is safe for concurrent use.
@@ -100,7 +106,9 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
-	now  func() time.Time
+	// lastResponse is when the head of a response last arrived from any server.
+	lastResponse time.Time
+	now          func() time.Time
 }
 
 // NewPool returns an empty pool.
@@ -120,7 +128,10 @@
 		}
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
+	sent := p.now()
+	silence := time.AfterFunc(suspiciousSilence, func() { p.suspect(address, sent) })
 	resp, err := exchange(c, r)
+	silence.Stop()
 	if err != nil {
 		stop()
 		c.Close()
@@ -129,10 +140,23 @@
 		}
 		return nil, &Error{Verdict: verdict.MayHaveRun, Err: errors.Wrapf(err, "exchange with %s", address)}
 	}
+	p.mu.Lock()
+	p.lastResponse = p.now()
+	p.mu.Unlock()
 	resp.pool, resp.address, resp.stop = p, address, stop
 	return resp, nil
 }
 
+// suspect has the path checked if nothing has arrived from any server since a request was sent.
+func (p *Pool) suspect(address string, sent time.Time) {
+	p.mu.Lock()
+	silent := !p.lastResponse.After(sent)
+	p.mu.Unlock()
+	if silent {
+		p.path.Suspect(address, sent)
+	}
+}
+
 // exchange writes the request and reads the headers of its response.
 func exchange(c *conn, r Request) (*Response, error) {
 	written := make(chan error, 1)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -58,6 +58,8 @@
 
 func (directPath) LostSince() time.Time { return time.Time{} }
 
+func (directPath) Suspect(string, time.Time) {}
+
 func okResponse(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
@@ -301,3 +303,38 @@
 		})
 	}
 }
+
+// suspectingPath records the suspicions that it is told of.
+type suspectingPath struct {
+	directPath
+	suspected chan string
+}
+
+func (p suspectingPath) Suspect(address string, _ time.Time) { p.suspected <- address }
+
+func TestSilenceIsSuspiciousOnlyIfNoServerResponds(t *testing.T) {
+	is := is.New(t)
+	path := suspectingPath{suspected: make(chan string, 10)}
+	p := NewPool(path)
+	slow := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		id, _ := readRequest(br)
+		time.Sleep(suspiciousSilence * 3 / 2)
+		fmt.Fprint(c, okResponse(id, "late"))
+	})
+	body, err := get(t, p, slow, "r1")
+	is.NoErr(err) // it is not ended by the suspicion
+	is.Equal(body, "late")
+	is.Equal(<-path.suspected, slow)
+
+	quick := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		id, _ := readRequest(br)
+		fmt.Fprint(c, okResponse(id, "quick"))
+	})
+	go func() {
+		time.Sleep(suspiciousSilence / 2)
+		get(t, p, quick, "r2")
+	}()
+	_, err = get(t, p, slow, "r3")
+	is.NoErr(err)
+	is.Equal(len(path.suspected), 0)
+}
