ratelimit: repeat reports of limits after a failed request, ask nobody without a holder

Found by reading: a change of a limit that was seen while a request to the holder was under way was marked as reported with it, and a request for a token waited up to 0.1 s, twice, while no holder answered. Reports are now cleared when they are sent and repeated if that fails; without a recent answer of a holder nothing is waited for.

--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -74,22 +74,23 @@
 func (l *Limiter) exchange(ctx context.Context) bool {
 	holder := l.currentHolder()
 	l.leave(ctx, holder)
-	r := l.buildRequest(holder)
 	sent := l.now()
+	r := l.buildRequest(holder)
 	resp, err := l.sendTake(ctx, holder, r)
 	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
+		l.repeatReports(r)
 		l.recordRelease(resp)
 		l.grantFallback()
 		return false
 	}
-	l.recordResponse(resp, r, sent)
+	l.recordResponse(resp, sent)
 	l.learnLimits(resp)
 	return true
 }
 
 // recordResponse records that the holder has responded to a request that was sent at the given time, and distributes the
 // granted tokens.
-func (l *Limiter) recordResponse(resp *turnv1.TakeResponse, r *turnv1.TakeRequest, sent time.Time) {
+func (l *Limiter) recordResponse(resp *turnv1.TakeResponse, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if resp.Holder != l.servedBy {
@@ -99,9 +100,6 @@
 	}
 	l.inFallback = false
 	l.lastResponse, l.servedBy, l.instances = l.now(), resp.Holder, int(resp.Instances)
-	for _, m := range r.Observed {
-		delete(l.unreported, backendlimit.Server{ID: m.Id, Incarnation: m.Incarnation})
-	}
 	l.limitsRevision = resp.LimitsRevision
 	for _, g := range resp.Grants {
 		l.distribute(g, sent)
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -47,7 +47,7 @@
 	// servers holds the state of backend servers that limit their requests.
 	servers map[backendlimit.Server]*serverState
 	// limits holds the announced limits of backend servers, and unreported those that changed since the last request to the
-	// holder that was answered. limitsRevision is the revision that the holder last sent, zero for a new holder.
+	// holder. limitsRevision is the revision that the holder last sent, zero for a new holder.
 	limits         limits
 	unreported     map[backendlimit.Server]bool
 	limitsRevision int64
--- a/internal/ratelimit/limits.go
+++ b/internal/ratelimit/limits.go
@@ -98,9 +98,19 @@
 			reports[server] = s
 		}
 	}
+	clear(l.unreported)
 	return reports.encode(now)
 }
 
+// repeatReports makes the next request repeat the reports of one that failed.
+func (l *Limiter) repeatReports(r *turnv1.TakeRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range r.Observed {
+		l.unreported[backendlimit.Server{ID: m.Id, Incarnation: m.Incarnation}] = true
+	}
+}
+
 // learnLimits records the limits in a response of the holder and passes them on. l.mu must not be held.
 func (l *Limiter) learnLimits(resp *turnv1.TakeResponse) {
 	for _, m := range resp.Limits {
--- a/internal/ratelimit/server.go
+++ b/internal/ratelimit/server.go
@@ -52,6 +52,9 @@
 	if w == nil {
 		return true
 	}
+	if !l.hasHolder() {
+		return l.cancelWait(&s.accountState, w) == nil
+	}
 	l.requestExchange()
 	return w.wait(ctx, askTimeout) || l.cancelWait(&s.accountState, w) == nil
 }
@@ -65,6 +68,13 @@
 	return l.await(ctx, &s.accountState, w)
 }
 
+// hasHolder reports whether a holder has responded lately, so that an answer can be expected within askTimeout.
+func (l *Limiter) hasHolder() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.lastResponse.IsZero() && l.now().Sub(l.lastResponse) <= activeWithin
+}
+
 // waitForServer adds a waiter for a token, or takes one that this instance holds and returns no waiter.
 func (l *Limiter) waitForServer(limit ServerLimit, brief bool) (*serverState, *waiter) {
 	l.mu.Lock()
