upstream, tunnel: do not charge servers for the loss of the own way

A connection that failed because neither this instance nor a peer had a way marked the server as failed, and so did a request on a connection that died with the way; servers were then avoided for 0.25 to 4 s, and their cached prompts with them. Both errors now say that the way was lost. The server of tunnels counted its tunnels with a WaitGroup to which it could add while waiting; it counts under its lock now.

TestLostPathIsNotTheServersFault; TestServerThatRefusesIsNotTriedThroughEveryPeer and others check the errors of tunnels. TestBrokenConnectionIsNoOrderlyEnd failed once under the race detector: its server could reset the connection before the dial had returned; it now waits for a byte.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -80,11 +80,12 @@
 		},
 	})
 	if err != nil {
-		x.fleet.Release(b, ctx.Err() == nil)
 		var ue *upstream.Error
 		if !errors.As(err, &ue) {
+			x.fleet.Release(b, ctx.Err() == nil)
 			return nil, err
 		}
+		x.fleet.Release(b, ctx.Err() == nil && !ue.PathLost)
 		if ue.Verdict != verdict.NotRun {
 			x.sends++
 			x.backend, x.mayHaveRun = b.ID, true
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/grpc/status"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/backendpath"
 )
 
 const (
@@ -25,8 +26,8 @@
 	avoidDuration = time.Second
 )
 
-// ErrNoPeer means that no peer could open a tunnel. Nothing was sent to a backend server.
-var ErrNoPeer = errors.New("no peer has a way to the backend server")
+// errNoPeer means that no peer could open a tunnel.
+var errNoPeer = errors.New("no peer has a way to the backend server")
 
 // Dialer returns connections to other instances.
 type Dialer interface {
@@ -49,9 +50,10 @@
 	return &Client{dialer: d, peers: peers, now: time.Now, avoided: map[string]time.Time{}}
 }
 
-// Dial connects to a backend server through a peer. The connection ends with the context.
+// Dial connects to a backend server through a peer. The connection ends with the context. An error is backendpath.ErrLost
+// unless a peer that reaches other servers could not connect to this one.
 func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
-	last := ErrNoPeer
+	last := errNoPeer
 	for i, peer := range c.candidates() {
 		if i == maxPeers || ctx.Err() != nil {
 			break
@@ -63,11 +65,11 @@
 		last = errors.Wrapf(err, "tunnel through %s", peer)
 		if status.Code(err) == codes.FailedPrecondition {
 			// The peer reaches other servers.
-			break
+			return nil, last
 		}
 		c.avoid(peer)
 	}
-	return nil, last
+	return nil, errors.Mark(last, backendpath.ErrLost)
 }
 
 // candidates returns the peers in random order, the avoided ones last.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -30,7 +30,11 @@
 	isServer func(address string) bool
 	// draining reports whether the instance is shutting down.
 	draining func() bool
-	open     sync.WaitGroup
+
+	mu   sync.Mutex
+	open int
+	// closed, if not nil, is closed when the last tunnel ends.
+	closed chan struct{}
 }
 
 // NewServer returns a server that connects with dial to addresses for which isServer is true, until the instance drains.
@@ -38,32 +42,52 @@
 	return &Server{dial: dial, isServer: isServer, draining: draining}
 }
 
-// Wait waits until every tunnel is closed or the context ends. It must be called while the instance is draining.
+// Wait waits until every tunnel is closed or the context ends. It must be called once, while the instance is draining.
 func (s *Server) Wait(ctx context.Context) {
-	closed := make(chan struct{})
-	go func() {
-		s.open.Wait()
-		close(closed)
-	}()
+	s.mu.Lock()
+	s.closed = make(chan struct{})
+	if s.open == 0 {
+		close(s.closed)
+	}
+	s.mu.Unlock()
 	select {
-	case <-closed:
+	case <-s.closed:
 	case <-ctx.Done():
 		klog.InfoS("tunnels of other instances are still open at the end of the grace period")
 	}
 }
 
+// begin counts a tunnel until end. It returns false if the instance is draining.
+func (s *Server) begin() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining() {
+		return false
+	}
+	s.open++
+	return true
+}
+
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open--
+	if s.open == 0 && s.closed != nil {
+		close(s.closed)
+	}
+}
+
 // Open implements turnv1.TunnelsServer.
 func (s *Server) Open(stream turnv1.Tunnels_OpenServer) error {
 	first, err := stream.Recv()
 	if err != nil {
 		return err
 	}
-	s.open.Add(1)
-	defer s.open.Done()
-	switch {
-	case s.draining():
+	if !s.begin() {
 		return status.Error(codes.Unavailable, "the instance is shutting down")
-	case !s.isServer(first.Address):
+	}
+	defer s.end()
+	if !s.isServer(first.Address) {
 		return status.Errorf(codes.Unavailable, "%s is no known backend server", first.Address)
 	}
 	c, err := s.dial(stream.Context(), first.Address)
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -101,6 +101,7 @@
 	is := is.New(t)
 	received := make(chan struct{})
 	reset := startBackend(t, func(c *net.TCPConn) {
+		c.Read(make([]byte, 1)) // a reset before would already fail the dial
 		c.Write([]byte("part"))
 		c.SetLinger(0)
 		c.Close()
@@ -114,6 +115,8 @@
 		carrier := startCarrier(t, dialTCP, backend)
 		c, err := newClient(t, carrier.address).Dial(t.Context(), backend)
 		is.NoErr(err)
+		_, err = c.Write([]byte("x"))
+		is.NoErr(err)
 		if backend == silent {
 			_, err = io.ReadFull(c, make([]byte, len("part")))
 			is.NoErr(err)
@@ -145,7 +148,7 @@
 	carrier.draining.Store(true)
 	carrier.Wait(t.Context())
 	_, err = client.Dial(t.Context(), backend)
-	is.True(err != nil) // the peer is draining
+	is.True(errors.Is(err, backendpath.ErrLost)) // the peer is draining
 }
 
 func TestPeersWithoutAWayArePassedOver(t *testing.T) {
@@ -176,6 +179,7 @@
 	client := newClient(t, startCarrier(t, refuse, "10.0.0.1:80").address, startCarrier(t, refuse, "10.0.0.1:80").address)
 	_, err := client.Dial(t.Context(), "10.0.0.1:80")
 	is.True(err != nil)
+	is.True(!errors.Is(err, backendpath.ErrLost)) // the server is at fault
 	is.Equal(asked.Load(), int32(1))
 }
 
@@ -183,5 +187,7 @@
 	is := is.New(t)
 	carrier := startCarrier(t, dialTCP, "10.0.0.1:80")
 	_, err := newClient(t, carrier.address).Dial(t.Context(), carrier.address)
-	is.True(err != nil)
+	is.True(errors.Is(err, backendpath.ErrLost))
+	_, err = newClient(t).Dial(t.Context(), "10.0.0.1:80")
+	is.True(errors.Is(err, backendpath.ErrLost)) // there are no peers
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -18,6 +18,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/berylpond/berylpond/internal/backendpath"
 	"github.com/berylpond/berylpond/internal/verdict"
 	"github.com/berylpond/berylpond/platform"
 )
@@ -81,7 +82,9 @@
 type Error struct {
 	// Verdict says whether the request may have run.
 	Verdict verdict.Verdict
-	Err     error
+	// PathLost means that this instance reached no server, so that the failure says nothing about this one.
+	PathLost bool
+	Err      error
 }
 
 // Error implements error.
@@ -119,7 +122,7 @@
 func (p *Pool) Do(ctx context.Context, address string, r Request) (*Response, error) {
 	c, err := p.connect(ctx, address)
 	if err != nil {
-		return nil, &Error{Verdict: verdict.NotRun, Err: err}
+		return nil, &Error{Verdict: verdict.NotRun, PathLost: errors.Is(err, backendpath.ErrLost), Err: err}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := c.SetDeadline(deadline); err != nil {
@@ -138,7 +141,10 @@
 		if ctx.Err() != nil {
 			err = errors.CombineErrors(ctx.Err(), err)
 		}
-		return nil, &Error{Verdict: verdict.MayHaveRun, Err: errors.Wrapf(err, "exchange with %s", address)}
+		return nil, &Error{
+			Verdict: verdict.MayHaveRun, PathLost: c.via() == "" && !p.path.LostSince().IsZero(),
+			Err: errors.Wrapf(err, "exchange with %s", address),
+		}
 	}
 	p.mu.Lock()
 	p.lastResponse = p.now()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/berylpond/berylpond/internal/backendpath"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -338,3 +339,21 @@
 	is.NoErr(err)
 	is.Equal(len(path.suspected), 0)
 }
+
+// lostPath has no way to any server.
+type lostPath struct{ directPath }
+
+func (lostPath) Dial(context.Context, string) (net.Conn, error) { return nil, backendpath.ErrLost }
+
+// Guards against the loss of the own way being charged to the servers.
+func TestLostPathIsNotTheServersFault(t *testing.T) {
+	is := is.New(t)
+	_, err := NewPool(lostPath{}).Do(t.Context(), "127.0.0.1:1", request("r1"))
+	var e *Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Verdict, verdict.NotRun)
+	is.True(e.PathLost)
+	_, err = NewPool(directPath{}).Do(t.Context(), "127.0.0.1:1", request("r2"))
+	is.True(errors.As(err, &e))
+	is.True(!e.PathLost)
+}
