tunnel, fleet: a peer that carries connections knows of leaving servers

Found by reading: a server that announces its shutdown in a response that comes through a peer was avoided by the instance that read the response, but the peer only copied the bytes. Other instances without a way could go on reaching the server through it, long after the announcement. The instance now tells the peer on the tunnel, and a peer opens no tunnel to a server that it would not pick itself: one that drains, has announced its shutdown or has no entry.

--- a/internal/fleet/announcement.go
+++ b/internal/fleet/announcement.go
@@ -55,7 +55,19 @@
 func (f *Fleet) MarkLeaving(b *Backend) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	s := f.announcer(b)
+	f.markLeaving(f.announcer(b))
+}
+
+// MarkLeavingID is MarkLeaving for an announcement that another instance has received.
+func (f *Fleet) MarkLeavingID(id string, incarnation int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.byID[id]; s != nil && s.Incarnation == incarnation {
+		f.markLeaving(s)
+	}
+}
+
+func (f *Fleet) markLeaving(s *server) {
 	if !s.leavingSince.IsZero() {
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -169,12 +169,13 @@
 	return out
 }
 
-// HasAddress reports whether a server has the address.
-func (f *Fleet) HasAddress(address string) bool {
+// AcceptsNew reports whether a server has the address and may be sent new requests.
+func (f *Fleet) AcceptsNew(address string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.now()
 	for _, b := range f.byID {
-		if b.Address == address {
+		if b.Address == address && f.mayBeUsed(b, now) {
 			return true
 		}
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -154,3 +154,20 @@
 	f.Upsert(restarted)
 	is.Equal(f.Acquire(Criteria{Service: "s"}).Incarnation, int64(7))
 }
+
+func TestLeavingServerAcceptsNothingNewForOtherInstancesEither(t *testing.T) {
+	is := is.New(t)
+	f := New("a", drainPeriod)
+	now := time.Unix(1000, 0)
+	f.now = func() time.Time { return now }
+	e := entry("x", "a")
+	e.Incarnation = 3
+	f.Upsert(e)
+	f.MarkLeavingID("x", 2) // an earlier incarnation
+	now = now.Add(drainPeriod)
+	is.True(f.AcceptsNew(e.Address))
+	f.MarkLeavingID("x", 3)
+	now = now.Add(drainPeriod)
+	is.True(!f.AcceptsNew(e.Address))
+	is.True(!f.AcceptsNew("10.0.0.2:80"))
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -98,6 +98,7 @@
 	x.backend, x.via = b.ID, resp.Via
 	if resp.Leaving {
 		x.markLeaving(b)
+		resp.ServerLeaving(b.ID, b.Incarnation)
 	}
 	x.observeLimit(b, resp, sent)
 	backendResp := &backendResponse{Response: resp, backend: b, fleet: x.fleet}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -105,7 +105,7 @@
 		return i.dialBackend(ctx, address)
 	}, tunnel.NewClient(i.pool, i.peers).Dial, i.fleet.Addresses, backendpath.NewMetrics(i.metrics))
 	i.backendPool = upstream.NewPool(i.backendPath)
-	i.tunnels = tunnel.NewServer(i.backendPath.DialDirect, i.fleet.HasAddress, i.closing.Load)
+	i.tunnels = tunnel.NewServer(i.backendPath.DialDirect, i.fleet, i.closing.Load)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
 	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
 	store := platform.NewStore(i.transport)
--- a/internal/instance/path_test.go
+++ b/internal/instance/path_test.go
@@ -166,3 +166,28 @@
 	is.True(!a.broken)
 	is.True(!s.llm.Executions()[0].Cancelled)
 }
+
+// Guards against an instance that only copies bytes going on to use a server that has announced its shutdown in them.
+func TestLeavingServerSeenThroughAPeerIsKnownToThePeer(t *testing.T) {
+	is := is.New(t)
+	s, p := partitionedSite(t)
+	p.refuses.Store(true)
+	var arrivals atomic.Int32
+	leaving := s.tools[0]
+	leaving.Handler = func(w http.ResponseWriter, _ *http.Request, _ string) bool {
+		arrivals.Add(1)
+		w.Header().Set("Server-Leaving", "1")
+		return false
+	}
+	for arrivals.Load() == 0 {
+		is.Equal(s.do(s.nodes[0], call{path: "/read/x"}).status, http.StatusOK)
+	}
+	address := leaving.Listener.Addr().String()
+	s.eventually("the peer knows", func() bool {
+		return !s.nodes[1].fleet.AcceptsNew(address) || !s.nodes[2].fleet.AcceptsNew(address)
+	})
+	for range 10 {
+		is.Equal(s.do(s.nodes[0], call{path: "/read/x"}).status, http.StatusOK)
+	}
+	is.Equal(arrivals.Load(), int32(1))
+}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -21,13 +21,20 @@
 // chunkBytes is the largest number of bytes in one message.
 const chunkBytes = 16 << 10
 
+// Servers is what an instance knows of the backend servers.
+type Servers interface {
+	// AcceptsNew reports whether a registered server has the address and may be sent new requests.
+	AcceptsNew(address string) bool
+	// MarkLeavingID records that an incarnation of a server has announced that it is leaving.
+	MarkLeavingID(id string, incarnation int64)
+}
+
 // Server serves the gRPC service Tunnels.
 type Server struct {
 	turnv1.UnimplementedTunnelsServer
 	// dial connects to a backend server directly. An error that is backendpath.ErrLost means that no server can be reached.
-	dial backendpath.DialFunc
-	// isServer reports whether an address is that of a registered backend server.
-	isServer func(address string) bool
+	dial    backendpath.DialFunc
+	servers Servers
 	// draining reports whether the instance is shutting down.
 	draining func() bool
 
@@ -37,9 +44,9 @@
 	closed chan struct{}
 }
 
-// NewServer returns a server that connects with dial to addresses for which isServer is true, until the instance drains.
-func NewServer(dial backendpath.DialFunc, isServer func(address string) bool, draining func() bool) *Server {
-	return &Server{dial: dial, isServer: isServer, draining: draining}
+// NewServer returns a server that connects with dial to servers that accept new requests, until the instance drains.
+func NewServer(dial backendpath.DialFunc, servers Servers, draining func() bool) *Server {
+	return &Server{dial: dial, servers: servers, draining: draining}
 }
 
 // Wait waits until every tunnel is closed or the context ends. It must be called once, while the instance is draining.
@@ -87,8 +94,8 @@
 		return status.Error(codes.Unavailable, "the instance is shutting down")
 	}
 	defer s.end()
-	if !s.isServer(first.Address) {
-		return status.Errorf(codes.Unavailable, "%s is no known backend server", first.Address)
+	if !s.servers.AcceptsNew(first.Address) {
+		return status.Errorf(codes.FailedPrecondition, "no backend server at %s accepts new requests", first.Address)
 	}
 	c, err := s.dial(stream.Context(), first.Address)
 	if errors.Is(err, backendpath.ErrLost) {
@@ -101,18 +108,21 @@
 	if err := stream.Send(&turnv1.TunnelResponse{}); err != nil {
 		return err
 	}
-	go copyToServer(c, stream)
+	go s.copyToServer(c, stream)
 	return copyFromServer(stream, c)
 }
 
 // copyToServer closes the connection once the other instance closes the tunnel, so that the server notices.
-func copyToServer(c net.Conn, stream turnv1.Tunnels_OpenServer) {
+func (s *Server) copyToServer(c net.Conn, stream turnv1.Tunnels_OpenServer) {
 	defer c.Close()
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return
 		}
+		if m.Leaving != nil {
+			s.servers.MarkLeavingID(m.Leaving.Id, m.Leaving.Incarnation)
+		}
 		if _, err := c.Write(m.Data); err != nil {
 			klog.V(1).InfoS("writing to a backend server for another instance failed", "cause", err.Error())
 			return
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -250,6 +250,15 @@
 	})
 }
 
+// ServerLeaving tells the instance through which the response came, if there is one, that the server is leaving.
+func (r *Response) ServerLeaving(id string, incarnation int64) {
+	if t, ok := r.conn.Conn.(interface {
+		ServerLeaving(id string, incarnation int64)
+	}); ok {
+		t.ServerLeaving(id, incarnation)
+	}
+}
+
 func (r *Response) requestWritten() bool {
 	select {
 	case err := <-r.written:
