--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -125,12 +125,12 @@
 }
 
 // grantee returns the state that a grant is for, or nil if it was dropped meanwhile.
-func (l *Limiter) grantee(g *turnv1.Grant) *accountState {
+func (l *Limiter) grantee(g *turnv1.Grant) *tokenState {
 	if g.Server == nil {
 		return l.state(g.Account)
 	}
 	if s := l.servers[backendlimit.Server{ID: g.Server.Id, Incarnation: g.Server.Incarnation}]; s != nil {
-		return &s.accountState
+		return &s.tokenState
 	}
 	return nil
 }
--- a/internal/ratelimit/holder.go
+++ b/internal/ratelimit/holder.go
@@ -1,5 +1,6 @@
-// Package ratelimit enforces the rate and burst limits of client accounts over all instances. One instance, the holder,
-// has the token buckets; the others prefetch tokens with a short time to live from it and admit requests with them.
+// Package ratelimit enforces the rate and burst limits of client accounts, and the request limits that backend servers
+// announce, over all instances. One instance, the holder, has the token buckets. The others get tokens with a short time to
+// live from it: those of accounts are prefetched, those of servers asked for when a request needs one.
 package ratelimit
 
 import (
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -43,7 +43,7 @@
 	OnLimit func(backendlimit.Server, backendlimit.State)
 
 	mu     sync.Mutex
-	states map[string]*accountState
+	states map[string]*tokenState
 	// servers holds the state of backend servers that limit their requests.
 	servers map[backendlimit.Server]*serverState
 	// limits holds the announced limits of backend servers, and unreported those that changed since the last request to the
@@ -82,7 +82,7 @@
 func NewLimiter(configuration ConfigurationFunc, members MembersFunc, self string, client HolderClient) *Limiter {
 	return &Limiter{
 		configuration: configuration, members: members, self: self, client: client, now: time.Now,
-		states:  map[string]*accountState{},
+		states:  map[string]*tokenState{},
 		servers: map[backendlimit.Server]*serverState{},
 		limits:  limits{}, unreported: map[backendlimit.Server]bool{},
 		started: time.Now(),
@@ -120,7 +120,7 @@
 }
 
 // await waits until the waiter gets a token or is refused.
-func (l *Limiter) await(ctx context.Context, s *accountState, w *waiter) *Denial {
+func (l *Limiter) await(ctx context.Context, s *tokenState, w *waiter) *Denial {
 	l.requestExchange()
 	if w.wait(ctx, maxWait) || !l.respondedSince(w.since) && w.wait(ctx, maxWaitWithoutHolder-maxWait) {
 		return nil
@@ -153,7 +153,7 @@
 }
 
 // cancelWait removes a waiter. It returns nil if the waiter was granted a token meanwhile.
-func (l *Limiter) cancelWait(s *accountState, w *waiter) *Denial {
+func (l *Limiter) cancelWait(s *tokenState, w *waiter) *Denial {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for i, other := range s.waiters {
@@ -172,10 +172,10 @@
 	return &Denial{OverRate: l.lastResponse.After(w.since), RetryAfter: s.retryAfter}
 }
 
-func (l *Limiter) state(account string) *accountState {
+func (l *Limiter) state(account string) *tokenState {
 	s := l.states[account]
 	if s == nil {
-		s = &accountState{}
+		s = &tokenState{}
 		l.states[account] = s
 	}
 	return s
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -63,7 +63,7 @@
 		h.now = clock
 		l := NewLimiter(configuration, members, self, &simHolderClient{s, i})
 		l.now, l.started = clock, s.now
-		l.states[a.Name] = &accountState{}
+		l.states[a.Name] = &tokenState{}
 		s.holders, s.limiters = append(s.holders, h), append(s.limiters, l)
 	}
 	return s
--- a/internal/ratelimit/server.go
+++ b/internal/ratelimit/server.go
@@ -29,7 +29,7 @@
 
 // serverState is what one instance holds of the tokens of a backend server.
 type serverState struct {
-	accountState
+	tokenState
 	// limit is the announced limit in requests per second.
 	limit float64
 	// used is when a request last asked for a token.
@@ -53,10 +53,10 @@
 		return true
 	}
 	if !l.hasHolder() {
-		return l.cancelWait(&s.accountState, w) == nil
+		return l.cancelWait(&s.tokenState, w) == nil
 	}
 	l.requestExchange()
-	return w.wait(ctx, askTimeout) || l.cancelWait(&s.accountState, w) == nil
+	return w.wait(ctx, askTimeout) || l.cancelWait(&s.tokenState, w) == nil
 }
 
 // AwaitServer is AskForServer for a request that no other server can take: it waits for a token as Admit does.
@@ -65,7 +65,7 @@
 	if w == nil {
 		return nil
 	}
-	return l.await(ctx, &s.accountState, w)
+	return l.await(ctx, &s.tokenState, w)
 }
 
 // hasHolder reports whether a holder has responded lately, so that an answer can be expected within askTimeout.
--- a/internal/ratelimit/server_test.go
+++ b/internal/ratelimit/server_test.go
@@ -43,7 +43,7 @@
 		return true
 	}
 	l.exchange(context.Background())
-	return l.cancelWait(&s.accountState, w) == nil
+	return l.cancelWait(&s.tokenState, w) == nil
 }
 
 func TestServerStaysWithinItsLimitWhileHoldersChange(t *testing.T) {
--- a/internal/ratelimit/account.go
+++ b/internal/ratelimit/tokens.go
@@ -12,9 +12,9 @@
 	expires time.Time
 }
 
-// accountState is what one instance holds of the tokens of an account or a backend server, and the requests that wait for
+// tokenState is what one instance holds of the tokens of an account or a backend server, and the requests that wait for
 // more.
-type accountState struct {
+type tokenState struct {
 	batches []tokenBatch
 	waiters []*waiter
 	// unused counts expired tokens that are to be returned to the holder.
@@ -52,13 +52,13 @@
 }
 
 // addWaiter adds a request to those that wait for a token.
-func (s *accountState) addWaiter(now time.Time) *waiter {
+func (s *tokenState) addWaiter(now time.Time) *waiter {
 	w := &waiter{granted: make(chan bool, 1), since: now}
 	s.waiters = append(s.waiters, w)
 	return w
 }
 
-func (s *accountState) takeToken(now time.Time) bool {
+func (s *tokenState) takeToken(now time.Time) bool {
 	s.expire(now)
 	if len(s.batches) == 0 {
 		return false
@@ -70,7 +70,7 @@
 	return true
 }
 
-func (s *accountState) heldTokens(now time.Time) int64 {
+func (s *tokenState) heldTokens(now time.Time) int64 {
 	s.expire(now)
 	var n int64
 	for _, x := range s.batches {
@@ -79,7 +79,7 @@
 	return n
 }
 
-func (s *accountState) expire(now time.Time) {
+func (s *tokenState) expire(now time.Time) {
 	for len(s.batches) > 0 && !now.Before(s.batches[0].expires) {
 		s.unused += s.batches[0].tokens
 		s.batches = s.batches[1:]
@@ -87,7 +87,7 @@
 }
 
 // grantWaiters gives held tokens to the waiting requests in order of arrival.
-func (s *accountState) grantWaiters(now time.Time) {
+func (s *tokenState) grantWaiters(now time.Time) {
 	for len(s.waiters) > 0 && s.takeToken(now) {
 		s.waiters[0].granted <- true
 		s.waiters = s.waiters[1:]
@@ -95,7 +95,7 @@
 }
 
 // refuseWaiters refuses those of the waiting requests for which refuse is true.
-func (s *accountState) refuseWaiters(refuse func(*waiter) bool) {
+func (s *tokenState) refuseWaiters(refuse func(*waiter) bool) {
 	s.waiters = slices.DeleteFunc(s.waiters, func(w *waiter) bool {
 		if !refuse(w) {
 			return false
@@ -106,7 +106,7 @@
 }
 
 // fillFallback fills the bucket of the instance's own share and hands out its whole tokens.
-func (s *accountState) fillFallback(rate, burst float64, now time.Time) {
+func (s *tokenState) fillFallback(rate, burst float64, now time.Time) {
 	if s.fallback.filled.IsZero() {
 		s.fallback.filled = now
 	}
