tunnel: report leaving servers by a call of its own

Found by reading: the report went over the tunnel itself, behind the rest of a request that the server may have stopped reading, and the request that read the announcement waited for it, up to its deadline. It is a call of its own now, which nothing waits for, and the peer writes a line when it learns of a server that leaves.

TestCarrierIsToldOfALeavingServer now has a server that does not read; the former report would have waited.

--- a/internal/fleet/announcement.go
+++ b/internal/fleet/announcement.go
@@ -58,22 +58,24 @@
 	f.markLeaving(f.announcer(b))
 }
 
-// MarkLeavingID is MarkLeaving for an announcement that another instance has received.
-func (f *Fleet) MarkLeavingID(id string, incarnation int64) {
+// MarkLeavingID is MarkLeaving for an announcement that another instance has received. It reports whether the announcement
+// is new.
+func (f *Fleet) MarkLeavingID(id string, incarnation int64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if s := f.byID[id]; s != nil && s.Incarnation == incarnation {
-		f.markLeaving(s)
-	}
+	s := f.byID[id]
+	return s != nil && s.Incarnation == incarnation && f.markLeaving(s)
 }
 
-func (f *Fleet) markLeaving(s *server) {
+// markLeaving reports whether the announcement is new. f.mu must be held.
+func (f *Fleet) markLeaving(s *server) bool {
 	if !s.leavingSince.IsZero() {
-		return
+		return false
 	}
 	now := f.now()
 	s.leavingSince = now
 	f.remember(s, now)
+	return true
 }
 
 // IsLeaving reports whether the server has announced that it is leaving.
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -108,7 +108,8 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	t := time.AfterFunc(openTimeout, cancel)
-	stream, err := turnv1.NewTunnelsClient(pc).Open(ctx)
+	tunnels := turnv1.NewTunnelsClient(pc)
+	stream, err := tunnels.Open(ctx)
 	if err == nil {
 		err = stream.Send(&turnv1.TunnelRequest{Address: address})
 	}
@@ -120,5 +121,5 @@
 		cancel()
 		return nil, errors.CombineErrors(err, ctx.Err())
 	}
-	return &conn{stream: stream, cancel: cancel, peer: peer, address: address}, nil
+	return &conn{stream: stream, cancel: cancel, peer: peer, address: address, reports: tunnels}, nil
 }
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -13,6 +12,9 @@
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 )
 
+// reportTimeout bounds a report to a peer.
+const reportTimeout = 500 * time.Millisecond
+
 // conn is the opening side of a tunnel. As with any net.Conn, one goroutine may read while another writes.
 type conn struct {
 	stream  turnv1.Tunnels_OpenClient
@@ -22,8 +24,8 @@
 	address string
 	// unread is the rest of the last message.
 	unread []byte
-	// sending guards the sending side of the stream.
-	sending sync.Mutex
+	// reports is the peer's service for what its copying does not see.
+	reports turnv1.TunnelsClient
 }
 
 // Read implements net.Conn. It returns io.EOF only if the backend server has closed the connection in order.
@@ -47,7 +49,7 @@
 func (c *conn) Write(b []byte) (int, error) {
 	for written := 0; written < len(b); {
 		next := min(len(b), written+chunkBytes)
-		if err := c.send(&turnv1.TunnelRequest{Data: b[written:next]}); err != nil {
+		if err := c.stream.Send(&turnv1.TunnelRequest{Data: b[written:next]}); err != nil {
 			return written, errors.Wrapf(err, "tunnel through %s", c.peer)
 		}
 		written = next
@@ -55,19 +57,16 @@
 	return len(b), nil
 }
 
-func (c *conn) send(m *turnv1.TunnelRequest) error {
-	c.sending.Lock()
-	defer c.sending.Unlock()
-	return c.stream.Send(m)
-}
-
 // ServerLeaving tells the peer that the backend server at the other end has announced that it is leaving. The peer does not
-// see it, as it only copies bytes.
+// see it, as it only copies bytes. ServerLeaving does not wait, and the connection may be closed meanwhile.
 func (c *conn) ServerLeaving(id string, incarnation int64) {
-	m := &turnv1.TunnelRequest{Leaving: &turnv1.LeavingServer{Id: id, Incarnation: incarnation}}
-	if err := c.send(m); err != nil {
-		klog.V(1).InfoS("a peer was not told of a leaving server", "peer", c.peer, "backend", id, "cause", err.Error())
-	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+		defer cancel()
+		if _, err := c.reports.ReportLeaving(ctx, &turnv1.LeavingServer{Id: id, Incarnation: incarnation}); err != nil {
+			klog.InfoS("could not tell a peer of a leaving server", "peer", c.peer, "backend", id, "cause", err.Error())
+		}
+	}()
 }
 
 // Close implements net.Conn. The peer closes its connection to the backend server.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -25,8 +25,8 @@
 type Servers interface {
 	// AcceptsNew reports whether a registered server has the address and may be sent new requests.
 	AcceptsNew(address string) bool
-	// MarkLeavingID records that an incarnation of a server has announced that it is leaving.
-	MarkLeavingID(id string, incarnation int64)
+	// MarkLeavingID records that an incarnation of a server has announced that it is leaving, and reports whether that is new.
+	MarkLeavingID(id string, incarnation int64) bool
 }
 
 // Server serves the gRPC service Tunnels.
@@ -108,21 +108,27 @@
 	if err := stream.Send(&turnv1.TunnelResponse{}); err != nil {
 		return err
 	}
-	go s.copyToServer(c, stream)
+	go copyToServer(c, stream)
 	return copyFromServer(stream, c)
 }
 
+// ReportLeaving implements turnv1.TunnelsServer.
+func (s *Server) ReportLeaving(_ context.Context, r *turnv1.LeavingServer) (*turnv1.ReportLeavingResponse, error) {
+	if s.servers.MarkLeavingID(r.Id, r.Incarnation) {
+		klog.InfoS("backend server announced that it is leaving", "backend", r.Id, "born", r.Incarnation, "learned_from",
+			"tunnel")
+	}
+	return &turnv1.ReportLeavingResponse{}, nil
+}
+
 // copyToServer closes the connection once the other instance closes the tunnel, so that the server notices.
-func (s *Server) copyToServer(c net.Conn, stream turnv1.Tunnels_OpenServer) {
+func copyToServer(c net.Conn, stream turnv1.Tunnels_OpenServer) {
 	defer c.Close()
 	for {
 		m, err := stream.Recv()
 		if err != nil {
 			return
 		}
-		if m.Leaving != nil {
-			s.servers.MarkLeavingID(m.Leaving.Id, m.Leaving.Incarnation)
-		}
 		if _, err := c.Write(m.Data); err != nil {
 			klog.V(1).InfoS("writing to a backend server for another instance failed", "cause", err.Error())
 			return
