gateway: name requests that their server broke off by a fingerprint

An instance could not tell from its logs that two requests with different ids are the same, so nothing connected the crashes.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -34,9 +34,9 @@
 			return err
 		}
 		if resp.Length > maxBufferedBytes {
-			return x.relayLong(resp)
+			return x.relayLong(ctx, resp)
 		}
-		body, err := readResponse(resp)
+		body, err := x.readResponse(ctx, resp)
 		if err == nil {
 			return x.writeResponse(resp, body)
 		}
@@ -51,12 +51,15 @@
 }
 
 // readResponse reads the whole body and releases the backend server.
-func readResponse(resp *backendResponse) ([]byte, error) {
+func (x *exchange) readResponse(ctx context.Context, resp *backendResponse) ([]byte, error) {
 	body, err := readAll(resp.Body, resp.Length, maxBufferedBytes)
 	resp.close(err == nil, err != nil)
 	if err == nil {
 		return body, nil
 	}
+	if ctx.Err() == nil {
+		x.logBrokenOff(resp.backend, resp.sent, err)
+	}
 	return nil, &verdict.Error{
 		Verdict: verdict.MayHaveRun, Reason: verdict.ReasonTruncated, Status: http.StatusBadGateway,
 		Detail: errors.Wrap(err, "the answer broke off").Error(),
@@ -65,21 +68,40 @@
 
 // relayLong relays a response of known length without buffering it. A truncated one ends the client's connection before
 // the announced length.
-func (x *exchange) relayLong(resp *backendResponse) error {
+func (x *exchange) relayLong(ctx context.Context, resp *backendResponse) error {
 	h := x.w.Header()
 	platform.CopyResponseHeaders(h, resp.Header)
 	x.setConnectionClose(h)
 	h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	x.headersSent = true
 	x.w.WriteHeader(resp.Status)
-	_, err := io.Copy(x.w, resp.Body)
+	body := &readErrorRecorder{Reader: resp.Body}
+	_, err := io.Copy(x.w, body)
 	resp.close(err == nil, false)
+	if body.err != nil && ctx.Err() == nil {
+		x.logBrokenOff(resp.backend, resp.sent, body.err)
+	}
 	if err != nil {
 		return verdict.Fail(http.StatusBadGateway, verdict.ReasonTruncated, "the answer broke off: %v", err)
 	}
 	return nil
 }
 
+// readErrorRecorder keeps the error that ended the reads, to tell it from errors of writes.
+type readErrorRecorder struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *readErrorRecorder) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.err = err
+	}
+	return n, err
+}
+
 // writeResponse writes a buffered response to the client.
 func (x *exchange) writeResponse(resp *backendResponse, body []byte) error {
 	h := x.w.Header()
@@ -107,11 +129,11 @@
 }
 
 // relayBuffered relays a response that is not an event stream, such as an error response on a streaming route.
-func (x *exchange) relayBuffered(resp *backendResponse) error {
+func (x *exchange) relayBuffered(ctx context.Context, resp *backendResponse) error {
 	if resp.Length > maxBufferedBytes {
-		return x.relayLong(resp)
+		return x.relayLong(ctx, resp)
 	}
-	body, err := readResponse(resp)
+	body, err := x.readResponse(ctx, resp)
 	if err != nil {
 		return x.finalError(err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/fleet"
+	"github.com/berylpond/berylpond/internal/quarantine"
 	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/routing"
 	"github.com/berylpond/berylpond/internal/upstream"
@@ -116,6 +117,8 @@
 	route         *routing.Route
 	account       routing.Account
 	body          []byte
+	// fingerprint identifies the request whatever its id.
+	fingerprint quarantine.Fingerprint
 	// target is the path and query exactly as the client sent them.
 	target  string
 	started time.Time
@@ -182,6 +185,7 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	x.fingerprint = quarantine.FingerprintOf(x.account.Name, x.r.Method, x.r.Host, x.target, x.body)
 	if d := x.acquireToken(); d != nil {
 		if !d.OverRate {
 			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonRateLimited, x.retryDelay(),
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -24,6 +24,8 @@
 	*upstream.Response
 	backend *fleet.Backend
 	fleet   *fleet.Fleet
+	// sent is when the request was sent.
+	sent time.Time
 }
 
 // close closes the response and releases the backend server.
@@ -89,6 +91,7 @@
 		if ue.Verdict != verdict.NotRun {
 			x.sends++
 			x.backend, x.mayHaveRun = b.ID, true
+			x.logBrokenOff(b, sent, ue)
 		}
 		return nil, &verdict.Error{
 			Verdict: ue.Verdict, Reason: verdict.ReasonBackendFailed, Status: http.StatusBadGateway, Detail: ue.Error(),
@@ -101,7 +104,7 @@
 		resp.ServerLeaving(b.ID, b.Incarnation)
 	}
 	x.observeLimit(b, resp, sent)
-	backendResp := &backendResponse{Response: resp, backend: b, fleet: x.fleet}
+	backendResp := &backendResponse{Response: resp, backend: b, fleet: x.fleet, sent: sent}
 	if !resp.NotRun {
 		x.mayHaveRun = true
 		return backendResp, nil
@@ -112,6 +115,14 @@
 		"backend server %s did not run the request: status %d", b.ID, status)
 }
 
+// logBrokenOff logs that a backend server ended a request without a complete response. The fingerprint tells which requests
+// have been in progress at several servers that ended.
+func (x *exchange) logBrokenOff(b *fleet.Backend, sent time.Time, cause error) {
+	klog.InfoS("request was broken off by its backend server", "request", x.ID, "fingerprint", x.fingerprint.String(),
+		"account", x.account.Name, "previous", x.PreviousTurn, "input_bytes", len(x.body), "backend", b.ID, "born", b.Incarnation,
+		"in_progress_ms", x.now().Sub(sent).Milliseconds(), "cause", cause.Error())
+}
+
 func (x *exchange) markLeaving(b *fleet.Backend) {
 	if !x.fleet.IsLeaving(b) {
 		klog.InfoS("backend server announced that it is leaving", "request", x.ID, "backend", b.ID, "address", b.Address,
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -37,7 +37,7 @@
 func (x *exchange) relayStream(ctx context.Context, resp *backendResponse) (relayedStream, error) {
 	var out relayedStream
 	if resp.Status != http.StatusOK {
-		return out, x.relayBuffered(resp)
+		return out, x.relayBuffered(ctx, resp)
 	}
 	x.startStream(resp)
 	err := x.relayEvents(resp, &out)
@@ -46,6 +46,9 @@
 		return out, nil
 	}
 	reason, status := verdict.ReasonTruncated, http.StatusBadGateway
+	if ctx.Err() == nil && errors.Is(err, errStreamTruncated) {
+		x.logBrokenOff(resp.backend, resp.sent, err)
+	}
 	if ctx.Err() != nil {
 		reason, status = verdict.ReasonDeadline, http.StatusGatewayTimeout
 		if x.r.Context().Err() != nil {
