--- a/internal/fakes/runner/runner.go
+++ b/internal/fakes/runner/runner.go
@@ -30,6 +30,8 @@
 	Events int
 	// EventInterval is the delay after each event, or before the response of a plain service.
 	EventInterval time.Duration
+	// Incarnation changes with each start.
+	Incarnation int
 	// Handler, if not nil, is called first for each request. If it returns true, it has handled the request.
 	Handler func(w http.ResponseWriter, r *http.Request, body string) bool
 
@@ -37,8 +39,9 @@
 	executions []*Execution
 }
 
+// Start starts a server at an address of its own.
 func Start(id, service string, events int) *Server {
-	s := &Server{ID: id, Service: service, Events: events}
+	s := &Server{ID: id, Service: service, Events: events, Incarnation: 1}
 	s.Server = httptest.NewServer(s)
 	return s
 }
@@ -48,11 +51,36 @@
 	host, port, _ := net.SplitHostPort(s.Listener.Addr().String())
 	b, _ := json.Marshal(map[string]any{
 		"service": s.Service, "addr": net.JoinHostPort(host, port), "zone": "a", "slots": 8, "state": state, "seq": 1,
-		"born": 1,
+		"born": s.Incarnation,
 	})
 	return b
 }
 
+// Crash breaks every connection and refuses new ones until Restart. A handler may call it.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	crashed := s.Server
+	s.mu.Unlock()
+	crashed.Listener.Close()
+	crashed.CloseClientConnections()
+}
+
+// Restart starts a crashed server at its former address, as a new incarnation.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, err := net.Listen("tcp", s.Listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	s.Server = httptest.NewUnstartedServer(s)
+	s.Server.Listener.Close()
+	s.Server.Listener = l
+	s.Server.Start()
+	s.Incarnation++
+	return nil
+}
+
 // Executions returns the executed requests.
 func (s *Server) Executions() []Execution {
 	s.mu.Lock()
