quarantine: keep requests that crash backend servers from being sent on

Cause: nothing connected the crashes. The evidence about a request is spread over the instances that its copies came to, and none was kept. Class: one request's effect is charged to each server in turn.

An instance whose request breaks off tries the server again. If the server refuses, it has crashed, and every request that was in progress there is reported to the holder of the accounts' buckets, with the request for tokens that goes there anyway. A request that was in progress at three crashes that nothing else explains is refused by all instances with 503, not-run, and the time to come back. A crash has one cause, so those of a request in quarantine count against nobody else; a run that completes anywhere clears a request; of two at the same crashes neither is refused until a fourth. The holder records the decision in the platform's store, whose retention is also the time after which it is forgotten; an instance reads it before it takes clients. Servers that drain, leave or are gone are left out.

--- a/internal/backendpath/backendpath.go
+++ b/internal/backendpath/backendpath.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -27,6 +28,9 @@
 // ErrLost means that this instance reaches no backend server.
 var ErrLost = errors.New("no way to any backend server")
 
+// ErrServerDown means that a server refuses connections although others can be reached: no process listens at its address.
+var ErrServerDown = errors.New("the backend server refuses connections")
+
 // DialFunc opens a connection to a backend server.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
@@ -80,7 +84,7 @@
 }
 
 // DialDirect connects to a server without the help of another instance. It returns ErrLost if no server can be reached,
-// rather than just this one.
+// rather than just this one, and ErrServerDown if just this one refuses the connection.
 func (d *Dialer) DialDirect(ctx context.Context, address string) (net.Conn, error) {
 	if !d.LostSince().IsZero() {
 		return nil, ErrLost
@@ -94,6 +98,9 @@
 	if ctx.Err() == nil && d.isLost(ctx, address, started) {
 		return nil, errors.Mark(err, ErrLost)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return nil, errors.Mark(err, ErrServerDown)
+	}
 	return nil, err
 }
 
--- a/internal/fleet/announcement.go
+++ b/internal/fleet/announcement.go
@@ -78,6 +78,15 @@
 	return true
 }
 
+// InService reports whether an incarnation of a server is registered, does not drain and has not announced that it is
+// leaving.
+func (f *Fleet) InService(id string, incarnation int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.byID[id]
+	return s != nil && s.Incarnation == incarnation && !s.Draining && s.leavingSince.IsZero()
+}
+
 // IsLeaving reports whether the server has announced that it is leaving.
 func (f *Fleet) IsLeaving(b *Backend) bool {
 	f.mu.Lock()
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -55,10 +55,13 @@
 	body, err := readAll(resp.Body, resp.Length, maxBufferedBytes)
 	resp.close(err == nil, err != nil)
 	if err == nil {
+		if resp.Stamped {
+			x.quarantine.Completed(x.fingerprint)
+		}
 		return body, nil
 	}
 	if ctx.Err() == nil {
-		x.logBrokenOff(resp.backend, resp.sent, err)
+		x.brokenOff(resp.backend, resp.sent, err)
 	}
 	return nil, &verdict.Error{
 		Verdict: verdict.MayHaveRun, Reason: verdict.ReasonTruncated, Status: http.StatusBadGateway,
@@ -79,7 +82,7 @@
 	_, err := io.Copy(x.w, body)
 	resp.close(err == nil, false)
 	if body.err != nil && ctx.Err() == nil {
-		x.logBrokenOff(resp.backend, resp.sent, body.err)
+		x.brokenOff(resp.backend, resp.sent, body.err)
 	}
 	if err != nil {
 		return verdict.Fail(http.StatusBadGateway, verdict.ReasonTruncated, "the answer broke off: %v", err)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,16 @@
 	ReportServer(server backendlimit.Server, s backendlimit.State)
 }
 
+// Quarantine keeps requests that make backend servers crash from being sent on.
+type Quarantine interface {
+	// Until returns the end of the quarantine of a request. It is zero if the request may be sent.
+	Until(f quarantine.Fingerprint) time.Time
+	// BrokenOff records that a backend server ended a run without a whole response, Completed that one ended with a whole
+	// response.
+	BrokenOff(f quarantine.Fingerprint, r quarantine.Run)
+	Completed(f quarantine.Fingerprint)
+}
+
 // Gateway is the HTTP handler of client requests.
 type Gateway struct {
 	configuration func() *routing.Configuration
@@ -72,6 +82,7 @@
 	servers       *upstream.Pool
 	turnClient    TurnClient
 	rateLimiter   RateLimiter
+	quarantine    Quarantine
 	historyCache  *historyCache
 	metrics       *Metrics
 	now           func() time.Time
@@ -89,6 +100,7 @@
 	Upstream      *upstream.Pool
 	TurnClient    TurnClient
 	RateLimiter   RateLimiter
+	Quarantine    Quarantine
 	Metrics       *Metrics
 	Draining      func() bool
 	Isolated      func() bool
@@ -98,7 +110,7 @@
 func New(o Options) *Gateway {
 	return &Gateway{
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Upstream, turnClient: o.TurnClient,
-		rateLimiter: o.RateLimiter, historyCache: newHistoryCache(), metrics: o.Metrics, now: time.Now,
+		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, historyCache: newHistoryCache(), metrics: o.Metrics, now: time.Now,
 		draining: o.Draining, isolated: o.Isolated,
 	}
 }
@@ -186,6 +198,9 @@
 		return err
 	}
 	x.fingerprint = quarantine.FingerprintOf(x.account.Name, x.r.Method, x.r.Host, x.target, x.body)
+	if err := x.checkQuarantine(); err != nil {
+		return err
+	}
 	if d := x.acquireToken(); d != nil {
 		if !d.OverRate {
 			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonRateLimited, x.retryDelay(),
@@ -198,6 +213,16 @@
 	return nil
 }
 
+// checkQuarantine refuses a request that makes backend servers crash.
+func (x *exchange) checkQuarantine() error {
+	until := x.quarantine.Until(x.fingerprint)
+	if until.IsZero() {
+		return nil
+	}
+	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonQuarantined, max(until.Sub(x.now()), retryAfterTransient),
+		"backend servers crashed when they ran requests like this one (%s)", x.fingerprint)
+}
+
 // acquireToken takes a rate-limit token of the account. An isolated instance waits only briefly for the holder of the
 // account's tokens, since the client is served faster by another instance.
 func (x *exchange) acquireToken() *ratelimit.Denial {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -10,6 +10,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/berylpond/berylpond/internal/fleet"
+	"github.com/berylpond/berylpond/internal/quarantine"
 	"github.com/berylpond/berylpond/internal/routing"
 	"github.com/berylpond/berylpond/internal/upstream"
 	"github.com/berylpond/berylpond/internal/verdict"
@@ -46,6 +47,9 @@
 		if x.remaining() < minAttemptTime {
 			break
 		}
+		if err := x.checkQuarantine(); err != nil {
+			return nil, x.finalError(err)
+		}
 		b, denial := x.acquireBackend(ctx, preferred)
 		if b == nil {
 			if denial != nil && last == nil {
@@ -91,7 +95,9 @@
 		if ue.Verdict != verdict.NotRun {
 			x.sends++
 			x.backend, x.mayHaveRun = b.ID, true
-			x.logBrokenOff(b, sent, ue)
+			if ctx.Err() == nil && !ue.PathLost {
+				x.brokenOff(b, sent, ue)
+			}
 		}
 		return nil, &verdict.Error{
 			Verdict: ue.Verdict, Reason: verdict.ReasonBackendFailed, Status: http.StatusBadGateway, Detail: ue.Error(),
@@ -115,12 +121,14 @@
 		"backend server %s did not run the request: status %d", b.ID, status)
 }
 
-// logBrokenOff logs that a backend server ended a request without a complete response. The fingerprint tells which requests
-// have been in progress at several servers that ended.
-func (x *exchange) logBrokenOff(b *fleet.Backend, sent time.Time, cause error) {
+// brokenOff records that a backend server ended a request without a complete response.
+func (x *exchange) brokenOff(b *fleet.Backend, sent time.Time, cause error) {
 	klog.InfoS("request was broken off by its backend server", "request", x.ID, "fingerprint", x.fingerprint.String(),
 		"account", x.account.Name, "previous", x.PreviousTurn, "input_bytes", len(x.body), "backend", b.ID, "born", b.Incarnation,
 		"in_progress_ms", x.now().Sub(sent).Milliseconds(), "cause", cause.Error())
+	x.quarantine.BrokenOff(x.fingerprint, quarantine.Run{
+		Server: quarantine.Server{ID: b.ID, Incarnation: b.Incarnation}, Address: b.Address, Sent: sent,
+	})
 }
 
 func (x *exchange) markLeaving(b *fleet.Backend) {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,11 +43,12 @@
 	err := x.relayEvents(resp, &out)
 	resp.close(err == nil, err != nil && ctx.Err() == nil)
 	if err == nil {
+		x.quarantine.Completed(x.fingerprint)
 		return out, nil
 	}
 	reason, status := verdict.ReasonTruncated, http.StatusBadGateway
 	if ctx.Err() == nil && errors.Is(err, errStreamTruncated) {
-		x.logBrokenOff(resp.backend, resp.sent, err)
+		x.brokenOff(resp.backend, resp.sent, err)
 	}
 	if ctx.Err() != nil {
 		reason, status = verdict.ReasonDeadline, http.StatusGatewayTimeout
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -25,6 +25,7 @@
 	"github.com/berylpond/berylpond/internal/gateway"
 	"github.com/berylpond/berylpond/internal/membership"
 	"github.com/berylpond/berylpond/internal/peer"
+	"github.com/berylpond/berylpond/internal/quarantine"
 	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/storetransport"
 	"github.com/berylpond/berylpond/internal/storewatch"
@@ -45,6 +46,9 @@
 	// feedTTL is how long a snapshot received from a peer counts as current. After that the instance reads the store
 	// itself.
 	feedTTL = 1800 * time.Millisecond
+	// quarantineLoadTimeout bounds the wait for the list of requests that must not be sent on. The store has just responded
+	// with the configuration, so the list usually comes within milliseconds.
+	quarantineLoadTimeout = 2 * time.Second
 	// readinessDrainDelay is how long connections are still accepted after the stop signal: the load balancer probes
 	// once a second and removes an instance after two failed probes.
 	readinessDrainDelay = 2500 * time.Millisecond
@@ -68,14 +72,17 @@
 	// self is the address at which peers reach this instance.
 	self      string
 	transport *storetransport.Transport
+	store     *platform.Store
 	config    *storewatch.ConfigWatcher
 	backends  *storewatch.BackendWatcher
 	fleet     *fleet.Fleet
 	group     *membership.Membership
 	owner     *turnlog.Owner
 	limiter   *ratelimit.Limiter
-	holder    *ratelimit.BucketHolder
-	gateway   *gateway.Gateway
+	// quarantine keeps requests that crash backend servers from being sent on.
+	quarantine *quarantine.Quarantine
+	holder     *ratelimit.BucketHolder
+	gateway    *gateway.Gateway
 	// feedServer sends snapshots of this instance's view to peers; feedClient requests theirs.
 	feedServer  *feed.Server
 	feedClient  *feed.Client
@@ -109,6 +116,7 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
 	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
 	store := platform.NewStore(i.transport)
+	i.store = store
 	hooks := storewatch.Hooks{UsesFeed: i.usesFeed, OnChange: func() { i.feedServer.NotifyChanged() }}
 	i.config = storewatch.NewConfigWatcher(store, hooks)
 	i.backends = storewatch.NewBackendWatcher(store, i.fleet, hooks)
@@ -136,9 +144,15 @@
 			fleet.LogLimitChange(server.ID, change, "learned_from", "holder")
 		}
 	}
+	i.quarantine = quarantine.New(ctx, quarantine.Options{
+		Retention: s.Store.Retention, Probe: i.backendPool.Probe, OnNews: i.limiter.ExchangeSoon,
+		InService: func(server quarantine.Server) bool { return i.fleet.InService(server.ID, server.Incarnation) },
+		Metrics:   quarantine.NewMetrics(i.metrics),
+	})
+	i.limiter.Suspects, i.holder.ExchangeSuspects = i.quarantine, i.quarantine.Exchange
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
-		Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
+		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
 	})
 	return i
 }
@@ -237,6 +251,7 @@
 	go i.backends.Run(background)
 	go i.feedClient.Run(background)
 	go i.limiter.Run(background)
+	go i.quarantine.Run(background, i.store)
 	clients, err := i.serveClients(ctx, failed)
 	if err != nil {
 		return err
@@ -324,6 +339,11 @@
 		return nil, nil
 	case <-i.config.Ready():
 	}
+	select {
+	case <-i.quarantine.Loaded():
+	case <-time.After(quarantineLoadTimeout):
+		klog.InfoS("serving before the quarantines were read from the store")
+	}
 	l, err := net.Listen("tcp", i.settings.ClientAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listening for clients")
--- /dev/null
+++ b/internal/quarantine/register_test.go
@@ -0,0 +1,181 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const testTTL = time.Minute
+
+func fingerprint(name string) Fingerprint { return FingerprintOf(name, "", "", "", nil) }
+
+// timeline records crashes and completions at times after a common start.
+type timeline struct {
+	*register
+	start time.Time
+}
+
+func newTimeline() *timeline {
+	return &timeline{register: newRegister(testTTL, 1), start: time.Unix(1000, 0)}
+}
+
+func (l *timeline) at(d time.Duration) time.Time { return l.start.Add(d) }
+
+// crash has the named requests in progress, sent 50 ms before, at a server that crashes.
+func (l *timeline) crash(d time.Duration, server string, names ...string) {
+	for _, n := range names {
+		l.addCrash(fingerprint(n), Server{ID: server}, crash{sent: l.at(d - 50*time.Millisecond), at: l.at(d)})
+	}
+}
+
+// decided returns whether the named request is in quarantine after a decision.
+func (l *timeline) quarantinedAt(d time.Duration, name string) bool {
+	l.decide(l.at(d))
+	return !l.quarantinedUntil(fingerprint(name), l.at(d)).IsZero()
+}
+
+// Load pattern: each crash breaks off others too, none of which is in progress at all crashes.
+func TestRequestPresentAtThreeCrashesIsQuarantined(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	l.crash(0, "s1", "deadly", "a", "b")
+	l.crash(time.Second, "s2", "a", "deadly", "c")
+	is.True(!l.quarantinedAt(2*time.Second, "deadly"))
+	l.crash(3*time.Second, "s3", "b", "c", "deadly")
+	is.True(!l.quarantinedAt(3*time.Second+settleTime/2, "deadly")) // reports may be under way
+	is.True(l.quarantinedAt(3*time.Second+settleTime, "deadly"))
+	for _, n := range []string{"a", "b", "c"} {
+		is.True(!l.quarantinedAt(4*time.Second, n))
+	}
+	// Crashes with the request in quarantine count against nobody else.
+	l.crash(5*time.Second, "s4", "deadly", "a", "b", "c")
+	l.crash(6*time.Second, "s5", "deadly", "a", "b", "c")
+	is.True(!l.quarantinedAt(7*time.Second, "a"))
+	is.True(!l.quarantinedAt(7*time.Second, "b"))
+}
+
+// Load pattern: a bystander is sent again each time to the server that the deadly request comes to next.
+func TestTwoRequestsAtTheSameThreeCrashesAreNotBothRefused(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	for i := range 3 {
+		l.crash(time.Duration(i)*time.Second, fmt.Sprint("s", i), "deadly", "bystander")
+	}
+	is.True(!l.quarantinedAt(3*time.Second, "deadly"))
+	is.True(!l.quarantinedAt(3*time.Second, "bystander"))
+	is.True(l.complete(fingerprint("bystander"), l.at(3500*time.Millisecond)))
+	is.True(l.quarantinedAt(4*time.Second, "deadly")) // the other one has run
+	is.True(!l.quarantinedAt(4*time.Second, "bystander"))
+}
+
+func TestFourthCrashDecidesATie(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	for i := range 3 {
+		l.crash(time.Duration(i)*time.Second, fmt.Sprint("s", i), "deadly", "bystander")
+	}
+	l.crash(3*time.Second, "s3", "deadly")
+	is.True(l.quarantinedAt(4*time.Second, "deadly"))
+	is.True(!l.quarantinedAt(4*time.Second, "bystander"))
+}
+
+// Load pattern: several servers lose power at once, and a popular request was in progress at each.
+func TestServersThatFailTogetherAccuseNobody(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	for i := range 5 {
+		l.crash(time.Duration(i)*oneEvent/10, fmt.Sprint("s", i), "popular", fmt.Sprint("other", i))
+	}
+	is.True(!l.quarantinedAt(time.Second, "popular"))
+}
+
+// Load pattern: a request that may be repeated is sent to the next server within milliseconds of each crash.
+func TestCrashesOfOneAttemptCountOneByOne(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	for i := range 3 {
+		at := l.at(time.Duration(i) * 20 * time.Millisecond)
+		l.addCrash(fingerprint("deadly"), Server{ID: fmt.Sprint("s", i)}, crash{sent: at.Add(-10 * time.Millisecond), at: at})
+	}
+	is.True(l.quarantinedAt(time.Second, "deadly"))
+}
+
+// Load pattern: servers fail one after the other for reasons of their own, under a request that is asked for all the time.
+func TestRequestThatCompletesIsReleased(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	l.crash(0, "s1", "popular")
+	l.crash(time.Second, "s2", "popular")
+	is.True(l.complete(fingerprint("popular"), l.at(1500*time.Millisecond)))
+	l.crash(2*time.Second, "s3", "popular")
+	is.True(!l.quarantinedAt(3*time.Second, "popular"))
+	l.crash(4*time.Second, "s4", "popular")
+	l.crash(5*time.Second, "s5", "popular")
+	is.True(l.quarantinedAt(6*time.Second, "popular"))
+	is.True(l.complete(fingerprint("popular"), l.at(7*time.Second))) // a run that was under way
+	is.True(!l.quarantinedAt(7*time.Second, "popular"))
+}
+
+func TestQuarantineEndsAndIsForgotten(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	for i := range 3 {
+		l.crash(time.Duration(i)*time.Second, fmt.Sprint("s", i), "deadly")
+	}
+	is.True(l.quarantinedAt(3*time.Second, "deadly"))
+	is.True(!l.quarantinedUntil(fingerprint("deadly"), l.at(testTTL)).IsZero())
+	is.True(l.quarantinedUntil(fingerprint("deadly"), l.at(testTTL+3*time.Second)).IsZero())
+	l.expire(l.at(2 * testTTL))
+	is.Equal(len(l.records), 0)
+}
+
+func TestRecordsAreBoundedAndQuarantinesKeptLongest(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	for i := range 3 {
+		l.crash(time.Duration(i)*time.Second, fmt.Sprint("s", i), "deadly")
+	}
+	is.True(l.quarantinedAt(3*time.Second, "deadly"))
+	for i := range maxRecords + 500 {
+		l.crash(4*time.Second, "s9", fmt.Sprint("bystander ", i))
+	}
+	l.expire(l.at(5 * time.Second))
+	is.Equal(len(l.records), maxRecords)
+	is.True(!l.quarantinedUntil(fingerprint("deadly"), l.at(5*time.Second)).IsZero())
+}
+
+// Whatever the order in which reports reach the holder, and however often, it comes to the same decision.
+func TestDecisionDoesNotDependOnTheOrderOfReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type report struct {
+			f Fingerprint
+			r record
+		}
+		l := newTimeline()
+		var reports []report
+		for i := range rapid.IntRange(3, 8).Draw(t, "crashes") {
+			server := Server{ID: fmt.Sprint("s", i)}
+			at := l.at(time.Duration(i) * 300 * time.Millisecond)
+			present := []string{"deadly"}
+			for b := range rapid.IntRange(0, 3).Draw(t, "bystanders") {
+				present = append(present, fmt.Sprint("b", i, b))
+			}
+			for _, n := range present {
+				reports = append(reports, report{fingerprint(n), record{crashes: map[Server]crash{server: {sent: at, at: at}}}})
+			}
+		}
+		for _, r := range rapid.Permutation(append(reports, reports...)).Draw(t, "order") {
+			l.merge(r.f, r.r)
+		}
+		if !l.quarantinedAt(10*time.Second, "deadly") {
+			t.Fatal("the request that was present at each crash is not in quarantine")
+		}
+		if n := l.countQuarantined(l.at(10 * time.Second)); n != 1 {
+			t.Fatalf("%d requests are in quarantine", n)
+		}
+	})
+}
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -76,15 +76,24 @@
 	l.leave(ctx, holder)
 	sent := l.now()
 	r := l.buildRequest(holder)
+	if l.Suspects != nil {
+		l.Suspects.Report(holder, r)
+	}
 	resp, err := l.sendTake(ctx, holder, r)
 	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
 		l.repeatReports(r)
+		if l.Suspects != nil {
+			l.Suspects.ReportFailed(r)
+		}
 		l.recordRelease(resp)
 		l.grantFallback()
 		return false
 	}
 	l.recordResponse(resp, sent)
 	l.learnLimits(resp)
+	if l.Suspects != nil {
+		l.Suspects.Learn(resp)
+	}
 	return true
 }
 
--- a/internal/ratelimit/holder.go
+++ b/internal/ratelimit/holder.go
@@ -80,6 +80,8 @@
 	// sinceContact returns the time since the store last responded.
 	sinceContact func() time.Duration
 	now          func() time.Time
+	// ExchangeSuspects, if not nil, is the holder's part of Suspects.
+	ExchangeSuspects func(r *turnv1.TakeRequest, resp *turnv1.TakeResponse)
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -148,6 +150,9 @@
 	share, known := h.share(now, append(r.Known, r.Instance))
 	resp := &turnv1.TakeResponse{Outcome: turnv1.Outcome_OUTCOME_OK, Holder: h.self, Instances: int32(known)}
 	h.exchangeLimits(r, resp, now)
+	if h.ExchangeSuspects != nil {
+		h.ExchangeSuspects(r, resp)
+	}
 	for _, d := range r.Demands {
 		if d.Server != nil {
 			resp.Grants = append(resp.Grants, h.grantForServer(d, share, now))
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -32,6 +32,16 @@
 	Take(ctx context.Context, holder string, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error)
 }
 
+// Suspects is what an instance tells the holder about requests that make backend servers crash. It travels with the requests
+// for tokens, which every instance sends to the holder anyway.
+type Suspects interface {
+	// Report adds the news to a request to the holder. ReportFailed is called if the request failed, Learn with its response
+	// otherwise.
+	Report(holder string, r *turnv1.TakeRequest)
+	ReportFailed(r *turnv1.TakeRequest)
+	Learn(resp *turnv1.TakeResponse)
+}
+
 // Limiter admits the requests of one instance with tokens from the holder.
 type Limiter struct {
 	configuration ConfigurationFunc
@@ -41,6 +51,8 @@
 	now           func() time.Time
 	// OnLimit, if not nil, is called with what the holder tells about the limit of a backend server.
 	OnLimit func(backendlimit.Server, backendlimit.State)
+	// Suspects, if not nil, is exchanged along with the tokens.
+	Suspects Suspects
 
 	mu     sync.Mutex
 	states map[string]*tokenState
@@ -181,6 +193,9 @@
 	return s
 }
 
+// ExchangeSoon has the next request sent to the holder without waiting for its time.
+func (l *Limiter) ExchangeSoon() { l.requestExchange() }
+
 func (l *Limiter) requestExchange() {
 	select {
 	case l.wake <- struct{}{}:
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -336,6 +336,16 @@
 	p.idle[address] = append(p.idle[address], c)
 }
 
+// Probe opens a connection to a server, which is kept for the next request.
+func (p *Pool) Probe(ctx context.Context, address string) error {
+	c, err := p.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	p.putIdle(address, c, 0)
+	return nil
+}
+
 // Close closes every idle connection.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -81,6 +81,7 @@
 	ReasonQueueFull           Reason = "queue_full"
 	ReasonQueueTimeout        Reason = "queue_timeout"
 	ReasonNoBackend           Reason = "no_backend"
+	ReasonQuarantined         Reason = "quarantined"
 	ReasonBackendFailed       Reason = "backend_failed"
 	ReasonBackendSilent       Reason = "backend_silent"
 	ReasonTruncated           Reason = "truncated"
