quarantine: refuse requests that share the beginning of one that crashes servers

Cause, from a trial that traced the bodies: copies of one deadly input come with different lengths, each the beginning of the longer ones. So it is with agent programs, whose turns begin with what precedes.

A request now has fingerprints of its first 256 bytes, 1, 4 and 16 KiB as well, if it is longer. Evidence counts for each. A beginning accuses requests that have not run, so it takes one crash more, at least one of them with no other explanation, and a run of any request with that beginning clears it: an account whose requests share their instructions is not refused (TestSharedInstructionsAreNotQuarantinedWithTheRequest). Whole requests go first.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,7 +56,7 @@
 	resp.close(err == nil, err != nil)
 	if err == nil {
 		if resp.Stamped {
-			x.quarantine.Completed(x.fingerprint)
+			x.quarantine.Completed(x.identity)
 		}
 		return body, nil
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -68,11 +68,11 @@
 // Quarantine keeps requests that make backend servers crash from being sent on.
 type Quarantine interface {
 	// Until returns the end of the quarantine of a request. It is zero if the request may be sent.
-	Until(f quarantine.Fingerprint) time.Time
+	Until(id quarantine.Identity) time.Time
 	// BrokenOff records that a backend server ended a run without a whole response, Completed that one ended with a whole
 	// response.
-	BrokenOff(f quarantine.Fingerprint, r quarantine.Run)
-	Completed(f quarantine.Fingerprint)
+	BrokenOff(id quarantine.Identity, r quarantine.Run)
+	Completed(id quarantine.Identity)
 }
 
 // Gateway is the HTTP handler of client requests.
@@ -129,8 +129,8 @@
 	route         *routing.Route
 	account       routing.Account
 	body          []byte
-	// fingerprint identifies the request whatever its id.
-	fingerprint quarantine.Fingerprint
+	// identity identifies the request whatever its id.
+	identity quarantine.Identity
 	// target is the path and query exactly as the client sent them.
 	target  string
 	started time.Time
@@ -197,7 +197,7 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
-	x.fingerprint = quarantine.FingerprintOf(x.account.Name, x.r.Method, x.r.Host, x.target, x.body)
+	x.identity = quarantine.IdentityOf(x.account.Name, x.r.Method, x.r.Host, x.target, x.body)
 	if err := x.checkQuarantine(); err != nil {
 		return err
 	}
@@ -215,12 +215,12 @@
 
 // checkQuarantine refuses a request that makes backend servers crash.
 func (x *exchange) checkQuarantine() error {
-	until := x.quarantine.Until(x.fingerprint)
+	until := x.quarantine.Until(x.identity)
 	if until.IsZero() {
 		return nil
 	}
 	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonQuarantined, max(until.Sub(x.now()), retryAfterTransient),
-		"backend servers crashed when they ran requests like this one (%s)", x.fingerprint)
+		"backend servers crashed when they ran requests like this one (%s)", x.identity)
 }
 
 // acquireToken takes a rate-limit token of the account. An isolated instance waits only briefly for the holder of the
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -123,10 +123,10 @@
 
 // brokenOff records that a backend server ended a request without a complete response.
 func (x *exchange) brokenOff(b *fleet.Backend, sent time.Time, cause error) {
-	klog.InfoS("request was broken off by its backend server", "request", x.ID, "fingerprint", x.fingerprint.String(),
+	klog.InfoS("request was broken off by its backend server", "request", x.ID, "fingerprint", x.identity.String(),
 		"account", x.account.Name, "previous", x.PreviousTurn, "input_bytes", len(x.body), "backend", b.ID, "born", b.Incarnation,
 		"in_progress_ms", x.now().Sub(sent).Milliseconds(), "cause", cause.Error())
-	x.quarantine.BrokenOff(x.fingerprint, quarantine.Run{
+	x.quarantine.BrokenOff(x.identity, quarantine.Run{
 		Server: quarantine.Server{ID: b.ID, Incarnation: b.Incarnation}, Address: b.Address, Sent: sent,
 	})
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -43,7 +43,7 @@
 	err := x.relayEvents(resp, &out)
 	resp.close(err == nil, err != nil && ctx.Err() == nil)
 	if err == nil {
-		x.quarantine.Completed(x.fingerprint)
+		x.quarantine.Completed(x.identity)
 		return out, nil
 	}
 	reason, status := verdict.ReasonTruncated, http.StatusBadGateway
--- a/internal/quarantine/archive.go
+++ b/internal/quarantine/archive.go
@@ -136,7 +136,7 @@
 		}
 		r.stored = true
 		if q.register.merge(f, r) {
-			q.logQuarantine(f, "store")
+			q.logChange(f, false, "store", now)
 		}
 	}
 	q.update(now)
--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -31,8 +31,8 @@
 
 // brokenRun is a run that was broken off.
 type brokenRun struct {
-	fingerprint Fingerprint
-	sent        time.Time
+	id   Identity
+	sent time.Time
 }
 
 // detector tells crashes of servers from broken connections: a server that has crashed refuses new ones. Servers that leave as
@@ -57,8 +57,8 @@
 	}
 }
 
-func (d *detector) brokenOff(f Fingerprint, r Run, now time.Time) {
-	run := brokenRun{fingerprint: f, sent: r.Sent}
+func (d *detector) brokenOff(id Identity, r Run, now time.Time) {
+	run := brokenRun{id: id, sent: r.Sent}
 	d.mu.Lock()
 	at, known := d.crashed[r.Server]
 	if known && now.Sub(at) < crashMemory {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -79,39 +79,50 @@
 }
 
 // Until returns the end of the quarantine of a request. It is zero if the request may be sent.
-func (q *Quarantine) Until(f Fingerprint) time.Time {
+func (q *Quarantine) Until(id Identity) time.Time {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.register.quarantinedUntil(f, q.now())
+	return q.register.quarantinedUntil(id, q.now())
 }
 
 // BrokenOff records that a backend server ended a run without a whole response. It counts against the request only if the
 // server turns out to have crashed.
-func (q *Quarantine) BrokenOff(f Fingerprint, r Run) { q.detector.brokenOff(f, r, q.now()) }
+func (q *Quarantine) BrokenOff(id Identity, r Run) { q.detector.brokenOff(id, r, q.now()) }
 
 // Completed records that a run of the request ended with a whole response.
-func (q *Quarantine) Completed(f Fingerprint) {
+func (q *Quarantine) Completed(id Identity) {
 	q.mu.Lock()
 	now := q.now()
-	before := q.register.quarantinedUntil(f, now)
-	news := q.register.complete(f, now)
-	if news {
+	before := q.quarantined(id, now)
+	cleared := q.register.complete(id, now)
+	for _, f := range cleared {
 		q.unreported[f] = true
-		q.logRelease(f, before, "completed here")
+		q.logChange(f, before[f], "completed here", now)
 	}
 	q.mu.Unlock()
-	if news {
+	if len(cleared) > 0 {
 		q.onNews()
 	}
 }
 
+// quarantined returns those of the fingerprints that are in quarantine. q.mu must be held.
+func (q *Quarantine) quarantined(id Identity, now time.Time) map[Fingerprint]bool {
+	out := map[Fingerprint]bool{}
+	for _, f := range id {
+		if r := q.register.records[f]; r != nil && r.quarantined(now) {
+			out[f] = true
+		}
+	}
+	return out
+}
+
 // addCrash records that the requests were in progress at a server that crashed.
 func (q *Quarantine) addCrash(s Server, at time.Time, runs []brokenRun) {
 	q.metrics.crashes.Inc()
 	q.mu.Lock()
 	for _, r := range runs {
-		if q.register.addCrash(r.fingerprint, s, crash{sent: r.sent, at: at}) {
-			q.unreported[r.fingerprint] = true
+		for _, f := range q.register.addCrash(r.id, s, crash{sent: r.sent, at: at}) {
+			q.unreported[f] = true
 		}
 	}
 	q.expectDecision(q.now())
@@ -142,11 +153,13 @@
 		q.scheduleDecision()
 	}
 	if now.Sub(q.lastServed) > holderSilence && now.Sub(q.lastAnswer) <= holderSilence {
+		// The holder has decided by now.
+		q.onNews()
 		return
 	}
 	for _, f := range q.register.decide(now) {
 		q.unreported[f] = true
-		q.logQuarantine(f, "decided here")
+		q.logChange(f, false, "decided here", now)
 	}
 	q.update(now)
 }
@@ -164,21 +177,25 @@
 	}
 }
 
-// logQuarantine logs the beginning of a quarantine. q.mu must be held.
-func (q *Quarantine) logQuarantine(f Fingerprint, source string) {
+// logChange logs the beginning or the end of a quarantine, if there is one. q.mu must be held.
+func (q *Quarantine) logChange(f Fingerprint, before bool, source string, now time.Time) {
 	r := q.register.records[f]
-	servers := make([]string, 0, len(r.crashes))
-	for s := range r.crashes {
-		servers = append(servers, s.ID)
-	}
-	klog.InfoS("request put in quarantine: backend servers crash when they run it", "fingerprint", f.String(), "source", source,
-		"crashed", servers, "for_ms", r.until.Sub(q.now()).Milliseconds())
-}
-
-// logRelease logs the end of a quarantine that was to last until the given time, if it has ended. q.mu must be held.
-func (q *Quarantine) logRelease(f Fingerprint, until time.Time, source string) {
-	if !until.IsZero() && q.register.quarantinedUntil(f, q.now()).IsZero() {
-		klog.InfoS("request released from quarantine: a server has run it", "fingerprint", f.String(), "source", source)
+	after := r != nil && r.quarantined(now)
+	covers := "request"
+	if !f.isWhole() {
+		covers = "beginning"
+	}
+	switch {
+	case !before && after:
+		servers := make([]string, 0, len(r.crashes))
+		for s := range r.crashes {
+			servers = append(servers, s.ID)
+		}
+		klog.InfoS("request put in quarantine: backend servers crash when they run it", "fingerprint", f.String(), "covers", covers,
+			"source", source, "crashed", servers, "for_ms", r.until.Sub(now).Milliseconds())
+	case before && !after:
+		klog.InfoS("request released from quarantine: a server has run it", "fingerprint", f.String(), "covers", covers,
+			"source", source)
 	}
 }
 
@@ -191,15 +208,11 @@
 			klog.InfoS("suspect without a valid fingerprint was skipped", "source", source)
 			continue
 		}
-		before := q.register.quarantinedUntil(f, now)
-		if !q.register.merge(f, other) {
-			continue
-		}
-		crashes = crashes || len(other.crashes) > 0
-		if before.IsZero() && !q.register.quarantinedUntil(f, now).IsZero() {
-			q.logQuarantine(f, source)
+		before := q.quarantined(Identity{f}, now)[f]
+		if q.register.merge(f, other) {
+			crashes = crashes || len(other.crashes) > 0
+			q.logChange(f, before, source, now)
 		}
-		q.logRelease(f, before, source)
 	}
 	if crashes {
 		q.expectDecision(now)
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -34,14 +34,14 @@
 	}
 }
 
-func (q *Quarantine) run(f Fingerprint, server string) {
+func (q *Quarantine) run(f Identity, server string) {
 	q.BrokenOff(f, Run{Server: Server{ID: server}, Sent: time.Now().Add(-time.Millisecond)})
 }
 
-func (q *Quarantine) crashesOf(f Fingerprint) int {
+func (q *Quarantine) crashesOf(f Identity) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if r := q.register.records[f]; r != nil {
+	if r := q.register.records[f.whole()]; r != nil {
 		return len(r.crashes)
 	}
 	return 0
@@ -59,7 +59,7 @@
 func TestEachCrashIsDecidedOnOnceItHasSettled(t *testing.T) {
 	is := is.New(t)
 	q := newTest(t, backendpath.ErrServerDown)
-	f := fingerprint("deadly")
+	f := identity("deadly")
 	for i := range crashLimit {
 		q.run(f, fmt.Sprint("s", i))
 		time.Sleep(oneEvent + oneEvent/2)
@@ -71,7 +71,7 @@
 
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
 	is := is.New(t)
-	f := fingerprint("r")
+	f := identity("r")
 	for _, probe := range []error{nil, errors.New("timed out"), errors.Mark(errors.New("refused"), backendpath.ErrLost)} {
 		q := newTest(t, probe)
 		q.run(f, "s1")
@@ -90,7 +90,7 @@
 func TestHolderDecidesByTheReportsOfAllInstances(t *testing.T) {
 	is := is.New(t)
 	holder := newTest(t, nil)
-	f := fingerprint("deadly")
+	f := identity("deadly")
 	for i := range crashLimit {
 		q := newTest(t, backendpath.ErrServerDown)
 		q.run(f, fmt.Sprint("s", i))
@@ -122,7 +122,7 @@
 func TestHolderOfAnOlderBuildIsToldNothingAndLosesNothing(t *testing.T) {
 	is := is.New(t)
 	q := newTest(t, backendpath.ErrServerDown)
-	f := fingerprint("deadly")
+	f := identity("deadly")
 	r := &turnv1.TakeRequest{}
 	q.Report("old", r)
 	q.Learn(&turnv1.TakeResponse{Holder: "old"})
@@ -141,7 +141,7 @@
 	is := is.New(t)
 	q, holder := newTest(t, backendpath.ErrServerDown), newTest(t, nil)
 	exchange(q, holder)
-	f := fingerprint("r")
+	f := identity("r")
 	q.run(f, "s1")
 	eventually(t, "the crash", func() bool { return q.crashesOf(f) == 1 })
 	r := &turnv1.TakeRequest{}
@@ -159,7 +159,7 @@
 func TestExchangesWithoutNewsKeepTheRevision(t *testing.T) {
 	is := is.New(t)
 	holder, q := newTest(t, backendpath.ErrServerDown), newTest(t, nil)
-	f := fingerprint("deadly")
+	f := identity("deadly")
 	for i := range crashLimit {
 		holder.run(f, fmt.Sprint("s", i))
 		time.Sleep(oneEvent + 10*time.Millisecond)
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -10,20 +10,17 @@
 )
 
 const (
-	// crashLimit is the number of crashes after which a request is put in quarantine.
+	// crashLimit is the number of crashes after which a request is put in quarantine; see register.limit.
 	crashLimit = 3
-	// tiedCrashLimit replaces it while another request was in progress at most of the same crashes, so that only one of the
-	// two may be the cause.
-	tiedCrashLimit = crashLimit + 1
 	// sharedCrashes is the number of suspect crashes from which a suspect is made known to all instances. Nearly all
 	// requests that are broken off by a crash are broken off by no other.
 	sharedCrashes = 2
 	// settleTime is the age from which a crash counts, by which every instance has reported its requests that were in
 	// progress at the server: instances exchange reports three times a second.
-	settleTime = 400 * time.Millisecond
+	settleTime = 250 * time.Millisecond
 	// oneEvent is the time within which crashes of servers may have one cause outside of the requests, such as a loss of
 	// power.
-	oneEvent = 100 * time.Millisecond
+	oneEvent = 50 * time.Millisecond
 	// clockTolerance is by how much times that instances tell each other, as ages, may differ without being news.
 	clockTolerance = 200 * time.Millisecond
 	// maxRecords bounds the requests that are remembered, and maxCrashes the crashes of each.
@@ -40,9 +37,11 @@
 	sent, at time.Time
 }
 
-// record is what is known of one request.
+// record is what is known of one request, or of all requests with one beginning.
 type record struct {
-	crashes map[Server]crash
+	// beginning is the fingerprint of the next shorter beginning; zero if there is none.
+	beginning Fingerprint
+	crashes   map[Server]crash
 	// completed is when a run of the request last ended with a whole response; zero if none is known. Crashes before that
 	// do not count: a request that makes servers crash completes nowhere.
 	completed time.Time
@@ -71,7 +70,7 @@
 //
 // Load pattern: a request crashes each server that runs it, and copies of it come to all instances. Each crash breaks off all
 // that runs on the server, and most of it is sent again, so that after three crashes some of it may have been in progress at
-// all of them. A crash has one cause. Once a request is in quarantine, its crashes no longer count for others.
+// all of them. A crash has one cause: once a request is in quarantine, its crashes no longer count for others.
 type register struct {
 	// ttl is how long crashes are remembered, and how long a quarantine lasts.
 	ttl     time.Duration
@@ -84,30 +83,47 @@
 	return &register{ttl: ttl, records: map[Fingerprint]*record{}, revision: revision}
 }
 
-// quarantinedUntil returns the end of the quarantine of a request. It is zero if the request may be sent.
-func (g *register) quarantinedUntil(f Fingerprint, now time.Time) time.Time {
-	if r := g.records[f]; r != nil && r.quarantined(now) {
-		return r.until
+// quarantinedUntil returns the end of the quarantine of a request or one of its beginnings. It is zero if the request may be
+// sent.
+func (g *register) quarantinedUntil(id Identity, now time.Time) time.Time {
+	var until time.Time
+	for _, f := range id {
+		if r := g.records[f]; r != nil && r.quarantined(now) && r.until.After(until) {
+			until = r.until
+		}
 	}
-	return time.Time{}
+	return until
 }
 
-// addCrash records that a request was in progress at a server that crashed, and reports whether that is new.
-func (g *register) addCrash(f Fingerprint, s Server, c crash) bool {
-	return g.merge(f, record{crashes: map[Server]crash{s: c}})
+// addCrash records that a request was in progress at a server that crashed, and returns the records in which that is new.
+func (g *register) addCrash(id Identity, s Server, c crash) []Fingerprint {
+	var changed []Fingerprint
+	var beginning Fingerprint
+	for _, f := range id {
+		if g.merge(f, record{beginning: beginning, crashes: map[Server]crash{s: c}}) {
+			changed = append(changed, f)
+		}
+		beginning = f
+	}
+	return changed
 }
 
-// complete records that a run of a request ended with a whole response, and reports whether that is of interest: the request
-// is a suspect.
-func (g *register) complete(f Fingerprint, at time.Time) bool {
-	return g.records[f] != nil && g.merge(f, record{completed: at})
+// complete records that a run of a request ended with a whole response, and returns the records of which it clears crashes.
+func (g *register) complete(id Identity, at time.Time) []Fingerprint {
+	var changed []Fingerprint
+	for _, f := range id {
+		if r := g.records[f]; r != nil && len(r.crashes) > 0 && g.merge(f, record{completed: at}) {
+			changed = append(changed, f)
+		}
+	}
+	return changed
 }
 
-// merge adds what another source knows of a request, and reports whether any of that is new.
+// merge adds what another source knows, and reports whether any of that is new.
 func (g *register) merge(f Fingerprint, other record) bool {
 	r := g.records[f]
 	if r == nil {
-		r = &record{crashes: map[Server]crash{}}
+		r = &record{beginning: other.beginning, crashes: map[Server]crash{}}
 	}
 	before := record{crashes: maps.Clone(r.crashes), completed: r.completed, until: r.until, stored: r.stored}
 	if other.completed.Sub(r.completed) > clockTolerance {
@@ -167,67 +183,123 @@
 // decide puts requests in quarantine according to the crashes that have settled, and returns them.
 func (g *register) decide(now time.Time) []Fingerprint {
 	var decided []Fingerprint
-	explained := g.explained(now)
-	suspects := g.suspects(now, explained)
 	for {
+		suspects := g.suspects(now)
 		i := slices.IndexFunc(suspects, func(s suspect) bool {
-			return s.crashes >= crashLimit && s.crashes >= s.limit(suspects)
+			return s.crashes >= crashLimit && s.crashes >= g.limit(s, suspects)
 		})
 		if i < 0 {
 			return decided
 		}
-		r := g.records[suspects[i].fingerprint]
-		r.until = now.Add(g.ttl)
-		g.noteChange(r)
-		decided = append(decided, suspects[i].fingerprint)
-		for s := range r.crashes {
-			explained[s] = true
-		}
-		suspects = g.suspects(now, explained)
-	}
-}
-
-// explained returns the servers that were crashed by requests in quarantine.
-func (g *register) explained(now time.Time) map[Server]bool {
-	out := map[Server]bool{}
-	for _, r := range g.records {
-		if r.quarantined(now) {
-			for s := range r.crashes {
-				out[s] = true
-			}
-		}
+		f := suspects[i].fingerprint
+		g.records[f].until = now.Add(g.ttl)
+		g.noteChange(g.records[f])
+		decided = append(decided, f)
 	}
-	return out
 }
 
-// suspect is a request that may have caused crashes that are not explained.
+// suspect is a request, or the beginning of some, that may have caused crashes that are not explained.
 type suspect struct {
 	fingerprint Fingerprint
-	servers     map[Server]crash
+	// depth is the number of shorter beginnings with a fingerprint.
+	depth   int
+	servers map[Server]crash
 	// crashes is the number of crashes that can't have had one cause outside of the requests.
 	crashes int
 }
 
-// suspects returns the requests that are not in quarantine, those with the most crashes first.
-func (g *register) suspects(now time.Time, explained map[Server]bool) []suspect {
+// suspects returns what is not in quarantine: the one with the most crashes first, and of those whole requests and longer
+// beginnings.
+func (g *register) suspects(now time.Time) []suspect {
 	var out []suspect
+	explained := g.explained(now)
 	for f, r := range g.records {
-		if r.quarantined(now) {
+		if g.isQuarantined(f, now) {
 			continue
 		}
-		servers := maps.Clone(r.crashes)
-		maps.DeleteFunc(servers, func(s Server, c crash) bool { return explained[s] || now.Sub(c.at) < settleTime })
-		if n := separateCrashes(servers); n > 0 {
-			out = append(out, suspect{fingerprint: f, servers: servers, crashes: n})
+		if s := g.suspect(f, r, explained, now); s.crashes > 0 {
+			out = append(out, s)
 		}
 	}
 	slices.SortFunc(out, func(a, b suspect) int {
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(len(b.servers), len(a.servers)),
-			slices.Compare(a.fingerprint[:], b.fingerprint[:]))
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), compareBool(b.fingerprint.isWhole(), a.fingerprint.isWhole()),
+			cmp.Compare(b.depth, a.depth), slices.Compare(a.fingerprint[:], b.fingerprint[:]))
 	})
 	return out
 }
 
+// explained returns, for the servers that crashed with requests in quarantine in progress, those requests.
+func (g *register) explained(now time.Time) map[Server][]Fingerprint {
+	out := map[Server][]Fingerprint{}
+	for f, r := range g.records {
+		if r.quarantined(now) {
+			for s := range r.crashes {
+				out[s] = append(out[s], f)
+			}
+		}
+	}
+	return out
+}
+
+// suspect returns what speaks against a request, or against a beginning: the crashes that are not explained. If there are any,
+// the crashes explained by requests with that beginning speak against it too.
+func (g *register) suspect(f Fingerprint, r *record, explained map[Server][]Fingerprint, now time.Time) suspect {
+	s := suspect{fingerprint: f, depth: g.depth(f), servers: map[Server]crash{}}
+	unexplained := false
+	for server, c := range r.crashes {
+		causes := explained[server]
+		ownCause := slices.ContainsFunc(causes, func(cause Fingerprint) bool { return g.beginsWith(cause, f) })
+		if now.Sub(c.at) < settleTime || len(causes) > 0 && !ownCause {
+			continue
+		}
+		unexplained = unexplained || len(causes) == 0
+		s.servers[server] = c
+	}
+	if unexplained {
+		s.crashes = separateCrashes(s.servers)
+	}
+	return s
+}
+
+// isQuarantined reports whether a request, or one of its beginnings, is in quarantine.
+func (g *register) isQuarantined(f Fingerprint, now time.Time) bool {
+	for r := g.records[f]; r != nil; r = g.records[r.beginning] {
+		if r.quarantined(now) {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *register) depth(f Fingerprint) int {
+	n := 0
+	for r := g.records[f]; r != nil && r.beginning != (Fingerprint{}); r = g.records[r.beginning] {
+		n++
+	}
+	return n
+}
+
+// beginsWith reports whether a request or beginning is longer than another one that it begins with.
+func (g *register) beginsWith(f, beginning Fingerprint) bool {
+	for r := g.records[f]; r != nil; r = g.records[r.beginning] {
+		if r.beginning == beginning {
+			return true
+		}
+	}
+	return false
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
+
 // separateCrashes counts crashes, without those that may have had the cause of an earlier one: they came at nearly the same
 // time, and the request had been sent to both servers before.
 func separateCrashes(servers map[Server]crash) int {
@@ -242,14 +314,21 @@
 	return n
 }
 
-// limit returns the number of crashes from which the suspect is taken for their cause.
-func (s suspect) limit(others []suspect) int {
+// limit returns the number of crashes from which the suspect is taken for their cause. It is higher for a beginning, which
+// accuses requests that have not run, and while another suspect was in progress at most of the same crashes, so that only one
+// of the two may be the cause.
+func (g *register) limit(s suspect, others []suspect) int {
+	limit := crashLimit
+	if !s.fingerprint.isWhole() {
+		limit++
+	}
 	for _, o := range others {
-		if o.fingerprint != s.fingerprint && o.crashes == s.crashes && 2*s.shared(o) > len(s.servers) {
-			return tiedCrashLimit
+		related := g.beginsWith(o.fingerprint, s.fingerprint) || g.beginsWith(s.fingerprint, o.fingerprint)
+		if o.fingerprint != s.fingerprint && !related && o.crashes == s.crashes && 2*s.shared(o) > len(s.servers) {
+			return limit + 1
 		}
 	}
-	return crashLimit
+	return limit
 }
 
 // shared counts the servers that crashed with both requests in progress.
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 
 const testTTL = time.Minute
 
-func fingerprint(name string) Fingerprint { return FingerprintOf(name, "", "", "", nil) }
+func identity(name string) Identity { return IdentityOf(name, "", "", "", nil) }
 
 // timeline records crashes and completions at times after a common start.
 type timeline struct {
@@ -28,14 +29,14 @@
 // crash has the named requests in progress, sent 50 ms before, at a server that crashes.
 func (l *timeline) crash(d time.Duration, server string, names ...string) {
 	for _, n := range names {
-		l.addCrash(fingerprint(n), Server{ID: server}, crash{sent: l.at(d - 50*time.Millisecond), at: l.at(d)})
+		l.addCrash(identity(n), Server{ID: server}, crash{sent: l.at(d - 50*time.Millisecond), at: l.at(d)})
 	}
 }
 
 // decided returns whether the named request is in quarantine after a decision.
 func (l *timeline) quarantinedAt(d time.Duration, name string) bool {
 	l.decide(l.at(d))
-	return !l.quarantinedUntil(fingerprint(name), l.at(d)).IsZero()
+	return !l.quarantinedUntil(identity(name), l.at(d)).IsZero()
 }
 
 // Load pattern: each crash breaks off others too, none of which is in progress at all crashes.
@@ -67,7 +68,7 @@
 	}
 	is.True(!l.quarantinedAt(3*time.Second, "deadly"))
 	is.True(!l.quarantinedAt(3*time.Second, "bystander"))
-	is.True(l.complete(fingerprint("bystander"), l.at(3500*time.Millisecond)))
+	is.Equal(len(l.complete(identity("bystander"), l.at(3500*time.Millisecond))), 1)
 	is.True(l.quarantinedAt(4*time.Second, "deadly")) // the other one has run
 	is.True(!l.quarantinedAt(4*time.Second, "bystander"))
 }
@@ -99,7 +100,7 @@
 	l := newTimeline()
 	for i := range 3 {
 		at := l.at(time.Duration(i) * 20 * time.Millisecond)
-		l.addCrash(fingerprint("deadly"), Server{ID: fmt.Sprint("s", i)}, crash{sent: at.Add(-10 * time.Millisecond), at: at})
+		l.addCrash(identity("deadly"), Server{ID: fmt.Sprint("s", i)}, crash{sent: at.Add(-10 * time.Millisecond), at: at})
 	}
 	is.True(l.quarantinedAt(time.Second, "deadly"))
 }
@@ -110,13 +111,13 @@
 	l := newTimeline()
 	l.crash(0, "s1", "popular")
 	l.crash(time.Second, "s2", "popular")
-	is.True(l.complete(fingerprint("popular"), l.at(1500*time.Millisecond)))
+	is.Equal(len(l.complete(identity("popular"), l.at(1500*time.Millisecond))), 1)
 	l.crash(2*time.Second, "s3", "popular")
 	is.True(!l.quarantinedAt(3*time.Second, "popular"))
 	l.crash(4*time.Second, "s4", "popular")
 	l.crash(5*time.Second, "s5", "popular")
 	is.True(l.quarantinedAt(6*time.Second, "popular"))
-	is.True(l.complete(fingerprint("popular"), l.at(7*time.Second))) // a run that was under way
+	is.Equal(len(l.complete(identity("popular"), l.at(7*time.Second))), 1) // a run that was under way
 	is.True(!l.quarantinedAt(7*time.Second, "popular"))
 }
 
@@ -127,8 +128,8 @@
 		l.crash(time.Duration(i)*time.Second, fmt.Sprint("s", i), "deadly")
 	}
 	is.True(l.quarantinedAt(3*time.Second, "deadly"))
-	is.True(!l.quarantinedUntil(fingerprint("deadly"), l.at(testTTL)).IsZero())
-	is.True(l.quarantinedUntil(fingerprint("deadly"), l.at(testTTL+3*time.Second)).IsZero())
+	is.True(!l.quarantinedUntil(identity("deadly"), l.at(testTTL)).IsZero())
+	is.True(l.quarantinedUntil(identity("deadly"), l.at(testTTL+3*time.Second)).IsZero())
 	l.expire(l.at(2 * testTTL))
 	is.Equal(len(l.records), 0)
 }
@@ -145,7 +146,67 @@
 	}
 	l.expire(l.at(5 * time.Second))
 	is.Equal(len(l.records), maxRecords)
-	is.True(!l.quarantinedUntil(fingerprint("deadly"), l.at(5*time.Second)).IsZero())
+	is.True(!l.quarantinedUntil(identity("deadly"), l.at(5*time.Second)).IsZero())
+}
+
+// crashBodies has requests of one account with the given bodies in progress at a server that crashes.
+func (l *timeline) crashBodies(d time.Duration, server string, bodies ...string) {
+	for _, b := range bodies {
+		l.addCrash(bodyIdentity(b), Server{ID: server}, crash{sent: l.at(d - 50*time.Millisecond), at: l.at(d)})
+	}
+}
+
+func bodyIdentity(body string) Identity {
+	return IdentityOf("acme", "POST", "h", "/chat/x", []byte(body))
+}
+
+func (l *timeline) bodyQuarantinedAt(d time.Duration, body string) bool {
+	l.decide(l.at(d))
+	return !l.quarantinedUntil(bodyIdentity(body), l.at(d)).IsZero()
+}
+
+// Load pattern: a conversation that crashes servers comes again as other turns, which begin with it and end differently. The
+// account has others.
+func TestRequestsWithADeadlyBeginningAreQuarantined(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	deadly, sound := strings.Repeat("deadly ", 1000), strings.Repeat("sound ", 1000)
+	for i := range 4 {
+		l.crashBodies(time.Duration(i)*time.Second, fmt.Sprint("s", i), deadly+fmt.Sprint(i), sound+fmt.Sprint(i))
+		l.complete(bodyIdentity(sound+"other"), l.at(time.Duration(i)*time.Second+500*time.Millisecond))
+	}
+	is.True(l.bodyQuarantinedAt(4*time.Second, deadly+"another end"))
+	is.True(!l.bodyQuarantinedAt(4*time.Second, sound+"another end"))
+	is.True(!l.bodyQuarantinedAt(4*time.Second, "short"))
+}
+
+// Load pattern: as above, and one of the turns is in quarantine already.
+func TestOneMoreCrashIsEnoughForABeginningOfAQuarantinedRequest(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	deadly := strings.Repeat("deadly ", 1000)
+	for i := range 3 {
+		l.crashBodies(time.Duration(i)*time.Second, fmt.Sprint("s", i), deadly)
+	}
+	is.True(l.bodyQuarantinedAt(3*time.Second, deadly))
+	is.True(!l.bodyQuarantinedAt(3*time.Second, deadly+"another end")) // nothing speaks against its beginning but that request
+	l.crashBodies(4*time.Second, "s4", deadly+"more", "bystander")
+	is.True(l.bodyQuarantinedAt(5*time.Second, deadly+"another end"))
+	is.True(!l.bodyQuarantinedAt(5*time.Second, "bystander"))
+}
+
+// Load pattern: all requests of an account begin with the same instructions, and one of them crashes servers.
+func TestSharedInstructionsAreNotQuarantinedWithTheRequest(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	instructions := strings.Repeat("instructions ", 500)
+	for i := range 6 {
+		at := time.Duration(i) * time.Second
+		l.crashBodies(at, fmt.Sprint("s", i), instructions+"deadly", instructions+fmt.Sprint("sound ", i))
+		l.decide(l.at(at + 500*time.Millisecond))
+	}
+	is.True(l.bodyQuarantinedAt(7*time.Second, instructions+"deadly"))
+	is.True(!l.bodyQuarantinedAt(7*time.Second, instructions+"sound"))
 }
 
 // Whatever the order in which reports reach the holder, and however often, it comes to the same decision.
@@ -165,7 +226,7 @@
 				present = append(present, fmt.Sprint("b", i, b))
 			}
 			for _, n := range present {
-				reports = append(reports, report{fingerprint(n), record{crashes: map[Server]crash{server: {sent: at, at: at}}}})
+				reports = append(reports, report{identity(n).whole(), record{crashes: map[Server]crash{server: {sent: at, at: at}}}})
 			}
 		}
 		for _, r := range rapid.Permutation(append(reports, reports...)).Draw(t, "order") {
--- a/internal/quarantine/wire.go
+++ b/internal/quarantine/wire.go
@@ -12,6 +12,9 @@
 
 func encode(f Fingerprint, r *record, now time.Time) *turnv1.CrashSuspect {
 	m := &turnv1.CrashSuspect{Fingerprint: f[:], Stored: r.stored}
+	if r.beginning != (Fingerprint{}) {
+		m.Beginning = r.beginning[:]
+	}
 	if r.quarantined(now) {
 		m.QuarantineMs = r.until.Sub(now).Milliseconds()
 	}
@@ -34,6 +37,7 @@
 		return f, record{}, false
 	}
 	r := record{crashes: map[Server]crash{}, stored: m.Stored}
+	copy(r.beginning[:], m.Beginning)
 	if m.QuarantineMs > 0 {
 		r.until = ago(-m.QuarantineMs)
 	}
