quarantine: count crashes that follow each other within milliseconds at different instances

Trace: three crashes in 20 ms, seen by two instances. Crashes within 50 ms count once unless the request was sent to the second server after the first had crashed; but instances tell each other ages, so a report that takes 7 ms moves the first crash behind the second send. A message's time under load, 20 ms, is now allowed for. Ruled out: a lost report, the store (nothing was decided).

TestCrashesReportedLateCountOneByOne failed before.

--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -21,6 +21,9 @@
 	// oneEvent is the time within which crashes of servers may have one cause outside of the requests, such as a loss of
 	// power.
 	oneEvent = 50 * time.Millisecond
+	// reportDelay is by how much later a crash may seem to be than it was, as instances tell each other its age: the time that a
+	// message takes under load.
+	reportDelay = 20 * time.Millisecond
 	// clockTolerance is by how much times that instances tell each other, as ages, may differ without being news.
 	clockTolerance = 200 * time.Millisecond
 	// maxRecords bounds the requests that are remembered, and maxCrashes the crashes of each.
@@ -307,7 +310,7 @@
 	n := 0
 	var last time.Time
 	for _, c := range ordered {
-		if n == 0 || c.at.Sub(last) >= oneEvent || c.sent.After(last) {
+		if n == 0 || c.at.Sub(last) >= oneEvent || c.sent.After(last.Add(-reportDelay)) {
 			n, last = n+1, c.at
 		}
 	}
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -105,6 +105,18 @@
 	is.True(l.quarantinedAt(time.Second, "deadly"))
 }
 
+// Guards against copies that crash servers within milliseconds, at different instances, being taken for one loss of power: the
+// report of the first crash takes longer than the next copy.
+func TestCrashesReportedLateCountOneByOne(t *testing.T) {
+	is := is.New(t)
+	l := newTimeline()
+	for i, delay := range []time.Duration{12 * time.Millisecond, 7 * time.Millisecond, 0} {
+		at := l.at(time.Duration(i)*6*time.Millisecond + delay)
+		l.addCrash(identity("deadly"), Server{ID: fmt.Sprint("s", i)}, crash{sent: at.Add(-2 * time.Millisecond), at: at})
+	}
+	is.True(l.quarantinedAt(time.Second, "deadly"))
+}
+
 // Load pattern: servers fail one after the other for reasons of their own, under a request that is asked for all the time.
 func TestRequestThatCompletesIsReleased(t *testing.T) {
 	is := is.New(t)
