backendpath: check a lost way at servers of other services first

Then up to four peers were asked for each connection, and refused for the same reason. Cause: the check draws three of all servers at random, which are often three of those that are down.

The three are now drawn from as many services as there are, those of the failed server's service last. A refused connection alone can't tell, since a cut may refuse too.

--- a/internal/backendpath/backendpath.go
+++ b/internal/backendpath/backendpath.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,8 +40,8 @@
 	ctx context.Context
 	// direct connects without the help of another instance, relay with it.
 	direct, relay DialFunc
-	// servers lists the addresses of the registered servers.
-	servers func() []string
+	// servers lists the addresses of the registered servers of each service.
+	servers func() [][]string
 	metrics *Metrics
 	now     func() time.Time
 
@@ -59,7 +60,7 @@
 }
 
 // New returns a dialer. ctx ends its background work.
-func New(ctx context.Context, direct, relay DialFunc, servers func() []string, m *Metrics) *Dialer {
+func New(ctx context.Context, direct, relay DialFunc, servers func() [][]string, m *Metrics) *Dialer {
 	return &Dialer{
 		ctx: ctx, direct: direct, relay: relay, servers: servers, metrics: m, now: time.Now, lastSuccess: time.Now(),
 	}
@@ -147,7 +148,8 @@
 	}
 }
 
-// runCheck connects to other servers at the same time. The first success ends it.
+// runCheck connects to other servers at the same time, first of all to those of other services. The first success ends it.
+// Load pattern: a request crashes the servers of one service until few of them are left, and the others answer.
 func (d *Dialer) runCheck(c *check, failed string) {
 	others := sample(d.servers(), failed, probedServers)
 	results := make(chan bool, len(others))
@@ -202,13 +204,29 @@
 	}
 }
 
-// sample returns up to n addresses at random, without the excluded one.
-func sample(addresses []string, excluded string, n int) []string {
+// sample returns up to n addresses at random, of as many services as possible, without the excluded one. The service that has
+// that one comes last.
+func sample(services [][]string, excluded string, n int) []string {
+	order := rand.Perm(len(services))
+	if i := slices.IndexFunc(order, func(i int) bool { return slices.Contains(services[i], excluded) }); i >= 0 {
+		order = slices.Concat(order[:i], order[i+1:], order[i:i+1])
+	}
+	var rows [][]string
+	for _, i := range order {
+		row := slices.DeleteFunc(slices.Clone(services[i]), func(a string) bool { return a == excluded })
+		rand.Shuffle(len(row), func(i, j int) { row[i], row[j] = row[j], row[i] })
+		rows = append(rows, row)
+	}
 	out := make([]string, 0, n)
-	for _, i := range rand.Perm(len(addresses)) {
-		if len(out) < n && addresses[i] != excluded {
-			out = append(out, addresses[i])
+	for column := 0; ; column++ {
+		before := len(out)
+		for _, row := range rows {
+			if column < len(row) && len(out) < n {
+				out = append(out, row[column])
+			}
+		}
+		if len(out) == before {
+			return out
 		}
 	}
-	return out
 }
--- a/internal/backendpath/backendpath_test.go
+++ b/internal/backendpath/backendpath_test.go
@@ -52,7 +52,7 @@
 
 func newNetwork(t *testing.T, servers ...string) (*network, *Dialer) {
 	n := &network{down: map[string]bool{}}
-	return n, New(t.Context(), n.direct, n.relay, func() []string { return slices.Clone(servers) }, NewMetrics(prometheus.NewRegistry()))
+	return n, New(t.Context(), n.direct, n.relay, func() [][]string { return [][]string{slices.Clone(servers)} }, NewMetrics(prometheus.NewRegistry()))
 }
 
 func TestOneUnreachableServerIsNotALostPath(t *testing.T) {
@@ -132,3 +132,31 @@
 		is.True(time.Now().Before(deadline)) // lost
 	}
 }
+
+// Guards against the crash of most servers of one service being taken for the loss of the way: others are reached.
+func TestCrashOfOneServiceIsNotALostPath(t *testing.T) {
+	is := is.New(t)
+	models, tools := []string{"m1", "m2", "m3", "m4", "m5", "m6", "m7", "m8", "m9"}, []string{"t1", "t2"}
+	for range 100 {
+		n := &network{down: map[string]bool{}}
+		d := New(t.Context(), n.direct, n.relay, func() [][]string { return [][]string{models, tools} }, NewMetrics(prometheus.NewRegistry()))
+		n.set(true, models...)
+		_, err := d.Dial(t.Context(), "m1")
+		is.True(err != nil)
+		is.True(d.LostSince().IsZero())
+		is.Equal(len(n.relayed), 0)
+	}
+}
+
+func TestSampleTakesOtherServicesFirst(t *testing.T) {
+	is := is.New(t)
+	services := [][]string{{"a1", "a2", "a3"}, {"b1"}, nil}
+	for range 20 {
+		out := sample(services, "a2", 3)
+		is.Equal(out[0], "b1")
+		is.Equal(len(out), 3)
+		is.True(!slices.Contains(out, "a2"))
+	}
+	is.Equal(len(sample(services, "", 9)), 4)
+	is.Equal(len(sample(nil, "x", 3)), 0)
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -156,15 +156,19 @@
 	return out
 }
 
-// Addresses returns the addresses of the servers that are not draining.
-func (f *Fleet) Addresses() []string {
+// Addresses returns the addresses of the servers that are not draining, of one service after the other.
+func (f *Fleet) Addresses() [][]string {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	out := make([]string, 0, len(f.byID))
-	for _, b := range f.byID {
-		if !b.Draining {
-			out = append(out, b.Address)
+	out := make([][]string, 0, len(f.byService))
+	for _, servers := range f.byService {
+		var addresses []string
+		for _, b := range servers {
+			if !b.Draining {
+				addresses = append(addresses, b.Address)
+			}
 		}
+		out = append(out, addresses)
 	}
 	return out
 }
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -204,9 +204,9 @@
 // suspect is a request, or the beginning of some, that may have caused crashes that are not explained.
 type suspect struct {
 	fingerprint Fingerprint
-	// depth is the number of shorter beginnings with a fingerprint.
-	depth   int
-	servers map[Server]crash
+	// specificity is the higher, the fewer requests the fingerprint covers.
+	specificity int
+	servers     map[Server]crash
 	// crashes is the number of crashes that can't have had one cause outside of the requests.
 	crashes int
 }
@@ -225,8 +225,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b suspect) int {
-		return cmp.Or(cmp.Compare(b.crashes, a.crashes), compareBool(b.fingerprint.isWhole(), a.fingerprint.isWhole()),
-			cmp.Compare(b.depth, a.depth), slices.Compare(a.fingerprint[:], b.fingerprint[:]))
+		return cmp.Or(cmp.Compare(b.crashes, a.crashes), cmp.Compare(b.specificity, a.specificity), slices.Compare(a.fingerprint[:], b.fingerprint[:]))
 	})
 	return out
 }
@@ -247,7 +246,7 @@
 // suspect returns what speaks against a request, or against a beginning: the crashes that are not explained. If there are any,
 // the crashes explained by requests with that beginning speak against it too.
 func (g *register) suspect(f Fingerprint, r *record, explained map[Server][]Fingerprint, now time.Time) suspect {
-	s := suspect{fingerprint: f, depth: g.depth(f), servers: map[Server]crash{}}
+	s := suspect{fingerprint: f, specificity: g.specificity(f), servers: map[Server]crash{}}
 	unexplained := false
 	for server, c := range r.crashes {
 		causes := explained[server]
@@ -274,8 +273,11 @@
 	return false
 }
 
-func (g *register) depth(f Fingerprint) int {
+func (g *register) specificity(f Fingerprint) int {
 	n := 0
+	if f.isWhole() {
+		n = len(prefixLengths)
+	}
 	for r := g.records[f]; r != nil && r.beginning != (Fingerprint{}); r = g.records[r.beginning] {
 		n++
 	}
@@ -292,17 +294,6 @@
 	return false
 }
 
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	default:
-		return -1
-	}
-}
-
 // separateCrashes counts crashes, without those that may have had the cause of an earlier one: they came at nearly the same
 // time, and the request had been sent to both servers before.
 func separateCrashes(servers map[Server]crash) int {
