config: recognize the second record of an edit after any number of others

Cause: an edit whose append got no response is appended again, and its second record is recognized by the outcome of the first, of which 256 a team were kept. After 256 others the second record was judged anew, and lost against the version that it had made itself.

Evidence: TestSecondRecordOfAnEditIsRecognizedAfterManyOthers fails on the old code ({false 3001} != {true 1}). Outcomes are now kept for two minutes of the records' own times, which is longer than an edit is retried, 256 at least and 8,192 at most; the same on every instance, since it depends on the records alone.

--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -21,8 +21,12 @@
 	maxHistory = 64
 	// maxBases is the maximum number of document versions that a team retains as bases of splices.
 	maxBases = 4
-	// maxOutcomes is the maximum number of edits per team whose outcome is retained by edit ID.
-	maxOutcomes = 256
+	// minOutcomes and maxOutcomes bound the number of edits per team whose outcome is retained by edit ID. Between them,
+	// outcomes are retained for outcomeRetention.
+	minOutcomes = 256
+	maxOutcomes = 8192
+	// outcomeRetention is longer than an edit is retried, so that a second record of an edit is always recognized.
+	outcomeRetention = 2 * time.Minute
 )
 
 // VersionInfo describes one accepted edit.
@@ -49,6 +53,8 @@
 type outcomeRecord struct {
 	editID  string
 	outcome Outcome
+	// atUnixMs is when the edit was made, by its author's clock.
+	atUnixMs int64
 }
 
 // pendingEdit is an edit that can't be accepted or rejected before the team's version at its offset is known.
@@ -186,10 +192,10 @@
 	}
 	doc, fits := t.editedDocument(e)
 	if e.BaseVersion != t.version || !fits {
-		t.recordOutcome(e.EditId, Outcome{Version: t.version, Author: t.info.Author})
+		t.recordOutcome(e.EditId, Outcome{Version: t.version, Author: t.info.Author}, e.AtUnixMs)
 		return
 	}
-	t.recordOutcome(e.EditId, Outcome{Accepted: true, Version: offset + 1, Author: e.Author})
+	t.recordOutcome(e.EditId, Outcome{Accepted: true, Version: offset + 1, Author: e.Author}, e.AtUnixMs)
 	info := VersionInfo{
 		Version: offset + 1, Author: e.Author, At: time.UnixMilli(e.AtUnixMs), EditID: e.EditId, Bytes: len(doc),
 	}
@@ -205,11 +211,11 @@
 	}
 	for _, v := range t.history {
 		if v.EditID == e.EditId {
-			t.recordOutcome(e.EditId, Outcome{Accepted: true, Version: v.Version, Author: v.Author})
+			t.recordOutcome(e.EditId, Outcome{Accepted: true, Version: v.Version, Author: v.Author}, e.AtUnixMs)
 			return
 		}
 	}
-	t.recordOutcome(e.EditId, Outcome{Version: t.version, Author: t.info.Author})
+	t.recordOutcome(e.EditId, Outcome{Version: t.version, Author: t.info.Author}, e.AtUnixMs)
 }
 
 // editedDocument returns the document that results from applying an edit to the current one. It returns false if the
@@ -242,15 +248,18 @@
 	}
 }
 
-// recordOutcome adds an outcome and drops the oldest beyond maxOutcomes.
-func (t *team) recordOutcome(editID string, o Outcome) {
+// recordOutcome adds an outcome and drops the oldest. Which ones depends only on the records, so that all instances retain the
+// same.
+func (t *team) recordOutcome(editID string, o Outcome, atUnixMs int64) {
 	if editID == "" {
 		return
 	}
-	t.outcomes = append(t.outcomes, outcomeRecord{editID: editID, outcome: o})
-	if len(t.outcomes) > maxOutcomes {
-		t.outcomes = slices.Delete(t.outcomes, 0, len(t.outcomes)-maxOutcomes)
+	t.outcomes = append(t.outcomes, outcomeRecord{editID: editID, outcome: o, atUnixMs: atUnixMs})
+	expired := 0
+	for n := len(t.outcomes); n > maxOutcomes || n > minOutcomes && atUnixMs-t.outcomes[expired].atUnixMs > outcomeRetention.Milliseconds(); n-- {
+		expired++
 	}
+	t.outcomes = slices.Delete(t.outcomes, 0, expired)
 }
 
 func (t *team) outcome(editID string) (Outcome, bool) {
@@ -319,7 +328,7 @@
 				Version: v.Version, Author: v.Author, At: time.UnixMilli(v.AtUnixMs), EditID: v.EditId, Bytes: int(v.Bytes),
 			})
 		}
-		t.recordOutcome(v.EditId, Outcome{Accepted: true, Version: v.Version, Author: v.Author})
+		t.recordOutcome(v.EditId, Outcome{Accepted: true, Version: v.Version, Author: v.Author}, v.AtUnixMs)
 	}
 }
 
--- a/internal/config/state_test.go
+++ b/internal/config/state_test.go
@@ -245,6 +245,32 @@
 	is.True(out.Accepted)
 }
 
+// Guards against the second record of an accepted edit, appended for lack of a response, being judged a conflict because many
+// others came between.
+func TestSecondRecordOfAnEditIsRecognizedAfterManyOthers(t *testing.T) {
+	is := is.New(t)
+	s := NewState()
+	s.SetFirstOffset(0)
+	first := editRecord("t", 0, "a", "A")
+	s.Apply(0, first)
+	const others = 3000
+	for i := range uint64(others) {
+		s.Apply(i+1, editRecord("t", i+1, fmt.Sprint("edit ", i), fmt.Sprint(i)))
+	}
+	s.Apply(others+1, first)
+	out, ok := s.Outcome("t", "a")
+	is.True(ok)
+	is.Equal(out, Outcome{Accepted: true, Version: 1, Author: "author of a"})
+	_, v := s.Document("t")
+	is.Equal(v, uint64(others+1))
+
+	// Outcomes do not pile up.
+	late := editRecord("t", others+1, "late", "L")
+	late.GetEdit().AtUnixMs += 2 * outcomeRetention.Milliseconds()
+	s.Apply(others+2, late)
+	is.Equal(len(s.teams["t"].outcomes), minOutcomes)
+}
+
 func TestCopyDoesNotOverrideLaterEdit(t *testing.T) {
 	is := is.New(t)
 	s := NewState()
