ledger: test the order of a lost holder's events as programs apply them

Cause: the test, not the ledger. Each event needs a majority of three slots only, so the two that are left may hold one event each, and the new holder sees its own first. CollectHeld orders events by what apply rejects; this test's apply never rejected any, while programs reject an event until the one before it was applied.

The test's apply now rejects what does not fit, so the demand is the same, both events in this order, and a wrong order still fails.

--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -131,6 +132,22 @@
 
 func event(id string) *programv1.Event { return &programv1.Event{Id: id, Program: "p"} }
 
+// collectInOrder collects the events of a program that, as programs do, rejects an event until those before it were applied.
+func collectInOrder(s *slot, term uint64, order ...string) ([]string, error) {
+	var ids []string
+	err := s.CollectHeld(context.Background(), 0, term, func(ev *programv1.Event) ApplyResult {
+		if slices.Contains(ids, ev.Id) {
+			return Duplicate
+		}
+		if len(ids) == len(order) || ev.Id != order[len(ids)] {
+			return Rejected
+		}
+		ids = append(ids, ev.Id)
+		return Accepted
+	})
+	return ids, err
+}
+
 func collect(t *testing.T, s *slot, term uint64) ([]string, error) {
 	t.Helper()
 	var ids []string
@@ -153,7 +170,24 @@
 	is.NoErr(cell[0].Record(ctx, 0, 1, event("e1")))
 	is.NoErr(cell[0].Record(ctx, 0, 1, event("e2")))
 	cell[0].server.Stop()
-	ids, err := collect(t, cell[1], 2)
+	ids, err := collectInOrder(cell[1], 2, "e1", "e2")
+	is.NoErr(err)
+	is.Equal(ids, []string{"e1", "e2"})
+}
+
+// Each event is committed by a majority, so that the slots that are left may hold one event each, in any order.
+func TestNewHolderFindsEventsThatDifferentSlotsHold(t *testing.T) {
+	is := is.New(t)
+	cell := newCell(t, 3, &fakeLog{unavailable: true})
+	hold := func(slot int, id string) {
+		is.NoErr(cell[slot].accept(0, 1, id, mustMarshal(t, &programv1.Event{Id: id, Program: "p", Term: 1})))
+	}
+	hold(0, "e1")
+	hold(0, "e2")
+	hold(1, "e2")
+	hold(2, "e1")
+	cell[0].server.Stop()
+	ids, err := collectInOrder(cell[1], 2, "e1", "e2")
 	is.NoErr(err)
 	is.Equal(ids, []string{"e1", "e2"})
 }
