quarantine: forget what has expired without waiting for the next crash

Found by reading the diff: records were looked over only when a crash was reported or decided on, so that after the last one they stayed, and the gauge went on showing requests in quarantine that had ended. Now with each answer of the holder. TestQuarantineIsForgottenWithoutNews failed before. With a holder of an older build the list of what to report grew; it is cleared, as the next holder gets everything.

--- a/internal/quarantine/exchange.go
+++ b/internal/quarantine/exchange.go
@@ -13,6 +13,7 @@
 		r.SuspectsRevision = q.holderRevision
 		if q.holderRevision == 0 {
 			// The holder's build does not know of suspects; the next holder gets everything.
+			clear(q.unreported)
 			return
 		}
 		for f := range q.unreported {
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -31,7 +31,7 @@
 	now      func() time.Time
 	// onNews is called when there is something to report to the holder.
 	onNews func()
-	// decided is signalled after a decision.
+	// decided is signalled when there may be decisions to record in the store.
 	decided chan struct{}
 	loaded  chan struct{}
 
@@ -164,7 +164,7 @@
 	q.update(now)
 }
 
-// update drops what is too old and signals a change. q.mu must be held.
+// update drops what is too old and has new decisions recorded in the store. q.mu must be held.
 func (q *Quarantine) update(now time.Time) {
 	if now.Sub(q.lastExpiry) >= expiryInterval {
 		q.lastExpiry = now
@@ -217,7 +217,7 @@
 	if crashes {
 		q.expectDecision(now)
 	}
-	if len(suspects) > 0 {
+	if len(q.register.records) > 0 {
 		q.update(now)
 	}
 }
--- a/internal/quarantine/quarantine_test.go
+++ b/internal/quarantine/quarantine_test.go
@@ -174,3 +174,23 @@
 	}
 	is.Equal(holder.register.revision, before)
 }
+
+// Guards against requests being remembered for ever when nothing crashes any more.
+func TestQuarantineIsForgottenWithoutNews(t *testing.T) {
+	is := is.New(t)
+	q, holder := newTest(t, backendpath.ErrServerDown), newTest(t, nil)
+	f := identity("deadly")
+	for i := range crashLimit {
+		q.run(f, fmt.Sprint("s", i))
+		time.Sleep(oneEvent + 10*time.Millisecond)
+	}
+	eventually(t, "a decision by itself", func() bool { return !q.Until(f).IsZero() })
+	q.mu.Lock()
+	q.now = func() time.Time { return time.Now().Add(2*q.register.ttl + expiryInterval) }
+	q.mu.Unlock()
+	is.True(q.Until(f).IsZero())
+	exchange(q, holder) // as each instance does three times a second
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	is.Equal(len(q.register.records), 0)
+}
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -189,7 +189,7 @@
 	for {
 		suspects := g.suspects(now)
 		i := slices.IndexFunc(suspects, func(s suspect) bool {
-			return s.crashes >= crashLimit && s.crashes >= g.limit(s, suspects)
+			return s.crashes >= g.limit(s, suspects)
 		})
 		if i < 0 {
 			return decided
@@ -211,16 +211,16 @@
 	crashes int
 }
 
-// suspects returns what is not in quarantine: the one with the most crashes first, and of those whole requests and longer
-// beginnings.
+// suspects returns what has enough crashes and is not in quarantine: the one with the most crashes first, and of those whole
+// requests and longer beginnings.
 func (g *register) suspects(now time.Time) []suspect {
 	var out []suspect
 	explained := g.explained(now)
 	for f, r := range g.records {
-		if g.isQuarantined(f, now) {
+		if len(r.crashes) < crashLimit || g.isQuarantined(f, now) {
 			continue
 		}
-		if s := g.suspect(f, r, explained, now); s.crashes > 0 {
+		if s := g.suspect(f, r, explained, now); s.crashes >= crashLimit {
 			out = append(out, s)
 		}
 	}
