quotactl: log what refuses takes within the rate; KNOWN-RED: what it shows

Ruled out: lost responses and missing holders, which refuse for another reason. TestOverRateAccountIsRefusedWithoutItsHolder passed in all 60.

--- a/internal/quota/quotactl/controller_test.go
+++ b/internal/quota/quotactl/controller_test.go
@@ -175,9 +175,11 @@
 	tick := time.NewTicker(time.Second * 100 / (95 * rate))
 	defer tick.Stop()
 	refused, total := 0, 300
-	for range total {
+	for i := range total {
 		<-tick.C
-		if f.ctl[rng.IntN(len(f.ctl))].Take(context.Background(), "kiosk", 1) != nil {
+		start := time.Now()
+		if err := f.ctl[rng.IntN(len(f.ctl))].Take(context.Background(), "kiosk", 1); err != nil {
+			t.Logf("take %d is refused after %v: %v", i, time.Since(start), err)
 			refused++
 		}
 	}
