quarantine: say prefix for what it is; a line for servers that are not known to have crashed

Names and comments: the field's term for the leading bytes of a request is prefix. The error of a probe that says nothing about a crash was swallowed; it has a verbose log line now.

--- a/internal/quarantine/detector.go
+++ b/internal/quarantine/detector.go
@@ -81,7 +81,11 @@
 func (d *detector) verify(s Server, address string, at time.Time) {
 	ctx, cancel := context.WithTimeout(d.ctx, verifyTimeout)
 	defer cancel()
-	crashed := errors.Is(d.probe(ctx, address), backendpath.ErrServerDown)
+	err := d.probe(ctx, address)
+	crashed := errors.Is(err, backendpath.ErrServerDown)
+	if err != nil && !crashed {
+		klog.V(1).InfoS("backend server can't be reached, which is not known to be its crash", "backend", s.ID, "cause", err.Error())
+	}
 	d.mu.Lock()
 	runs := d.pending[s]
 	delete(d.pending, s)
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -11,7 +11,7 @@
 // request that is taken for another account's.
 const fingerprintBytes = 16
 
-// wholeMark is the bit of the first byte that keeps a whole request apart from the beginning of a longer one.
+// wholeMark is the bit of the first byte that keeps a whole request apart from the prefix of a longer one.
 const wholeMark = 1
 
 // Fingerprint identifies what a client asks for: copies of a request have different ids.
--- a/internal/quarantine/fingerprint_test.go
+++ b/internal/quarantine/fingerprint_test.go
@@ -23,7 +23,7 @@
 	}
 }
 
-func TestLongerRequestsShareTheFingerprintsOfTheirBeginning(t *testing.T) {
+func TestLongerRequestsShareTheFingerprintsOfTheirPrefixes(t *testing.T) {
 	is := is.New(t)
 	body := bytes.Repeat([]byte("0123456789abcdef"), 2<<10)
 	of := func(b []byte) Identity { return IdentityOf("acme", "POST", "h", "/chat/x", b) }
@@ -33,7 +33,7 @@
 	is.Equal(short[:3], long[:3])
 	is.True(short.whole() != long.whole())
 	is.True(short.whole().isWhole() && !short[0].isWhole())
-	// The whole of a body is not the beginning of a longer one.
+	// The whole of a body is not the prefix of a longer one.
 	is.True(of(body[:4096]).whole() != long[2])
 	is.Equal(len(of(nil)), 1)
 }
--- a/internal/quarantine/quarantine.go
+++ b/internal/quarantine/quarantine.go
@@ -177,13 +177,13 @@
 	}
 }
 
-// logChange logs the beginning or the end of a quarantine, if there is one. q.mu must be held.
+// logChange logs the start or the end of a quarantine, if there is one. q.mu must be held.
 func (q *Quarantine) logChange(f Fingerprint, before bool, source string, now time.Time) {
 	r := q.register.records[f]
 	after := r != nil && r.quarantined(now)
 	covers := "request"
 	if !f.isWhole() {
-		covers = "beginning"
+		covers = "prefix"
 	}
 	switch {
 	case !before && after:
--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -40,11 +40,11 @@
 	sent, at time.Time
 }
 
-// record is what is known of one request, or of all requests with one beginning.
+// record is what is known of one request, or of all requests with a common prefix.
 type record struct {
-	// beginning is the fingerprint of the next shorter beginning; zero if there is none.
-	beginning Fingerprint
-	crashes   map[Server]crash
+	// prefix is the fingerprint of the next shorter prefix; zero if there is none.
+	prefix  Fingerprint
+	crashes map[Server]crash
 	// completed is when a run of the request last ended with a whole response; zero if none is known. Crashes before that
 	// do not count: a request that makes servers crash completes nowhere.
 	completed time.Time
@@ -86,7 +86,7 @@
 	return &register{ttl: ttl, records: map[Fingerprint]*record{}, revision: revision}
 }
 
-// quarantinedUntil returns the end of the quarantine of a request or one of its beginnings. It is zero if the request may be
+// quarantinedUntil returns the end of the quarantine of a request or one of its prefixes. It is zero if the request may be
 // sent.
 func (g *register) quarantinedUntil(id Identity, now time.Time) time.Time {
 	var until time.Time
@@ -101,12 +101,12 @@
 // addCrash records that a request was in progress at a server that crashed, and returns the records in which that is new.
 func (g *register) addCrash(id Identity, s Server, c crash) []Fingerprint {
 	var changed []Fingerprint
-	var beginning Fingerprint
+	var prefix Fingerprint
 	for _, f := range id {
-		if g.merge(f, record{beginning: beginning, crashes: map[Server]crash{s: c}}) {
+		if g.merge(f, record{prefix: prefix, crashes: map[Server]crash{s: c}}) {
 			changed = append(changed, f)
 		}
-		beginning = f
+		prefix = f
 	}
 	return changed
 }
@@ -126,7 +126,7 @@
 func (g *register) merge(f Fingerprint, other record) bool {
 	r := g.records[f]
 	if r == nil {
-		r = &record{beginning: other.beginning, crashes: map[Server]crash{}}
+		r = &record{prefix: other.prefix, crashes: map[Server]crash{}}
 	}
 	before := record{crashes: maps.Clone(r.crashes), completed: r.completed, until: r.until, stored: r.stored}
 	if other.completed.Sub(r.completed) > clockTolerance {
@@ -201,7 +201,7 @@
 	}
 }
 
-// suspect is a request, or the beginning of some, that may have caused crashes that are not explained.
+// suspect is a request, or the prefix of some, that may have caused crashes that are not explained.
 type suspect struct {
 	fingerprint Fingerprint
 	// specificity is the higher, the fewer requests the fingerprint covers.
@@ -212,7 +212,7 @@
 }
 
 // suspects returns what has enough crashes and is not in quarantine: the one with the most crashes first, and of those whole
-// requests and longer beginnings.
+// requests and longer prefixes.
 func (g *register) suspects(now time.Time) []suspect {
 	var out []suspect
 	explained := g.explained(now)
@@ -243,14 +243,14 @@
 	return out
 }
 
-// suspect returns what speaks against a request, or against a beginning: the crashes that are not explained. If there are any,
-// the crashes explained by requests with that beginning speak against it too.
+// suspect returns what speaks against a request, or against a prefix: the crashes that are not explained. If there are any,
+// the crashes explained by requests with that prefix speak against it too.
 func (g *register) suspect(f Fingerprint, r *record, explained map[Server][]Fingerprint, now time.Time) suspect {
 	s := suspect{fingerprint: f, specificity: g.specificity(f), servers: map[Server]crash{}}
 	unexplained := false
 	for server, c := range r.crashes {
 		causes := explained[server]
-		ownCause := slices.ContainsFunc(causes, func(cause Fingerprint) bool { return g.beginsWith(cause, f) })
+		ownCause := slices.ContainsFunc(causes, func(cause Fingerprint) bool { return g.hasPrefix(cause, f) })
 		if now.Sub(c.at) < settleTime || len(causes) > 0 && !ownCause {
 			continue
 		}
@@ -263,9 +263,9 @@
 	return s
 }
 
-// isQuarantined reports whether a request, or one of its beginnings, is in quarantine.
+// isQuarantined reports whether a request, or one of its prefixes, is in quarantine.
 func (g *register) isQuarantined(f Fingerprint, now time.Time) bool {
-	for r := g.records[f]; r != nil; r = g.records[r.beginning] {
+	for r := g.records[f]; r != nil; r = g.records[r.prefix] {
 		if r.quarantined(now) {
 			return true
 		}
@@ -278,16 +278,16 @@
 	if f.isWhole() {
 		n = len(prefixLengths)
 	}
-	for r := g.records[f]; r != nil && r.beginning != (Fingerprint{}); r = g.records[r.beginning] {
+	for r := g.records[f]; r != nil && r.prefix != (Fingerprint{}); r = g.records[r.prefix] {
 		n++
 	}
 	return n
 }
 
-// beginsWith reports whether a request or beginning is longer than another one that it begins with.
-func (g *register) beginsWith(f, beginning Fingerprint) bool {
-	for r := g.records[f]; r != nil; r = g.records[r.beginning] {
-		if r.beginning == beginning {
+// hasPrefix reports whether a request or prefix has another, shorter prefix.
+func (g *register) hasPrefix(f, prefix Fingerprint) bool {
+	for r := g.records[f]; r != nil; r = g.records[r.prefix] {
+		if r.prefix == prefix {
 			return true
 		}
 	}
@@ -308,7 +308,7 @@
 	return n
 }
 
-// limit returns the number of crashes from which the suspect is taken for their cause. It is higher for a beginning, which
+// limit returns the number of crashes from which the suspect is taken for their cause. It is higher for a prefix, which
 // accuses requests that have not run, and while another suspect was in progress at most of the same crashes, so that only one
 // of the two may be the cause.
 func (g *register) limit(s suspect, others []suspect) int {
@@ -317,7 +317,7 @@
 		limit++
 	}
 	for _, o := range others {
-		related := g.beginsWith(o.fingerprint, s.fingerprint) || g.beginsWith(s.fingerprint, o.fingerprint)
+		related := g.hasPrefix(o.fingerprint, s.fingerprint) || g.hasPrefix(s.fingerprint, o.fingerprint)
 		if o.fingerprint != s.fingerprint && !related && o.crashes == s.crashes && 2*s.shared(o) > len(s.servers) {
 			return limit + 1
 		}
--- a/internal/quarantine/register_test.go
+++ b/internal/quarantine/register_test.go
@@ -179,7 +179,7 @@
 
 // Load pattern: a conversation that crashes servers comes again as other turns, which begin with it and end differently. The
 // account has others.
-func TestRequestsWithADeadlyBeginningAreQuarantined(t *testing.T) {
+func TestRequestsWithADeadlyPrefixAreQuarantined(t *testing.T) {
 	is := is.New(t)
 	l := newTimeline()
 	deadly, sound := strings.Repeat("deadly ", 1000), strings.Repeat("sound ", 1000)
@@ -193,7 +193,7 @@
 }
 
 // Load pattern: as above, and one of the turns is in quarantine already.
-func TestOneMoreCrashIsEnoughForABeginningOfAQuarantinedRequest(t *testing.T) {
+func TestOneMoreCrashIsEnoughForAPrefixOfAQuarantinedRequest(t *testing.T) {
 	is := is.New(t)
 	l := newTimeline()
 	deadly := strings.Repeat("deadly ", 1000)
@@ -201,7 +201,7 @@
 		l.crashBodies(time.Duration(i)*time.Second, fmt.Sprint("s", i), deadly)
 	}
 	is.True(l.bodyQuarantinedAt(3*time.Second, deadly))
-	is.True(!l.bodyQuarantinedAt(3*time.Second, deadly+"another end")) // nothing speaks against its beginning but that request
+	is.True(!l.bodyQuarantinedAt(3*time.Second, deadly+"another end")) // nothing speaks against its prefix but that request
 	l.crashBodies(4*time.Second, "s4", deadly+"more", "bystander")
 	is.True(l.bodyQuarantinedAt(5*time.Second, deadly+"another end"))
 	is.True(!l.bodyQuarantinedAt(5*time.Second, "bystander"))
--- a/internal/quarantine/wire.go
+++ b/internal/quarantine/wire.go
@@ -12,8 +12,8 @@
 
 func encode(f Fingerprint, r *record, now time.Time) *turnv1.CrashSuspect {
 	m := &turnv1.CrashSuspect{Fingerprint: f[:], Stored: r.stored}
-	if r.beginning != (Fingerprint{}) {
-		m.Beginning = r.beginning[:]
+	if r.prefix != (Fingerprint{}) {
+		m.Prefix = r.prefix[:]
 	}
 	if r.quarantined(now) {
 		m.QuarantineMs = r.until.Sub(now).Milliseconds()
@@ -37,7 +37,7 @@
 		return f, record{}, false
 	}
 	r := record{crashes: map[Server]crash{}, stored: m.Stored}
-	copy(r.beginning[:], m.Beginning)
+	copy(r.prefix[:], m.Prefix)
 	if m.QuarantineMs > 0 {
 		r.until = ago(-m.QuarantineMs)
 	}
