--- a/internal/quarantine/register.go
+++ b/internal/quarantine/register.go
@@ -16,7 +16,7 @@
 	// requests that are broken off by a crash are broken off by no other.
 	sharedCrashes = 2
 	// settleTime is the age from which a crash counts, by which every instance has reported its requests that were in
-	// progress at the server: instances exchange reports three times a second.
+	// progress at the server: a crash is reported to the holder at once.
 	settleTime = 250 * time.Millisecond
 	// oneEvent is the time within which crashes of servers may have one cause outside of the requests, such as a loss of
 	// power.
