Agree on the seams for places, placement, admission and resumption

Cause: five parts are built side by side and share the decoded configuration, the messages between instances and the choice of a backend server. Each would have changed the same lines.

Behaviour before and after is the same: nothing reads the new fields yet. Conclusion: each part now changes its own packages and one seam.

--- a/cmd/berylpondd/platform.go
+++ b/cmd/berylpondd/platform.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
 
+	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/instance"
 	"github.com/berylpond/berylpond/internal/logging"
 	"github.com/berylpond/berylpond/platform"
@@ -22,7 +23,12 @@
 	}
 	verbosity := c.Flags().IntP("verbosity", "v", 0, "log verbosity; 1 logs every served request")
 	metricsPort := c.Flags().Int("metrics-port", 0, "port that serves /metrics; 0 disables it")
+	without := c.Flags().StringSlice("without", nil, "parts to turn off: "+feature.Names())
 	c.RunE = func(c *cobra.Command, _ []string) error {
+		features, err := feature.Without(*without)
+		if err != nil {
+			return errors.Mark(errors.Wrap(err, "--without"), errUsage)
+		}
 		path := os.Getenv(platform.SettingsEnv)
 		if path == "" {
 			return errors.Mark(errors.Newf("%s is not set; it must be the path of the settings file", platform.SettingsEnv), errUsage)
@@ -35,7 +41,7 @@
 		defer out.Close()
 		logging.Setup(out, s.Instance, *verbosity)
 		go checkSettingsOnSIGHUP(path)
-		return instance.New(c.Context(), s).Run(c.Context(), *metricsPort)
+		return instance.New(c.Context(), s, features).Run(c.Context(), *metricsPort)
 	}
 	return c
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/berylpond/berylpond/internal/backendlimit"
+	"github.com/berylpond/berylpond/internal/placement"
 )
 
 const (
@@ -189,6 +190,8 @@
 // Criteria holds the criteria for picking a server.
 type Criteria struct {
 	Service string
+	// Work is what the request is expected to ask of the server.
+	Work placement.Work
 	// Preferred is the id of the server that has the prompt cached; empty if there is none.
 	Preferred string
 	// Exclude lists the ids of servers that were already tried.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/backendlimit"
+	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/quarantine"
 	"github.com/berylpond/berylpond/internal/ratelimit"
@@ -91,6 +92,7 @@
 	// draining reports whether the instance closes client connections after their next response, isolated whether it
 	// reaches neither the store nor a peer that does.
 	draining, isolated func() bool
+	features           feature.Set
 }
 
 // Options holds the dependencies of a Gateway.
@@ -104,6 +106,7 @@
 	Metrics       *Metrics
 	Draining      func() bool
 	Isolated      func() bool
+	Features      feature.Set
 }
 
 // New returns a gateway.
@@ -111,7 +114,7 @@
 	return &Gateway{
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Upstream, turnClient: o.TurnClient,
 		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, historyCache: newHistoryCache(), metrics: o.Metrics, now: time.Now,
-		draining: o.Draining, isolated: o.Isolated,
+		draining: o.Draining, isolated: o.Isolated, features: o.Features,
 	}
 }
 
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -103,7 +103,7 @@
 	defer cancel()
 	resp, err := x.turnClient.Begin(ctx, &turnv1.BeginRequest{
 		Program: x.programID(), Account: x.account.Name, Turn: x.ID, Previous: x.PreviousTurn, Budget: x.budget(),
-		Most: x.MaxTokens, HistoryKnown: cached, KeepMs: x.route.HistoryTTL.Milliseconds(),
+		Most: x.MaxTokens, HistoryKnown: cached, KeepMs: x.route.HistoryTTL.Milliseconds(), Session: x.Session,
 	})
 	if err != nil {
 		x.settle(0)
@@ -134,7 +134,7 @@
 	r := &turnv1.EndRequest{
 		Program: x.programID(), Account: x.account.Name, Turn: x.ID, Previous: x.PreviousTurn, Complete: complete,
 		Tokens: x.deliveredTokens(out), Backend: backend, Budget: x.budget(), Most: x.MaxTokens,
-		KeepMs: x.route.HistoryTTL.Milliseconds(),
+		KeepMs: x.route.HistoryTTL.Milliseconds(), Session: x.Session,
 	}
 	if complete {
 		r.Input, r.Output = x.body, out.output
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,6 +20,7 @@
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/backendpath"
+	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/gateway"
@@ -67,6 +68,7 @@
 // Instance is one running instance.
 type Instance struct {
 	settings platform.Settings
+	features feature.Set
 	// startID is unique for each start of the process.
 	startID string
 	// self is the address at which peers reach this instance.
@@ -101,10 +103,10 @@
 // so the owner holds them as soon as the partition is assigned.
 const ratesPartition = 0
 
-// New returns an instance that is not serving yet. Canceling ctx ends its background work.
-func New(ctx context.Context, s platform.Settings) *Instance {
+// New returns an instance that is not serving yet, with the given features. Canceling ctx ends its background work.
+func New(ctx context.Context, s platform.Settings, features feature.Set) *Instance {
 	i := &Instance{
-		settings: s, startID: uuid.NewString(), self: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort)),
+		settings: s, features: features, startID: uuid.NewString(), self: net.JoinHostPort(s.IP, strconv.Itoa(s.FirstPeerPort)),
 		fleet: fleet.New(s.DataCentre, s.DrainPeriod), pool: peer.NewPool(net.ParseIP(s.IP)),
 		dialBackend: upstream.Dial, metrics: prometheus.NewRegistry(),
 	}
@@ -153,6 +155,7 @@
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
+		Features: features,
 	})
 	return i
 }
@@ -232,7 +235,7 @@
 
 // Run serves until ctx is done, then shuts down gracefully.
 func (i *Instance) Run(ctx context.Context, metricsPort int) error {
-	klog.InfoS("start", "instance", i.settings.Instance, "data_centre", i.settings.DataCentre, "start", i.startID,
+	klog.InfoS("start", "without", i.features.String(), "instance", i.settings.Instance, "data_centre", i.settings.DataCentre, "start", i.startID,
 		"peers", i.self, "clients", i.settings.ClientAddress, "store", i.settings.Store.Address,
 		"partitions", i.settings.Store.Partitions, "memory_bytes", i.settings.MemoryBytes)
 	background, stopBackground := context.WithCancel(context.Background())
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/berylpond/berylpond/internal/fakes/metastore"
 	"github.com/berylpond/berylpond/internal/fakes/runner"
+	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/platform"
 )
@@ -98,7 +99,7 @@
 		},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	n := &node{Instance: New(ctx, settings), url: "http://" + settings.ClientAddress, stop: cancel, done: make(chan struct{})}
+	n := &node{Instance: New(ctx, settings, feature.Set{}), url: "http://" + settings.ClientAddress, stop: cancel, done: make(chan struct{})}
 	if s.prepare != nil {
 		s.prepare(n.Instance)
 	}
--- a/internal/instance/metrics_test.go
+++ b/internal/instance/metrics_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/platform"
 )
 
@@ -24,7 +25,8 @@
 	for _, m := range pageMetric.FindAllStringSubmatch(string(page), -1) {
 		onPage[m[1]] = true
 	}
-	i := New(t.Context(), platform.Settings{IP: "127.0.0.1", MemoryBytes: 1 << 30, Store: platform.StoreSettings{Partitions: 1}})
+	i := New(t.Context(), platform.Settings{IP: "127.0.0.1", MemoryBytes: 1 << 30, Store: platform.StoreSettings{Partitions: 1}},
+		feature.Set{})
 	described := make(chan *prometheus.Desc)
 	go func() {
 		i.metrics.Describe(described)
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -63,6 +63,12 @@
 	Public bool
 	// Affinity marks routes whose requests should go to the backend server that has their prompt cached.
 	Affinity bool
+	// Resumable streams may be continued at another backend server after the events that were relayed.
+	Resumable bool
+	// EventInterval is the longest pause between two events of a stream that is still on time; zero if not stated.
+	EventInterval time.Duration
+	// HomeRegions lists the regions in which the route's requests may be handled; empty for any region.
+	HomeRegions []string
 }
 
 // Engine describes the model engines behind a service.
@@ -85,6 +91,10 @@
 	MaxConns int
 	// Engine is nil for plain services.
 	Engine *Engine
+	// ColdRequestsPerSecond is the number of requests per second that a server accepts from all instances together while
+	// it is cold; zero for no limit. ColdPeriod is how long a server is cold after its start.
+	ColdRequestsPerSecond float64
+	ColdPeriod            time.Duration
 }
 
 // Account is a client account.
@@ -97,6 +107,8 @@
 	// Priority overrides the route's priority if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// HomeRegions lists the regions in which the account's requests may be handled; empty for any region.
+	HomeRegions []string
 }
 
 // Limits bounds client requests and connections.
