ledger: collect events that only another slot has read from the log

Cause: a slot drops a held event once it has read it back from the log. A new holder that reads the log later than that slot found the event nowhere: not held, and not read by itself. It became ready without a turn that counted, and refused the caller's head. A slow log widens the lag between readers, and a restarted slot holds nothing at all of what it has read.

Ruled out: waiting until the holder has read what others have (a holder that lags by one read when the log goes away would stay unready until it returns, against the promise for an unavailable log).

Slots keep the newest 256 events of a shard that they have read, and a new holder applies those; it waits only for older ones.

--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -100,13 +100,13 @@
 	return &peerv1.HoldReply{}, nil
 }
 
-// FetchHeld promises the new holder's term and returns the held events of a shard.
+// FetchHeld promises the new holder's term and returns the events of a shard that this instance knows.
 func (p *peerServer) FetchHeld(_ context.Context, req *peerv1.FetchHeldRequest) (*peerv1.FetchHeldReply, error) {
-	events, err := p.d.ledger.Promise(int(req.Part), req.Term)
+	reply, err := p.d.ledger.Promise(int(req.Part), req.Term)
 	if err != nil {
 		return nil, ledgerStatus(err)
 	}
-	return &peerv1.FetchHeldReply{Events: events}, nil
+	return reply, nil
 }
 
 // RecordEvent records the end of a turn that was started by a previous holder of the shard.
--- a/internal/daemon/streams.go
+++ b/internal/daemon/streams.go
@@ -48,8 +48,8 @@
 	orderReader *journal.Reader
 	log         *platformclient.Client
 	dataCentre  string
-	// apply is called with each event that is read from the log. It is set before Run.
-	apply   func(*programv1.Event)
+	// apply is called with each event that is read from the log and its offset. It is set before Run.
+	apply   func(offset int64, ev *programv1.Event)
 	shardOf func(program string) int
 
 	mu sync.Mutex
@@ -176,6 +176,11 @@
 	return nil
 }
 
+// WaitRead implements ledger.Log.
+func (s *streams) WaitRead(ctx context.Context, offset int64) error {
+	return s.eventReader.WaitFor(ctx, offset-1)
+}
+
 // markerTerm returns the term of the newest marker of a shard.
 func (s *streams) markerTerm(shard int) uint64 {
 	s.mu.Lock()
@@ -190,7 +195,7 @@
 }
 
 // Apply implements journal.Handler for the stream of events.
-func (s *streams) Apply(_ journal.Position, rec *journalv1.Record) {
+func (s *streams) Apply(pos journal.Position, rec *journalv1.Record) {
 	if rec.Kind != kindProgram {
 		return
 	}
@@ -207,7 +212,7 @@
 		klog.InfoS("Ignored an event of a replaced holder", "program", ev.Program, "term", ev.Term)
 		return
 	}
-	s.apply(ev)
+	s.apply(pos.Offset, ev)
 }
 
 // Gap implements journal.Handler. The events of live programs are appended again before they expire, so a gap at the
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -88,10 +88,10 @@
 	return ledger.Rejected
 }
 
-// applyEvent applies an event read from the log and marks it as seen in the ledger.
-func (d *Daemon) applyEvent(ev *programv1.Event) {
+// applyEvent applies an event read from the log at the given offset and marks it as read in the ledger.
+func (d *Daemon) applyEvent(offset int64, ev *programv1.Event) {
 	d.programs.Apply(ev)
-	d.ledger.DropHeld(d.shardOf(ev.Program), ev.Id)
+	d.ledger.MarkRead(d.shardOf(ev.Program), offset, ev)
 }
 
 func (d *Daemon) shardOf(id string) int { return program.ShardOf(id, d.shards.ShardCount()) }
--- a/internal/ledger/bench_test.go
+++ b/internal/ledger/bench_test.go
@@ -25,6 +25,7 @@
 func (instantLog) Append(context.Context, *programv1.Event) error               { return nil }
 func (instantLog) Enqueue(*programv1.Event) error                               { return nil }
 func (instantLog) AppendAsWitness(context.Context, int, *programv1.Event) error { return nil }
+func (instantLog) WaitRead(context.Context, int64) error                        { return nil }
 func (instantLog) AppendMarker(context.Context, int, uint64) error              { return nil }
 
 // countedDialer connects to other slots and counts the bytes of the connections, in both directions.
--- a/internal/ledger/collect.go
+++ b/internal/ledger/collect.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -12,8 +13,8 @@
 	programv1 "github.com/berylpond/berylpond/api/program/v1"
 )
 
-// CollectHeld collects the held events of a shard from a majority of the cell, including this instance, and passes them
-// to apply. Of two conflicting events the one with the newer term wins: a committed event is recorded again under each
+// CollectHeld collects the events of a shard from a majority of the cell, including this instance, and passes them to
+// apply: first those that a slot has read from the log, which this instance may not have read yet, then the held ones. Of two conflicting events the one with the newer term wins: a committed event is recorded again under each
 // later term, so the event with the older term was never accepted by a majority. The collected events that are part of
 // the state, applied now or before, are recorded again under the new term.
 func (l *Ledger) CollectHeld(ctx context.Context, shard int, term uint64,
@@ -22,22 +23,53 @@
 	if err != nil {
 		return err
 	}
-	lists := l.fetchOthers(ctx, shard, term)
-	if len(lists)+1 < l.majority() {
-		if !l.witnessSuffices(len(lists) + 1) {
+	others := l.fetchOthers(ctx, shard, term)
+	if len(others)+1 < l.majority() {
+		if !l.witnessSuffices(len(others) + 1) {
 			return ErrNoMajority
 		}
 		if err := l.log.AppendMarker(ctx, shard, term); err != nil {
 			return err
 		}
 	}
+	if err := l.applyRead(ctx, others, apply); err != nil {
+		return err
+	}
+	held := [][][]byte{local.Events}
+	for _, r := range others {
+		held = append(held, r.Events)
+	}
 	var current []*programv1.Event
-	for _, events := range decodeByProgram(append([][][]byte{local}, lists...)) {
+	for _, events := range decodeByProgram(held) {
 		current = append(current, applyNewestFirst(events, apply)...)
 	}
 	return l.recordAgain(ctx, shard, term, current)
 }
 
+// applyRead applies the events that other slots have read from the log. Those before ReadFrom are no longer in the
+// replies, so this instance must have read them itself; from there on each reply has all of them in log order.
+func (l *Ledger) applyRead(ctx context.Context, replies []*peerv1.FetchHeldReply, apply func(*programv1.Event) ApplyResult) error {
+	var from int64
+	for _, r := range replies {
+		from = max(from, r.ReadFrom)
+	}
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if err := l.log.WaitRead(ctx, from); err != nil {
+		return errors.Wrapf(err, "the log was not read up to offset %d", from)
+	}
+	for _, r := range replies {
+		for _, raw := range r.Read {
+			ev := &programv1.Event{}
+			if err := proto.Unmarshal(raw, ev); err != nil {
+				return errors.Wrap(err, "decoding an event that another slot has read")
+			}
+			apply(ev)
+		}
+	}
+	return nil
+}
+
 // ApplyResult is the result of applying a collected event.
 type ApplyResult int
 
@@ -105,43 +137,39 @@
 	return out
 }
 
-// fetchOthers returns the held events of the other slots that responded and thereby promised the term.
-func (l *Ledger) fetchOthers(ctx context.Context, shard int, term uint64) [][][]byte {
+// fetchOthers returns the events of the other slots that responded and thereby promised the term.
+func (l *Ledger) fetchOthers(ctx context.Context, shard int, term uint64) []*peerv1.FetchHeldReply {
 	ctx, cancel := context.WithTimeout(ctx, majorityTimeout)
 	defer cancel()
 	others := l.otherSlots()
-	results := make(chan [][]byte, len(others))
+	results := make(chan *peerv1.FetchHeldReply, len(others))
 	failures := make(chan error, len(others))
 	for _, other := range others {
 		go func() {
-			events, err := l.fetch(ctx, other.PeerAddr, shard, term)
+			reply, err := l.fetch(ctx, other.PeerAddr, shard, term)
 			if err != nil {
 				failures <- err
 				return
 			}
-			results <- events
+			results <- reply
 		}()
 	}
-	var lists [][][]byte
+	var replies []*peerv1.FetchHeldReply
 	for range others {
 		select {
-		case events := <-results:
-			lists = append(lists, events)
+		case reply := <-results:
+			replies = append(replies, reply)
 		case <-failures:
 		case <-ctx.Done():
 		}
 	}
-	return lists
+	return replies
 }
 
-func (l *Ledger) fetch(ctx context.Context, addr string, shard int, term uint64) ([][]byte, error) {
+func (l *Ledger) fetch(ctx context.Context, addr string, shard int, term uint64) (*peerv1.FetchHeldReply, error) {
 	conn, err := l.dial.Conn(addr)
 	if err != nil {
 		return nil, err
 	}
-	reply, err := peerv1.NewPeerClient(conn).FetchHeld(ctx, &peerv1.FetchHeldRequest{Part: int32(shard), Term: term})
-	if err != nil {
-		return nil, err
-	}
-	return reply.Events, nil
+	return peerv1.NewPeerClient(conn).FetchHeld(ctx, &peerv1.FetchHeldRequest{Part: int32(shard), Term: term})
 }
--- a/internal/ledger/held.go
+++ b/internal/ledger/held.go
@@ -1,7 +1,13 @@
 package ledger
 
 import (
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
 	peerv1 "github.com/berylpond/berylpond/api/peer/v1"
+	programv1 "github.com/berylpond/berylpond/api/program/v1"
 )
 
 // heldShard holds, in order of arrival, the events of one shard that have not been read back from the log yet.
@@ -11,6 +17,29 @@
 	order    []string
 	byID     map[string][]byte
 	bytes    int
+	read     readEvents
+}
+
+// readEvents holds the newest events of a shard that were read from the log. A new holder may not have read them yet:
+// slots read the log at different times, and an event is no longer held once it was read.
+type readEvents struct {
+	events  [][]byte
+	offsets []int64
+	bytes   int
+	// from is the offset after the newest event that was dropped.
+	from int64
+}
+
+func (r *readEvents) add(offset int64, raw []byte) {
+	r.events, r.offsets, r.bytes = append(r.events, raw), append(r.offsets, offset), r.bytes+len(raw)
+	drop := 0
+	for ; len(r.events)-drop > maxReadEvents || r.bytes > maxReadBytes; drop++ {
+		r.bytes -= len(r.events[drop])
+		r.from = r.offsets[drop] + 1
+	}
+	if drop > 0 {
+		r.events, r.offsets = slices.Delete(r.events, 0, drop), slices.Delete(r.offsets, 0, drop)
+	}
 }
 
 // HandleHold handles an event sent by another slot.
@@ -70,6 +99,20 @@
 	return l.ready
 }
 
+// MarkRead records that an event was read from the log at the given offset. It is no longer held, but kept for a while
+// for new holders that have not read it.
+func (l *Ledger) MarkRead(shard int, offset int64, ev *programv1.Event) {
+	raw, err := proto.Marshal(ev)
+	if err != nil {
+		klog.ErrorS(err, "Event read from the log cannot be encoded; it stays held", "program", ev.Program)
+		return
+	}
+	l.mu.Lock()
+	l.shard(shard).read.add(offset, raw)
+	l.mu.Unlock()
+	l.DropHeld(shard, ev.Id)
+}
+
 // DropHeld drops a held event that has been read back from the log.
 func (l *Ledger) DropHeld(shard int, id string) {
 	l.mu.Lock()
@@ -101,8 +144,8 @@
 	h.order = keep
 }
 
-// Promise returns the held events of a shard in order of arrival and promises not to accept events with an older term.
-func (l *Ledger) Promise(shard int, term uint64) ([][]byte, error) {
+// Promise returns the events of a shard that the slot knows and promises not to accept events with an older term.
+func (l *Ledger) Promise(shard int, term uint64) (*peerv1.FetchHeldReply, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !l.ready {
@@ -113,10 +156,10 @@
 		return nil, ErrStaleTerm
 	}
 	h.promised = term
-	var out [][]byte
+	out := &peerv1.FetchHeldReply{Read: slices.Clone(h.read.events), ReadFrom: h.read.from}
 	for _, id := range h.order {
 		if raw, ok := h.byID[id]; ok {
-			out = append(out, raw)
+			out.Events = append(out.Events, raw)
 		}
 	}
 	return out, nil
--- a/internal/ledger/ledger.go
+++ b/internal/ledger/ledger.go
@@ -41,6 +41,12 @@
 	logTimeout = 300 * time.Millisecond
 	// singleSlotLogTimeout bounds the wait for the log in a cell with one slot, where only the log stores events.
 	singleSlotLogTimeout = 2 * time.Second
+	// readTimeout bounds the wait until this instance has read the events that other slots have read and dropped.
+	readTimeout = time.Second
+	// maxReadEvents and maxReadBytes bound the events of one shard that are kept after they were read from the log. Slots
+	// lag behind each other by a few reads.
+	maxReadEvents = 256
+	maxReadBytes  = 1 << 20
 	// maxHeldBytes bounds the events held for one shard while the log is unavailable.
 	maxHeldBytes = 64 << 20
 )
@@ -65,6 +71,8 @@
 	Enqueue(ev *programv1.Event) error
 	// AppendAsWitness appends the event, reads it back, and fails if a marker with a newer term precedes it.
 	AppendAsWitness(ctx context.Context, shard int, ev *programv1.Event) error
+	// WaitRead waits until everything before the offset has been read from the log and applied.
+	WaitRead(ctx context.Context, offset int64) error
 	// AppendMarker appends a marker and returns after the log has been read up to it.
 	AppendMarker(ctx context.Context, shard int, term uint64) error
 }
--- a/internal/ledger/ledger_test.go
+++ b/internal/ledger/ledger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -27,6 +28,8 @@
 	unavailable bool
 	delay       time.Duration
 	order       []*programv1.Event
+	// readTo is the offset up to which the slots have read.
+	readTo int64
 }
 
 var errUnavailable = errors.New("log unavailable")
@@ -66,6 +69,14 @@
 	return nil
 }
 
+func (f *fakeLog) WaitRead(ctx context.Context, offset int64) error {
+	if offset <= f.readTo {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func (f *fakeLog) AppendMarker(ctx context.Context, shard int, term uint64) error {
 	return f.Append(ctx, &programv1.Event{Term: term, Body: &programv1.Event_Marker{Marker: &programv1.Marker{Part: int32(shard)}}})
 }
@@ -82,8 +93,8 @@
 }
 
 func (s *slot) FetchHeld(_ context.Context, r *peerv1.FetchHeldRequest) (*peerv1.FetchHeldReply, error) {
-	events, err := s.Promise(int(r.Part), r.Term)
-	return &peerv1.FetchHeldReply{Events: events}, statusError(err)
+	reply, err := s.Promise(int(r.Part), r.Term)
+	return reply, statusError(err)
 }
 
 func statusError(err error) error {
@@ -192,6 +203,50 @@
 	is.Equal(ids, []string{"e1", "e2"})
 }
 
+// Slots read the log at different times. The slot that is left has read the event back from the log and no longer holds
+// it; the new holder has not read it.
+func TestNewHolderFindsEventsThatOnlyAnotherSlotHasReadFromTheLog(t *testing.T) {
+	is := is.New(t)
+	cell := newCell(t, 3, &fakeLog{})
+	is.NoErr(cell[2].accept(0, 1, "e1", mustMarshal(t, &programv1.Event{Id: "e1", Program: "p", Term: 1})))
+	cell[2].MarkRead(0, 0, event("e1"))
+	cell[2].MarkRead(0, 1, event("e2")) // accepted by the predecessor of this slot's process
+	cell[0].server.Stop()
+	ids, err := collectInOrder(cell[1], 2, "e1", "e2")
+	is.NoErr(err)
+	is.Equal(ids, []string{"e1", "e2"})
+}
+
+func TestNewHolderWaitsForEventsThatOtherSlotsNoLongerHave(t *testing.T) {
+	is := is.New(t)
+	log := &fakeLog{}
+	cell := newCell(t, 3, log)
+	for i := range int64(maxReadEvents + 3) {
+		cell[2].MarkRead(0, i, event(strconv.Itoa(int(i))))
+	}
+	cell[0].server.Stop()
+	_, err := collect(t, cell[1], 2)
+	is.True(errors.Is(err, context.DeadlineExceeded)) // it has not read the three that were dropped
+	log.readTo = 3
+	ids, err := collect(t, cell[1], 3)
+	is.NoErr(err)
+	is.Equal(len(ids), maxReadEvents)
+	is.Equal(ids[0], "3")
+}
+
+func TestEventsReadFromTheLogAreKeptWithinBounds(t *testing.T) {
+	is := is.New(t)
+	var r readEvents
+	big := make([]byte, maxReadBytes/2+1)
+	r.add(4, []byte("small"))
+	r.add(5, big)
+	is.Equal(r.from, int64(0))
+	r.add(9, big)
+	is.Equal(r.from, int64(6))
+	is.Equal(len(r.events), 1)
+	is.Equal(r.bytes, len(big))
+}
+
 // By responding to a fetch a slot promises the new term, so no event with an older term may be committed after it.
 func TestReplacedHolderCannotRecord(t *testing.T) {
 	is := is.New(t)
