gateway: account for the bytes that requests hold

Cause: a body was allocated in full as its length was announced, and nothing added up what an instance holds for slow clients. 500 clients that announce 100 KB each take 50 MB of the 112 MB of the smallest instances without sending anything. Ruled out: limiting the number of connections (a body of 4 MB and one of 100 bytes count alike).

After: bodies take memory as they arrive, cached histories yield first, then requests are refused as not run, with a Retry-After from the rate at which memory comes free.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,6 +21,7 @@
 	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/fleet"
+	"github.com/berylpond/berylpond/internal/memory"
 	"github.com/berylpond/berylpond/internal/quarantine"
 	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/routing"
@@ -85,6 +87,7 @@
 	rateLimiter   RateLimiter
 	quarantine    Quarantine
 	historyCache  *historyCache
+	memory        *memory.Account
 	metrics       *Metrics
 	now           func() time.Time
 	// reports counts the reports of ended turns that are under way in the background.
@@ -104,18 +107,29 @@
 	RateLimiter   RateLimiter
 	Quarantine    Quarantine
 	Metrics       *Metrics
-	Draining      func() bool
-	Isolated      func() bool
-	Features      feature.Set
+	// HeldBytes bounds the memory that requests and caches may hold, in bytes.
+	HeldBytes int64
+	Draining  func() bool
+	Isolated  func() bool
+	Features  feature.Set
 }
 
 // New returns a gateway.
 func New(o Options) *Gateway {
-	return &Gateway{
+	g := &Gateway{
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Upstream, turnClient: o.TurnClient,
-		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, historyCache: newHistoryCache(), metrics: o.Metrics, now: time.Now,
+		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, metrics: o.Metrics, now: time.Now,
 		draining: o.Draining, isolated: o.Isolated, features: o.Features,
 	}
+	limit := o.HeldBytes
+	if !o.Features.Enabled(feature.MemoryLimit) {
+		limit = math.MaxInt64 / 2
+	}
+	g.historyCache = &historyCache{}
+	g.memory = memory.New(limit, g.historyCache.shrink)
+	g.historyCache.open(g.memory)
+	o.Metrics.observeMemory(g.memory)
+	return g
 }
 
 // WaitForReports waits until the owners of programs know of the ended turns, for reportTimeout at most. It must be
@@ -146,6 +160,8 @@
 	triedBackends []string
 	// admitted is set once a token of the account's rate was taken.
 	admitted bool
+	// held is the number of bytes that the request holds in the memory account.
+	held int64
 	// headersSent is set once a status was written to the client.
 	headersSent bool
 	// service and backend name the service and the backend server of the last attempt.
@@ -157,6 +173,7 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{Gateway: g, w: w, r: r, Request: platform.DecodeRequest(r.Header), started: g.now()}
+	defer func() { x.memory.Release(x.held) }()
 	x.setConnectionClose(w.Header())
 	err := x.admit()
 	if err == nil {
@@ -281,10 +298,15 @@
 	if x.r.ContentLength > limit {
 		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, 0, "the body is over %d bytes", limit)
 	}
-	var err error
-	x.body, err = readAll(x.r.Body, x.r.ContentLength, limit)
+	if err := x.hold(requestBytes); err != nil {
+		return err
+	}
+	body, held, err := memory.ReadBody(x.memory, x.r.Body, x.r.ContentLength, limit)
+	x.body, x.held = body, x.held+held
 	var long *http.MaxBytesError
 	switch {
+	case errors.Is(err, memory.ErrFull):
+		return x.noMemory(max(x.r.ContentLength, held))
 	case errors.As(err, &long):
 		return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, 0, "the body is over %d bytes", limit)
 	case err != nil:
--- /dev/null
+++ b/internal/gateway/memory.go
@@ -0,0 +1,32 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+// requestBytes is what a request holds beside its body and its response: stacks and the buffers of both connections.
+const requestBytes = 24 << 10
+
+// hold adds bytes that the request holds from now on, or returns a refusal if the instance has no memory for them.
+func (x *exchange) hold(n int64) error {
+	if !x.memory.Hold(n) {
+		return x.noMemory(n)
+	}
+	x.held += n
+	return nil
+}
+
+// noMemory is the refusal of a request that needs n more bytes. Another instance may have them, so the client is told to
+// come back when this one expects to.
+func (x *exchange) noMemory(n int64) error {
+	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonMemoryFull, x.memory.RetryAfter(n),
+		"the instance has no memory for %d more bytes", n)
+}
+
+// holdOutput adds the output of a stream that is kept until its turn is recorded.
+func (x *exchange) holdOutput(n int) {
+	x.memory.Add(int64(n))
+	x.held += int64(n)
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/berylpond/berylpond/internal/memory"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -16,12 +17,14 @@
 	limited           *prometheus.CounterVec
 	latency           *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
+	registerer        prometheus.Registerer
 }
 
 // NewMetrics creates the metrics and registers them.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	buckets := prometheus.ExponentialBuckets(0.005, 2, 12)
 	m := &Metrics{
+		registerer: r,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "berylpond_gateway_requests_total", Help: "Requests by kind of route and whether they were served.",
 		}, []string{"kind", "outcome"}),
@@ -49,6 +52,18 @@
 	return m
 }
 
+// observeMemory registers the gauges of the memory account.
+func (m *Metrics) observeMemory(a *memory.Account) {
+	m.registerer.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "berylpond_gateway_held_bytes", Help: "Bytes that requests in progress hold.",
+		}, func() float64 { return float64(a.Usage().Held) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "berylpond_gateway_cached_bytes", Help: "Bytes of cached histories, which yield to requests.",
+		}, func() float64 { return float64(a.Usage().Cached) }),
+	)
+}
+
 func (x *exchange) kindLabel() string {
 	if x.route == nil {
 		return "none"
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -85,7 +85,9 @@
 			if out.events == 0 {
 				x.metrics.observeFirstEvent(x, x.now().Sub(x.started))
 			}
+			before := len(out.output)
 			out.add(pending[:complete])
+			x.holdOutput(len(out.output) - before)
 			if _, werr := x.w.Write(pending[:complete]); werr != nil {
 				return errors.Wrap(werr, "writing to the client")
 			}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -37,6 +37,10 @@
 	}
 	body := x.body
 	if len(history) > 0 {
+		if err := x.hold(int64(len(history) + len(x.body))); err != nil {
+			x.settle(0)
+			return err
+		}
 		body = make([]byte, 0, len(history)+len(x.body))
 		body = append(append(body, history...), x.body...)
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -41,6 +41,9 @@
 	// memoryLimitFraction is the fraction of the memory limit that is set as Go's soft memory limit, above which
 	// garbage collection runs more often. The rest is left for stacks, kernel buffers and temporary files.
 	memoryLimitFraction = 0.7
+	// heldMemoryFraction is the fraction of the memory limit that requests and caches may hold. As much again is garbage
+	// between two collections, within memoryLimitFraction.
+	heldMemoryFraction = memoryLimitFraction / 2
 	// contactTimeout is how long the store may be unreachable, both directly and through peers, before the instance
 	// reports that it is not ready.
 	contactTimeout = 1200 * time.Millisecond
@@ -155,7 +158,7 @@
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
-		Features: features,
+		Features: features, HeldBytes: int64(float64(s.MemoryBytes) * heldMemoryFraction),
 	})
 	return i
 }
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -41,6 +41,8 @@
 	llm   *runner.Server
 	tools []*runner.Server
 	nodes []*node
+	// memoryBytes is the memory limit of instances; 1 GiB if zero.
+	memoryBytes int64
 	// prepare, if not nil, is called for each instance before it runs.
 	prepare func(*Instance)
 }
@@ -98,6 +100,9 @@
 			Address: s.url, Partitions: 4, MaxRecordBytes: 1 << 18, MaxAppendBytes: 1 << 21, MinMemberTTL: time.Second,
 		},
 	}
+	if s.memoryBytes > 0 {
+		settings.MemoryBytes = s.memoryBytes
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Instance: New(ctx, settings, feature.Set{}), url: "http://" + settings.ClientAddress, stop: cancel, done: make(chan struct{})}
 	if s.prepare != nil {
--- /dev/null
+++ b/internal/memory/account.go
@@ -0,0 +1,163 @@
+// Package memory accounts for the bytes that an instance holds for its requests.
+//
+// Load pattern: hundreds of clients send or read slowly. What they announce or have not read yet adds up, although each
+// request is small, and the platform kills a process that exceeds its memory limit.
+package memory
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// rateWindow is the time over which the rate of releases is averaged.
+	rateWindow = time.Second
+	// minRetryAfter and maxRetryAfter bound the estimate of when there is room again.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 4 * time.Second
+)
+
+// Account counts held bytes against a limit. Caches yield before a request is refused. It is safe for concurrent use.
+type Account struct {
+	limit int64
+	now   func() time.Time
+	// shrink frees up to the given number of cached bytes and calls Uncache for them.
+	shrink func(bytes int64)
+
+	mu           sync.Mutex
+	held, cached int64
+	refused      int64
+	releases     rate
+}
+
+// New returns an account with the given limit in bytes. shrink frees up to the given number of cached bytes.
+func New(limit int64, shrink func(bytes int64)) *Account {
+	return &Account{limit: limit, now: time.Now, shrink: shrink}
+}
+
+// Hold adds n bytes for a request if there is room for them, taking it from the caches if need be. It reports whether they
+// were added.
+func (a *Account) Hold(n int64) bool {
+	// The caches free their bytes without the account's lock, so another request may take them. One more attempt is enough:
+	// if that fails too, the caches are empty or many requests compete.
+	for range 2 {
+		excess := a.tryHold(n)
+		if excess <= 0 {
+			return true
+		}
+		if !a.makeRoom(excess) {
+			break
+		}
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused++
+	return false
+}
+
+// tryHold adds n bytes if there is room for them, and returns how many are missing otherwise.
+func (a *Account) tryHold(n int64) int64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	excess := a.held + a.cached + n - a.limit
+	if excess <= 0 {
+		a.held += n
+	}
+	return excess
+}
+
+// makeRoom frees cached bytes. It reports false if there are not enough of them.
+func (a *Account) makeRoom(bytes int64) bool {
+	a.mu.Lock()
+	enough := a.cached >= bytes
+	a.mu.Unlock()
+	if enough {
+		a.shrink(bytes)
+	}
+	return enough
+}
+
+// Add adds n bytes that can't be refused any more.
+func (a *Account) Add(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held += n
+}
+
+// Release subtracts n bytes of a request that has ended.
+func (a *Account) Release(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.held -= n
+	a.releases.add(a.now(), n)
+}
+
+// Cache adds n cached bytes if there is room for them without shrinking a cache. It reports whether they were added.
+func (a *Account) Cache(n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.held+a.cached+n > a.limit {
+		return false
+	}
+	a.cached += n
+	return true
+}
+
+// Uncache subtracts n cached bytes.
+func (a *Account) Uncache(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.cached -= n
+}
+
+// RetryAfter estimates when n bytes will be free, from the rate at which requests release theirs.
+func (a *Account) RetryAfter(n int64) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	perSecond := a.releases.perSecond(a.now())
+	if perSecond <= 0 {
+		return maxRetryAfter
+	}
+	missing := a.held + n - a.limit
+	return min(max(time.Duration(float64(missing)/perSecond*float64(time.Second)), minRetryAfter), maxRetryAfter)
+}
+
+// Usage is a snapshot of an account.
+type Usage struct {
+	// Held and Cached are in bytes, Refused is the number of requests that found no room.
+	Held, Cached, Limit, Refused int64
+}
+
+// Usage returns the current usage.
+func (a *Account) Usage() Usage {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Usage{Held: a.held, Cached: a.cached, Limit: a.limit, Refused: a.refused}
+}
+
+// rate counts bytes in two consecutive windows.
+type rate struct {
+	start            time.Time
+	current, earlier int64
+}
+
+func (r *rate) add(now time.Time, n int64) {
+	r.advance(now)
+	r.current += n
+}
+
+func (r *rate) advance(now time.Time) {
+	switch elapsed := now.Sub(r.start); {
+	case elapsed >= 2*rateWindow:
+		r.start, r.current, r.earlier = now, 0, 0
+	case elapsed >= rateWindow:
+		r.start, r.current, r.earlier = r.start.Add(rateWindow), 0, r.current
+	}
+}
+
+// perSecond weighs the earlier window by the part of it that lies within rateWindow.
+func (r *rate) perSecond(now time.Time) float64 {
+	r.advance(now)
+	rest := 1 - float64(now.Sub(r.start))/float64(rateWindow)
+	return (float64(r.current) + float64(r.earlier)*rest) / rateWindow.Seconds()
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -80,6 +80,7 @@
 	ReasonNotDurable          Reason = "not_durable"
 	ReasonQueueFull           Reason = "queue_full"
 	ReasonQueueTimeout        Reason = "queue_timeout"
+	ReasonMemoryFull          Reason = "memory_full"
 	ReasonNoBackend           Reason = "no_backend"
 	ReasonQuarantined         Reason = "quarantined"
 	ReasonBackendFailed       Reason = "backend_failed"
