Place requests by what they are expected to cost

Cause: a backend server was picked by this instance's own count of requests there, all alike.

The owner of a program remembers the server of each session in memory, on all routes. Plain calls are still sent to the least loaded server.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -44,6 +44,8 @@
 type Backend struct {
 	Entry
 	server *server
+	// request is guarded by the fleet's lock, except for what was decided.
+	request request
 }
 
 // server is a backend server with the load and the failures that this instance has observed. The fleet's lock guards
@@ -56,6 +58,11 @@
 	// leavingSince is when the server first announced in a response that it is leaving; zero if it has not.
 	leavingSince time.Time
 	limit        limitState
+	// kept is what the server keeps of prompts, speed how fast it is. reading is the time to read the prompts of the requests
+	// in progress, left the time that all that is left of them is expected to take.
+	kept          placement.Kept
+	speed         placement.Speed
+	reading, left time.Duration
 }
 
 // Fleet is the set of known backend servers. It is safe for concurrent use.
@@ -64,20 +71,24 @@
 	// lastSend is how long after its announcement a leaving server may still be picked, if there is no other.
 	lastSend time.Duration
 	now      func() time.Time
+	// random returns a random number below its argument.
+	random func(int) int
 
 	mu        sync.Mutex
 	announced map[string]announcement
 	byID      map[string]*server
 	byService map[string][]*server
-	loaded    bool
+	// placements holds what was learned about each service.
+	placements map[string]*servicePlacement
+	loaded     bool
 }
 
 // New returns an empty fleet. Servers in dataCentre are preferred. drainPeriod is the time after which nothing new may
 // reach a server that has announced that it is leaving; half of it is left for connecting and sending.
 func New(dataCentre string, drainPeriod time.Duration) *Fleet {
 	return &Fleet{
-		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, announced: map[string]announcement{},
-		byID: map[string]*server{}, byService: map[string][]*server{},
+		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, random: rand.IntN, announced: map[string]announcement{},
+		byID: map[string]*server{}, byService: map[string][]*server{}, placements: map[string]*servicePlacement{},
 	}
 }
 
@@ -92,6 +103,9 @@
 func (f *Fleet) setLocked(e Entry) {
 	b := f.byID[e.ID]
 	if b != nil && b.Incarnation == e.Incarnation && b.Service == e.Service && b.Address == e.Address {
+		if b.DataCentre != e.DataCentre {
+			f.membersChanged(e.Service)
+		}
 		b.Entry = e
 		return
 	}
@@ -108,6 +122,7 @@
 	}
 	f.byID[e.ID] = b
 	f.byService[e.Service] = append(f.byService[e.Service], b)
+	f.membersChanged(e.Service)
 }
 
 // Remove removes a server.
@@ -123,6 +138,7 @@
 		return
 	}
 	delete(f.byID, id)
+	f.membersChanged(b.Service)
 	list := f.byService[b.Service]
 	for i, other := range list {
 		if other == b {
@@ -190,8 +206,10 @@
 // Criteria holds the criteria for picking a server.
 type Criteria struct {
 	Service string
-	// Work is what the request is expected to ask of the server.
+	// Work is what the request is expected to ask of the server. Without a route it is unknown, and requests count alike.
 	Work placement.Work
+	// CacheTokens is the memory of each server for prompts, in tokens; zero if unknown.
+	CacheTokens int64
 	// Preferred is the id of the server that has the prompt cached; empty if there is none.
 	Preferred string
 	// Exclude lists the ids of servers that were already tried.
@@ -207,10 +225,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	best := f.pick(c, func(b *server) bool { return b.isSound(now) })
+	best, decision := f.pick(c, now, func(b *server) bool { return b.isSound(now) })
 	if best == nil {
 		c.Preferred = ""
-		best = f.pick(c, func(b *server) bool { return f.mayBeUsed(b, now) })
+		best, decision = f.pick(c, now, func(b *server) bool { return f.mayBeUsed(b, now) })
 	}
 	if best == nil {
 		return nil
@@ -219,30 +237,48 @@
 	if best.limit.Announced {
 		best.limit.sent++
 	}
-	return &Backend{Entry: best.Entry, server: best}
+	return &Backend{Entry: best.Entry, server: best, request: f.send(best, c, decision, now)}
 }
 
 // pick returns the best server among the usable ones that permit a request, or nil. A server with a limit is asked for
 // permission only when it would be picked, so that no permission is taken in vain.
-func (f *Fleet) pick(c Criteria, usable func(*server) bool) *server {
-	denied := map[*server]bool{}
+func (f *Fleet) pick(c Criteria, now time.Time, usable func(*server) bool) (*server, Decision) {
+	var denied map[*server]bool
 	for {
-		best := f.leastLoaded(c, func(b *server) bool { return !denied[b] && usable(b) })
+		best, decision := f.choose(c, now, func(b *server) bool { return !denied[b] && usable(b) })
 		if best == nil {
-			return nil
-		}
-		if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) && !denied[p] &&
-			!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
-			best = p
+			return nil, Decision{}
 		}
 		if !best.limit.Announced || c.Permit == nil ||
 			c.Permit(backendlimit.Server{ID: best.ID, Incarnation: best.Incarnation}, best.limit.Limit) {
-			return best
+			return best, decision
+		}
+		if denied == nil {
+			denied = map[*server]bool{}
 		}
 		denied[best] = true
 	}
 }
 
+// choose returns the best of the usable servers: by the expected cost of the request if its prompt is known, otherwise the
+// least loaded one or the preferred one.
+func (f *Fleet) choose(c Criteria, now time.Time, usable func(*server) bool) (*server, Decision) {
+	if c.Work.Route != "" && len(c.Work.Prompt) > 0 && len(f.byService[c.Service]) > 0 {
+		if b, d := f.place(c, now, usable); b != nil {
+			return b, d
+		}
+	}
+	best := f.leastLoaded(c, usable)
+	if best == nil {
+		return nil, Decision{}
+	}
+	if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) &&
+		!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
+		best = p
+	}
+	return best, Decision{Reason: ReasonLeastLoaded, Read: c.Work.PromptTokens(), Requests: best.inFlight}
+}
+
 func (f *Fleet) leastLoaded(c Criteria, usable func(*server) bool) *server {
 	var best *server
 	var lowest float64
@@ -260,7 +296,7 @@
 			best, lowest, ties = b, load, 1
 		case load == lowest:
 			// Reservoir sampling: each of the tied servers is picked with the same probability.
-			if ties++; rand.IntN(ties) == 0 {
+			if ties++; f.random(ties) == 0 {
 				best = b
 			}
 		}
@@ -294,6 +330,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b.server.inFlight--
+	b.server.end(&b.request)
 	if b.server.limit.sent > 0 {
 		b.server.limit.sent--
 	}
@@ -305,6 +342,7 @@
 	defer f.mu.Unlock()
 	s := b.server
 	s.inFlight--
+	s.end(&b.request)
 	if !failed {
 		s.failures = 0
 		return
--- /dev/null
+++ b/internal/fleet/place_test.go
@@ -0,0 +1,308 @@
+package fleet
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/placement"
+)
+
+const (
+	modelCache     = 350_000
+	modelReadRate  = 150.0 // prompt tokens per millisecond
+	modelTokenTime = 1500 * time.Microsecond
+	modelSlots     = 16
+	sharedTokens   = 12_600
+	turnTokens     = 840
+	outputTokens   = 250
+)
+
+// modelServer reads one prompt after the other, runs modelSlots requests at once and keeps the parts that were used last.
+type modelServer struct {
+	kept     placement.Kept
+	readable time.Time
+	ends     []time.Time
+	slowness float64
+	served   int
+}
+
+func (s *modelServer) run(now time.Time, prompt []placement.Part) (first, end time.Time, read int64) {
+	kept := s.kept.Prefix(prompt, false)
+	for _, p := range prompt {
+		read += p.Tokens
+	}
+	read -= kept
+	s.kept.Use(prompt, modelCache, 1)
+	running := s.ends[:0]
+	for _, e := range s.ends {
+		if e.After(now) {
+			running = append(running, e)
+		}
+	}
+	s.ends = running
+	begin := now
+	if queued := len(running) - modelSlots; queued >= 0 {
+		begin = running[queued]
+	}
+	if s.readable.After(begin) {
+		begin = s.readable
+	}
+	first = begin.Add(time.Duration(s.slowness * float64(read) / modelReadRate * float64(time.Millisecond)))
+	s.readable = first
+	end = first.Add(time.Duration(s.slowness * outputTokens * float64(modelTokenTime)))
+	s.ends = append(s.ends, end)
+	s.served++
+	return first, end, read
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at.Before(e[j].at) }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// replay sends seeded programs through several instances to model servers.
+type replay struct {
+	random    *rand.Rand
+	now       time.Time
+	queue     events
+	instances []*Fleet
+	servers   map[string]*modelServer
+	// work is what instances are told of a request.
+	work func(prompt []placement.Part) placement.Work
+	// owner holds the server of the last turn of each conversation.
+	owner     map[string]string
+	shared    func() int
+	read, new int64
+	times     []time.Duration
+}
+
+func newReplay(instances, servers, sharedParts int) *replay {
+	r := &replay{
+		random: rand.New(rand.NewPCG(7, 11)), now: time.Unix(1000, 0), servers: map[string]*modelServer{}, owner: map[string]string{},
+		work: func(prompt []placement.Part) placement.Work {
+			return placement.Work{Route: "chat", Prompt: prompt, OutputHint: outputTokens, MaxOutput: 4 * outputTokens}
+		},
+	}
+	r.shared = func() int { return r.random.IntN(sharedParts) }
+	for range instances {
+		f := New("dc", time.Second)
+		f.now, f.random = func() time.Time { return r.now }, r.random.IntN
+		for i := range servers {
+			f.Upsert(Entry{ID: fmt.Sprintf("s-%02d", i), Service: "llm", DataCentre: "dc", Slots: modelSlots})
+		}
+		r.instances = append(r.instances, f)
+	}
+	for i := range servers {
+		r.servers[fmt.Sprintf("s-%02d", i)] = &modelServer{slowness: 1}
+	}
+	return r
+}
+
+func (r *replay) at(t time.Time, do func()) { heap.Push(&r.queue, event{t, do}) }
+
+func (r *replay) run() {
+	for len(r.queue) > 0 {
+		e := heap.Pop(&r.queue).(event)
+		r.now = e.at
+		e.do()
+	}
+}
+
+// programs starts programs of several turns at random times, perSecond on average.
+func (r *replay) programs(perSecond, turns int, period time.Duration) {
+	for i := range int(float64(perSecond) * period.Seconds()) {
+		id, shared, instance := fmt.Sprint("session-", i), fmt.Sprint("shared-", r.shared()), r.random.IntN(len(r.instances))
+		r.at(r.now.Add(time.Duration(r.random.Int64N(int64(period)))), func() { r.turn(id, shared, instance, turns, turnTokens) })
+	}
+}
+
+func (r *replay) turn(id, shared string, instance, left int, own int64) {
+	if r.random.IntN(10) == 0 {
+		// The client comes back on a connection to another instance.
+		instance = r.random.IntN(len(r.instances))
+	}
+	f, began := r.instances[instance], r.now
+	prompt := []placement.Part{{ID: shared, Tokens: sharedTokens}, {ID: id, Tokens: own}}
+	c := Criteria{Service: "llm", Work: r.work(prompt), CacheTokens: modelCache}
+	if c.Work.Route != "" {
+		c.Preferred = r.owner[id]
+	}
+	b := f.Acquire(c)
+	first, end, read := r.servers[b.ID].run(r.now, prompt)
+	r.read += read
+	r.new += turnTokens
+	r.at(first, func() { f.FirstEvent(b, 1) })
+	r.at(end, func() {
+		f.Completed(b, outputTokens)
+		f.Release(b, false)
+		r.servers[b.ID].kept.Grow(id, outputTokens)
+		r.owner[id] = b.ID
+		r.times = append(r.times, end.Sub(began))
+		if left > 1 {
+			think := time.Duration(20+r.random.IntN(200)) * time.Millisecond
+			r.at(r.now.Add(think), func() { r.turn(id, shared, instance, left-1, own+outputTokens+turnTokens) })
+		}
+	})
+}
+
+// ratio is the number of prompt tokens read for each new one.
+func (r *replay) ratio() float64 { return float64(r.read) / float64(r.new) }
+
+// maxReadRatio is the stated bound on the prompt tokens that are read for each new one.
+const maxReadRatio = 1.5
+
+// Load pattern: conversations whose whole prompt comes with each turn, at many instances, on a route without stored
+// history.
+func TestConversationsAreReadOnce(t *testing.T) {
+	is := is.New(t)
+	play := func(work func([]placement.Part) placement.Work) float64 {
+		r := newReplay(40, 24, 16)
+		if work != nil {
+			r.work = work
+		}
+		r.programs(30, 8, 40*time.Second)
+		r.run()
+		return r.ratio()
+	}
+	byCost := play(nil)
+	t.Logf("read for each new token: %.2f", byCost)
+	is.True(byCost <= maxReadRatio)
+	byCount := play(func([]placement.Part) placement.Work { return placement.Work{} })
+	t.Logf("read for each new token by counts of requests: %.2f", byCount)
+	is.True(byCount > maxReadRatio)
+}
+
+func placementFleet(servers int) *Fleet {
+	f := New("dc-0", time.Second)
+	for i := range servers {
+		f.Upsert(Entry{ID: fmt.Sprintf("s-%05d", i), Service: "llm", DataCentre: fmt.Sprint("dc-", i%4), Slots: 16})
+	}
+	return f
+}
+
+func conversation(i int) Criteria {
+	return Criteria{Service: "llm", CacheTokens: modelCache, Work: placement.Work{Route: "chat", Prompt: []placement.Part{
+		{ID: fmt.Sprint("shared-", i%16), Tokens: sharedTokens}, {ID: fmt.Sprint("session-", i), Tokens: turnTokens},
+	}}}
+}
+
+func TestRetryGoesToAnotherServer(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(3)
+	c := conversation(1)
+	for range 3 {
+		b := f.Acquire(c)
+		is.True(b != nil)
+		c.Exclude = append(c.Exclude, b.ID)
+		f.Release(b, true)
+	}
+	is.Equal(f.Acquire(c), nil)
+}
+
+func TestSubagentGoesWhereItsParentsConversationIs(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(40)
+	parent := f.Acquire(conversation(5))
+	is.Equal(parent.Decision().Reason, ReasonShared)
+	f.Release(parent, false)
+	c := conversation(5)
+	c.Work.Prompt = append(c.Work.Prompt, placement.Part{ID: "child", Tokens: 300})
+	child := f.Acquire(c)
+	is.Equal(child.ID, parent.ID)
+	is.Equal(child.Decision().Reason, ReasonSession)
+	is.Equal(child.Decision().Read, int64(300))
+}
+
+func TestConversationLeavesAServerThatHasTooMuchToRead(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(8)
+	first := f.Acquire(conversation(3))
+	f.Release(first, false)
+	is.Equal(f.Acquire(conversation(3)).ID, first.ID)
+	f.byID[first.ID].reading += 10 * time.Second
+	is.True(f.Acquire(conversation(3)).ID != first.ID)
+}
+
+func TestNothingIsLeftToDoOnceAllRequestsHaveEnded(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(6)
+	var sent []*Backend
+	for i := range 100 {
+		sent = append(sent, f.Acquire(conversation(i)))
+	}
+	for i, b := range sent {
+		switch i % 3 {
+		case 0:
+			f.FirstEvent(b, 1)
+			f.Completed(b, 100)
+			f.Release(b, false)
+		case 1:
+			f.Cancel(b)
+		default:
+			f.Release(b, true)
+		}
+	}
+	for _, s := range f.byID {
+		is.Equal(s.inFlight, 0)
+		is.Equal(s.reading, time.Duration(0))
+		is.Equal(s.left, time.Duration(0))
+	}
+}
+
+func TestOutlookTellsTheWaitAndTheTimeOfAService(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(2)
+	now := time.Unix(1000, 0)
+	f.now = func() time.Time { return now }
+	c := conversation(1)
+	is.Equal(f.Outlook(c), placement.Outlook{Servers: 2, Places: 32, Free: 32})
+	for i := range 40 {
+		b := f.Acquire(conversation(i))
+		now = now.Add(100 * time.Millisecond)
+		f.FirstEvent(b, 27)
+		now = now.Add(300 * time.Millisecond)
+		f.Completed(b, 270)
+		f.Release(b, false)
+	}
+	for i := range 60 {
+		f.FirstEvent(f.Acquire(conversation(i)), 27)
+	}
+	o := f.Outlook(c)
+	is.Equal(o.Free, 0)
+	is.True(o.Service > 390*time.Millisecond && o.Service < 410*time.Millisecond)
+	is.True(o.Wait > 100*time.Millisecond && o.Wait < time.Second)
+}
+
+func benchmarkAcquire(b *testing.B, servers int) {
+	f := placementFleet(servers)
+	requests := make([]Criteria, 512)
+	for i := range requests {
+		requests[i] = conversation(i)
+		f.Release(f.Acquire(requests[i]), false)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		f.Release(f.Acquire(requests[i%len(requests)]), false)
+	}
+}
+
+func BenchmarkAcquireAmong60Servers(b *testing.B)    { benchmarkAcquire(b, 60) }
+func BenchmarkAcquireAmong10000Servers(b *testing.B) { benchmarkAcquire(b, 10_000) }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,6 +53,9 @@
 // readResponse reads the whole body and releases the backend server.
 func (x *exchange) readResponse(ctx context.Context, resp *backendResponse) ([]byte, error) {
 	body, err := readAll(resp.Body, resp.Length, maxBufferedBytes)
+	if err == nil && resp.Status < http.StatusInternalServerError {
+		x.fleet.Completed(resp.backend, 0)
+	}
 	resp.close(err == nil, err != nil)
 	if err == nil {
 		if resp.Stamped {
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -24,7 +24,8 @@
 // beyond that of the servers elsewhere.
 func (x *exchange) acquireBackend(ctx context.Context, preferred string) (*fleet.Backend, *ratelimit.Denial) {
 	c := fleet.Criteria{
-		Service: x.service, Work: x.work(), Preferred: preferred, Exclude: slices.Clone(x.triedBackends),
+		Service: x.service, Work: x.work(), CacheTokens: x.cacheTokens(), Preferred: preferred,
+		Exclude: slices.Clone(x.triedBackends),
 	}
 	var atLimit []ratelimit.ServerLimit
 	for len(atLimit) < maxAsked {
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -16,6 +17,9 @@
 	limited           *prometheus.CounterVec
 	latency           *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
+	placements        *prometheus.CounterVec
+	promptTokens      *prometheus.CounterVec
+	placementError    *prometheus.HistogramVec
 }
 
 // NewMetrics creates the metrics and registers them.
@@ -45,7 +49,19 @@
 			Help: "From the headers of a request to its first event.", Buckets: buckets,
 		}, []string{"kind"}),
 	}
-	r.MustRegister(m.requests, m.refusals, m.retries, m.limited, m.latency, m.firstEventSeconds)
+	m.placements = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "berylpond_placement_picks_total", Help: "Picks of backend servers, by reason.",
+	}, []string{"reason"})
+	m.promptTokens = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "berylpond_placement_prompt_tokens_total",
+		Help: "Prompt tokens of requests sent to backend servers, by whether the server is expected to read or to keep them.",
+	}, []string{"expected"})
+	m.placementError = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "berylpond_placement_first_event_error_seconds",
+		Help: "Difference of the time until the first event of a stream from what was expected, by its sign.", Buckets: buckets,
+	}, []string{"was"})
+	r.MustRegister(m.requests, m.refusals, m.retries, m.limited, m.latency, m.firstEventSeconds, m.placements,
+		m.promptTokens, m.placementError)
 	return m
 }
 
@@ -77,3 +93,18 @@
 func (m *Metrics) observeFirstEvent(x *exchange, after time.Duration) {
 	m.firstEventSeconds.WithLabelValues(x.kindLabel()).Observe(after.Seconds())
 }
+
+func (m *Metrics) observePlacement(d fleet.Decision) {
+	m.placements.WithLabelValues(string(d.Reason)).Inc()
+	m.promptTokens.WithLabelValues("read").Add(float64(d.Read))
+	m.promptTokens.WithLabelValues("kept").Add(float64(d.Kept))
+}
+
+// observePlacementError records how far the time until the first event was from what was expected.
+func (m *Metrics) observePlacementError(off time.Duration) {
+	if off < 0 {
+		m.placementError.WithLabelValues("early").Observe(-off.Seconds())
+		return
+	}
+	m.placementError.WithLabelValues("late").Observe(off.Seconds())
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -57,6 +57,7 @@
 			}
 			break
 		}
+		x.observePlacement(b, preferred)
 		resp, err := x.attempt(ctx, b, body)
 		if err == nil {
 			return resp, nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -41,6 +41,9 @@
 	}
 	x.startStream(resp)
 	err := x.relayEvents(resp, &out)
+	if err == nil {
+		x.fleet.Completed(resp.backend, int64(out.events)*x.eventTokens())
+	}
 	resp.close(err == nil, err != nil && ctx.Err() == nil)
 	if err == nil {
 		x.quarantine.Completed(x.identity)
@@ -82,10 +85,16 @@
 		n, err := resp.Body.Read(buf)
 		pending = append(pending, buf[:n]...)
 		if complete := lastEventEnd(pending); complete > 0 {
-			if out.events == 0 {
+			first := out.events == 0
+			if first {
 				x.metrics.observeFirstEvent(x, x.now().Sub(x.started))
 			}
 			out.add(pending[:complete])
+			if first {
+				if off, ok := x.fleet.FirstEvent(resp.backend, int64(out.events)*x.eventTokens()); ok {
+					x.metrics.observePlacementError(off)
+				}
+			}
 			if _, werr := x.w.Write(pending[:complete]); werr != nil {
 				return errors.Wrap(werr, "writing to the client")
 			}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -66,10 +67,15 @@
 // the budget holds for all turns of the program. The client's response does not wait for the owner's record, since it
 // makes no promise beyond the budget.
 func (x *exchange) serveUnstoredTurn(ctx context.Context) error {
-	if _, err := x.beginTurn(ctx, false); err != nil {
+	begun, err := x.beginTurn(ctx, false)
+	if err != nil {
 		return err
 	}
-	resp, err := x.send(ctx, x.body, "")
+	preferred := ""
+	if x.features.Enabled(feature.Placement) {
+		preferred = begun.Backend
+	}
+	resp, err := x.send(ctx, x.body, preferred)
 	if err != nil {
 		x.settle(0)
 		return err
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,3 +31,6 @@
 	// end of its response. Service is zero if unknown.
 	Wait, Service time.Duration
 }
+
+// PromptTokens is the size of the prompt; counts that can't be true are bounded.
+func (w Work) PromptTokens() int64 { return promptTokens(w.Prompt) }
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -160,10 +160,13 @@
 		return &turnv1.BeginResponse{Outcome: turnv1.Outcome_OUTCOME_UNAVAILABLE}
 	}
 	a := p.state.admit(r, o.now())
+	backend := p.state.backendOf(r.Program, r.Session)
 	p.mu.Unlock()
-	resp := &turnv1.BeginResponse{Outcome: a.outcome, Charged: a.charged, Outstanding: a.outstanding}
+	resp := &turnv1.BeginResponse{
+		Outcome: a.outcome, Charged: a.charged, Outstanding: a.outstanding, Backend: backend,
+	}
 	if a.outcome != turnv1.Outcome_OUTCOME_OK {
-		resp.Outcome = o.confirmRefusal(ctx, p, a.outcome)
+		resp.Outcome, resp.Backend = o.confirmRefusal(ctx, p, a.outcome), ""
 		return resp
 	}
 	if a.previous != nil {
@@ -306,6 +309,7 @@
 		p.mu.Unlock()
 		return turnv1.Outcome_OUTCOME_UNAVAILABLE
 	}
+	p.state.remember(r.Program, r.Session, r.Backend)
 	if !r.Complete {
 		ahead := p.state.grantAhead(r, o.now())
 		p.state.settle(r.Program, r.Turn, r.Tokens)
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -29,8 +29,12 @@
 	recordedCharge int64
 	forgiven       int64
 	turns          []string
-	lastUse        time.Time
-	keep           time.Duration
+	// sessions holds the backend server of the last turn of each session, lastBackend that of the last turn of any. They are
+	// kept in memory only: without them a prompt is read again.
+	sessions    map[string]string
+	lastBackend string
+	lastUse     time.Time
+	keep        time.Duration
 }
 
 // turn is a completed turn.
@@ -188,6 +192,40 @@
 	p.spent += tokens
 }
 
+// maxSessions bounds the sessions of one program whose backend servers are remembered.
+const maxSessions = 32
+
+// remember records the backend server that ran a turn of a session.
+func (s *state) remember(programID, session, backend string) {
+	p := s.programs[programID]
+	if p == nil || backend == "" {
+		return
+	}
+	p.lastBackend = backend
+	if session == "" {
+		return
+	}
+	if p.sessions == nil {
+		p.sessions = map[string]string{}
+	}
+	if _, known := p.sessions[session]; known || len(p.sessions) < maxSessions {
+		p.sessions[session] = backend
+	}
+}
+
+// backendOf returns the backend server of the session's last turn. A session that is new to the program is that of a
+// sub-agent, whose prompt begins like those of the program's other turns.
+func (s *state) backendOf(programID, session string) string {
+	p := s.programs[programID]
+	if p == nil || session == "" {
+		return ""
+	}
+	if b := p.sessions[session]; b != "" {
+		return b
+	}
+	return p.lastBackend
+}
+
 // totals are the token totals of a program in a record.
 type totals struct{ granted, charged, forgiven int64 }
 
