ratelimit: refuse a first request that becomes known as one late

A refused first request no longer counts as demand.

Ruled out: asking the owner earlier (a call for every request over the rate) and what the instance has seen of the program (turns come to other instances as well; a turn under way taken for a first one would be refused).

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -111,13 +111,13 @@
 	}
 	l.mu.Lock()
 	s := l.state(a.Name)
-	s.arrivals++
 	now := l.now()
 	if wait := s.newProgramsFrom.Sub(now); first && wait > 0 {
 		l.mu.Unlock()
 		l.requestExchange()
 		return &Denial{OverRate: true, RetryAfter: wait}
 	}
+	s.arrivals++
 	if len(s.waiters) == 0 && s.takeToken(now) {
 		low := s.heldTokens(now) < int64(s.demand*prefetchWindow.Seconds()/2)
 		l.mu.Unlock()
@@ -140,6 +140,23 @@
 	return l.cancelWait(s, w)
 }
 
+// DenyProgram returns the reason for which no program of the account may begin now, or nil. It is for first requests that were
+// not known as such when their token was taken.
+func (l *Limiter) DenyProgram(a routing.Account) *Denial {
+	if a.RequestsPerSecond <= 0 {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.state(a.Name)
+	if wait := s.newProgramsFrom.Sub(l.now()); wait > 0 {
+		// Tokens that are prefetched for programs which may not begin would keep the bucket below the reserve.
+		s.arrivals = max(s.arrivals-1, 0)
+		return &Denial{OverRate: true, RetryAfter: wait}
+	}
+	return nil
+}
+
 // Refund returns the token of an admitted request that no backend server has run and none will. The token goes back to the
 // holder, so that it is granted again with a new time to live. Load pattern: a program whose budget is spent goes on
 // asking, and each refusal would take a token from the account's other programs.
