--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -16,6 +16,7 @@
 	refusals          *prometheus.CounterVec
 	retries           *prometheus.CounterVec
 	limited           *prometheus.CounterVec
+	resumptions       *prometheus.CounterVec
 	latency           *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
 	registerer        prometheus.Registerer
@@ -43,6 +44,10 @@
 			Name: "berylpond_gateway_limited_servers_total",
 			Help: "Picks of a backend server that limits its requests, by what came of them.",
 		}, []string{"outcome"}),
+		resumptions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "berylpond_gateway_stream_resumptions_total",
+			Help: "Streams of resumable routes that were broken off, by what came of them.",
+		}, []string{"outcome"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "berylpond_gateway_request_seconds", Help: "From the headers of a request to the end of its answer.",
 			Buckets: buckets,
@@ -63,7 +68,7 @@
 		Name: "berylpond_placement_first_event_error_seconds",
 		Help: "Difference of the time until the first event of a stream from what was expected, by its sign.", Buckets: buckets,
 	}, []string{"was"})
-	r.MustRegister(m.requests, m.refusals, m.retries, m.limited, m.latency, m.firstEventSeconds, m.placements,
+	r.MustRegister(m.requests, m.refusals, m.retries, m.limited, m.resumptions, m.latency, m.firstEventSeconds, m.placements,
 		m.promptTokens, m.placementError)
 	return m
 }
