gateway: let requests wait for a place in order, or refuse them in time

What is new: before its first send a request asks the queue of its service for a place (internal/admission). First turns are known from the owner's response, also on routes without history, and meet the reserve of their account's rate there too. A waiting request notices its client's leaving, its deadline, the end of a request here, and what other instances sent. Routes without a latency objective are served as before.

Tests with real instances (go test -run 'Waiting|WithoutAdmission|GetsNoPlace| PlannedStop|KeepTheRate' ./internal/instance): order of priority, refusal within its time without a run, a planned stop while a request waits, a client that leaves, and programs under way of an account over its rate. Without the mechanism (TestNothingWaitsWithoutAdmission) the server gets everything in order of arrival.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,6 +57,8 @@
 // RateLimiter enforces the rate limits of client accounts and those that backend servers announce.
 type RateLimiter interface {
 	Admit(ctx context.Context, a routing.Account, first bool) *ratelimit.Denial
+	// DenyProgram returns why no program of the account may begin now, for a request that turned out to be the first of one.
+	DenyProgram(a routing.Account) *ratelimit.Denial
 	// Refund returns the token of an admitted request that has not run and never will.
 	Refund(a routing.Account)
 	// TakeForServer takes a token that this instance holds for one request to a backend server. AskForServer asks the holder
@@ -88,6 +90,7 @@
 	quarantine    Quarantine
 	historyCache  *historyCache
 	memory        *memory.Account
+	rooms         *rooms
 	metrics       *Metrics
 	now           func() time.Time
 	// reports counts the reports of ended turns that are under way in the background.
@@ -118,7 +121,7 @@
 func New(o Options) *Gateway {
 	g := &Gateway{
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Upstream, turnClient: o.TurnClient,
-		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, metrics: o.Metrics, now: time.Now,
+		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, rooms: newRooms(), metrics: o.Metrics, now: time.Now,
 		draining: o.Draining, isolated: o.Isolated, features: o.Features,
 	}
 	limit := o.HeldBytes
@@ -163,6 +166,10 @@
 	// mayHaveRun is set once a backend server may have run the request, even if a later attempt was refused.
 	mayHaveRun    bool
 	triedBackends []string
+	// isFirstTurn is set if the request begins a program.
+	isFirstTurn bool
+	// room is the request's place at the backend servers; nil until it is admitted to one.
+	room *room
 	// admitted is set once a token of the account's rate was taken.
 	admitted bool
 	// held is the number of bytes that the request holds in the memory account.
@@ -193,6 +200,7 @@
 			err = x.serveCall(ctx)
 		}
 	}
+	x.room.leave(x.now())
 	x.finish(err)
 }
 
@@ -227,17 +235,22 @@
 		return err
 	}
 	if d := x.acquireToken(); d != nil {
-		if !d.OverRate {
-			return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonRateLimited, x.retryDelay(),
-				"the account's rate can't be checked")
-		}
-		return verdict.Refuse(http.StatusTooManyRequests, verdict.ReasonRateLimited, max(d.RetryAfter, retryAfterTransient),
-			"the account is over its rate")
+		return x.rateError(d)
 	}
 	x.admitted = true
 	return nil
 }
 
+// rateError is the refusal of a request that the account's rate has no room for.
+func (x *exchange) rateError(d *ratelimit.Denial) error {
+	if !d.OverRate {
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonRateLimited, x.retryDelay(),
+			"the account's rate can't be checked")
+	}
+	return verdict.Refuse(http.StatusTooManyRequests, verdict.ReasonRateLimited, max(d.RetryAfter, retryAfterTransient),
+		"the account is over its rate")
+}
+
 // checkQuarantine refuses a request that makes backend servers crash.
 func (x *exchange) checkQuarantine() error {
 	until := x.quarantine.Until(x.identity)
@@ -347,7 +360,7 @@
 		klog.V(1).InfoS("served", x.logFields(elapsed)...)
 		return
 	}
-	e := verdict.From(err)
+	e := x.spreadRetryAfter(verdict.From(err))
 	if x.admitted && e.Verdict == verdict.NotRun {
 		x.rateLimiter.Refund(x.account)
 	}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/berylpond/berylpond/internal/admission"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/memory"
 	"github.com/berylpond/berylpond/internal/verdict"
@@ -17,6 +18,9 @@
 	retries           *prometheus.CounterVec
 	limited           *prometheus.CounterVec
 	resumptions       *prometheus.CounterVec
+	admissions        *prometheus.CounterVec
+	waiting           prometheus.Gauge
+	heldSeconds       *prometheus.HistogramVec
 	latency           *prometheus.HistogramVec
 	firstEventSeconds *prometheus.HistogramVec
 	registerer        prometheus.Registerer
@@ -48,6 +52,17 @@
 			Name: "berylpond_gateway_stream_resumptions_total",
 			Help: "Streams of resumable routes that were broken off, by what came of them.",
 		}, []string{"outcome"}),
+		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "berylpond_admission_decisions_total",
+			Help: "Requests that asked for a place at a backend server, by class, outcome and cause.",
+		}, []string{"class", "outcome", "cause"}),
+		waiting: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "berylpond_admission_waiting", Help: "Requests that wait for a place at a backend server.",
+		}),
+		heldSeconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "berylpond_admission_held_seconds",
+			Help: "From the headers of a request to the decision on its place, if it did not get one at once.", Buckets: buckets,
+		}, []string{"class"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name: "berylpond_gateway_request_seconds", Help: "From the headers of a request to the end of its answer.",
 			Buckets: buckets,
@@ -68,8 +83,8 @@
 		Name: "berylpond_placement_first_event_error_seconds",
 		Help: "Difference of the time until the first event of a stream from what was expected, by its sign.", Buckets: buckets,
 	}, []string{"was"})
-	r.MustRegister(m.requests, m.refusals, m.retries, m.limited, m.resumptions, m.latency, m.firstEventSeconds, m.placements,
-		m.promptTokens, m.placementError)
+	r.MustRegister(m.requests, m.refusals, m.retries, m.limited, m.resumptions, m.admissions, m.waiting, m.heldSeconds,
+		m.latency, m.firstEventSeconds, m.placements, m.promptTokens, m.placementError)
 	return m
 }
 
@@ -92,6 +107,14 @@
 	return x.route.Kind.String()
 }
 
+func (m *Metrics) observeAdmission(w *admission.Waiter, held time.Duration) {
+	d := w.Decision
+	m.admissions.WithLabelValues(w.Class.String(), d.Outcome.String(), string(d.Cause)).Inc()
+	if d.Expected > 0 {
+		m.heldSeconds.WithLabelValues(w.Class.String()).Observe(held.Seconds())
+	}
+}
+
 func (m *Metrics) observeServed(x *exchange, elapsed time.Duration) {
 	m.requests.WithLabelValues(x.kindLabel(), "served").Inc()
 	m.latency.WithLabelValues(x.kindLabel()).Observe(elapsed.Seconds())
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -27,18 +27,24 @@
 	fleet   *fleet.Fleet
 	// sent is when the request was sent.
 	sent time.Time
+	// room is left when the response is closed; nil for the response to an attempt that was not the last.
+	room *room
 }
 
 // close closes the response and releases the backend server.
 func (r *backendResponse) close(complete, failed bool) {
 	r.Response.Close(complete)
 	r.fleet.Release(r.backend, failed)
+	r.room.leave(time.Now())
 }
 
 // send tries backend servers until one runs the request, and returns its response. Without one it returns the final
 // error.
 func (x *exchange) send(ctx context.Context, body []byte, preferred string) (*backendResponse, error) {
 	x.service = pickService(x.route.Targets)
+	if err := x.awaitRoom(ctx); err != nil {
+		return nil, err
+	}
 	return x.sendToService(ctx, body, preferred)
 }
 
@@ -63,8 +69,10 @@
 			break
 		}
 		x.observePlacement(b, preferred)
+		x.room.take(x.now())
 		resp, err := x.attempt(ctx, b, body)
 		if err == nil {
+			resp.room = x.room
 			return resp, nil
 		}
 		last = err
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -33,6 +33,7 @@
 		return err
 	}
 	history := begun.History
+	x.isFirstTurn = x.beginsProgram(begun)
 	if isCached && !begun.Foreign {
 		history = cached
 	}
@@ -51,6 +52,7 @@
 		return err
 	}
 	out, err := x.relayStream(ctx, resp, body)
+	x.rememberTurn(err)
 	if err != nil || !out.complete {
 		x.settle(x.deliveredTokens(out))
 		return err
@@ -79,16 +81,47 @@
 	if x.features.Enabled(feature.Placement) {
 		preferred = begun.Backend
 	}
+	x.isFirstTurn = x.beginsProgram(begun)
+	if err := x.admitProgram(); err != nil {
+		x.settle(0)
+		return err
+	}
 	resp, err := x.send(ctx, x.body, preferred)
 	if err != nil {
 		x.settle(0)
 		return err
 	}
 	out, err := x.relayStream(ctx, resp, x.body)
+	x.rememberTurn(err)
 	x.report(x.endRequest(out, x.backend, false))
 	return err
 }
 
+// beginsProgram reports whether the turn is the first of its program: it continues no other, and the owner has charged the
+// program for nothing else. It is known on routes without history too, where no turn names the previous one.
+func (x *exchange) beginsProgram(begun *turnv1.BeginResponse) bool {
+	return x.Program != "" && x.PreviousTurn == "" && begun.Charged <= x.MaxTokens
+}
+
+// admitProgram refuses a first turn if the account's rate is needed by its programs under way. On routes with history that
+// was decided when the token was taken.
+func (x *exchange) admitProgram() error {
+	if !x.isFirstTurn || x.startsProgram() || !x.features.Enabled(feature.Admission) {
+		return nil
+	}
+	if d := x.rateLimiter.DenyProgram(x.account); d != nil {
+		return x.rateError(d)
+	}
+	return nil
+}
+
+// rememberTurn records a served turn, from which the time that programs take is learned.
+func (x *exchange) rememberTurn(err error) {
+	if err == nil {
+		x.rooms.programs.served(x.programKey(), x.route.Name, x.isFirstTurn, x.started, x.now())
+	}
+}
+
 func (x *exchange) programID() string {
 	if x.Program == "" {
 		return x.ID
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -163,6 +163,12 @@
 }
 
 func (s *site) do(n *node, c call) response {
+	s.t.Helper()
+	return s.doWithin(context.Background(), n, c)
+}
+
+// doWithin is do for a client that leaves when the context ends.
+func (s *site) doWithin(ctx context.Context, n *node, c call) response {
 	s.t.Helper()
 	if c.id == "" {
 		c.id = fmt.Sprint("r", ids.Add(1))
@@ -173,7 +179,7 @@
 	if c.method == "" {
 		c.method = http.MethodPost
 	}
-	r, err := http.NewRequest(c.method, n.url+c.path, strings.NewReader(c.body))
+	r, err := http.NewRequestWithContext(ctx, c.method, n.url+c.path, strings.NewReader(c.body))
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -81,6 +81,7 @@
 	ReasonQueueFull           Reason = "queue_full"
 	ReasonQueueTimeout        Reason = "queue_timeout"
 	ReasonMemoryFull          Reason = "memory_full"
+	ReasonNoRoom              Reason = "no_room"
 	ReasonNoBackend           Reason = "no_backend"
 	ReasonQuarantined         Reason = "quarantined"
 	ReasonBackendFailed       Reason = "backend_failed"
