evacuation: leave the servers of a data centre that the operator empties

Cause: nothing knew of evacuations.

The server is checked once more when the connection is open. A service without servers elsewhere is refused at once (evacuated, 503, not-run). After the return a share of the picks that grows evenly over the cold period or the evacuation period, whichever is longer, counts its servers again.

An instance that stood still sends nothing until it has read the topic again, or has tried to for a quarter of the period. Ruled out: to refuse whenever the view is old, which an outage of the store would turn into a stop of everything; to count the first failed read after a standstill as an outage (the test of the thawed process showed 18 of 30 requests sent to the evacuated server). A response that waited in the kernel confirmed the view as of its arrival; it counts as of its call now. The times of reads no longer follow steps of the clock.

Ruled out for the return: a load that falls evenly. An instance sees few requests in progress at any server, so that any extra load keeps every request away.

Mixed builds: a response without operator_offset takes nothing back, and its follower reads the topic itself.

Tests, each run against the code without its mechanism, where it failed: choice of servers, slow start, feed, order of offsets, view gate and confirmedAt (thawed process), check at send (upstream and instance), own reason.

Run: go test ./platform ./internal/...: internal/instance green (174 s, machine loaded). Red and not of this change: platformclient TestAppendIsNotResentOnClosedConnection (deadline exceeded after 0.25 s, load average 20).

--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -39,6 +39,8 @@
 	Configuration func(raw []byte)
 	Backends      func([]fleet.Entry)
 	Owners        func(map[int]string)
+	// Evacuated receives the evacuated data centres as of an offset in the operator's topic.
+	Evacuated func(dataCentres []string, offset int64)
 }
 
 // Client polls readers while the instance does not read the store itself.
@@ -55,6 +57,8 @@
 	// lastContact is the time of the store's last response to a reader, as reported by that reader. It may be newer than
 	// confirmed, since the store may delay its responses to a reader's long polls.
 	lastContact time.Time
+	// evacuationsConfirmed is confirmed, as of the last response of a reader that knows of evacuations.
+	evacuationsConfirmed time.Time
 
 	// reader is the instance to poll; start and revision identify the last view received from it.
 	reader   string
@@ -83,6 +87,21 @@
 	return c.now().Sub(c.lastContact) < d
 }
 
+// EvacuationsConfirmedWithin reports whether the store has confirmed which data centres are evacuated, through a reader,
+// within the last d. Readers of an older build do not know.
+func (c *Client) EvacuationsConfirmedWithin(d time.Duration) bool {
+	confirmed := c.EvacuationsConfirmed()
+	return !confirmed.IsZero() && c.now().Sub(confirmed) < d
+}
+
+// EvacuationsConfirmed returns as of when the store confirmed which data centres are evacuated, through a reader; zero if it
+// has not.
+func (c *Client) EvacuationsConfirmed() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.evacuationsConfirmed
+}
+
 // Run polls readers until the context ends.
 func (c *Client) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -125,7 +144,12 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	began := c.now()
 	resp, err := turnv1.NewRelayClient(conn).Snapshot(callCtx, r)
+	if err == nil && c.now().Sub(began) > pollTimeout {
+		// This instance stood still, and the response waited for it.
+		err = context.DeadlineExceeded
+	}
 	if err != nil {
 		klog.V(1).InfoS("request to the reader of the store failed", "peer", c.reader, "cause", err.Error())
 		return false
@@ -139,6 +163,10 @@
 }
 
 func (c *Client) apply(resp *turnv1.SnapshotResponse, age time.Duration) {
+	// Clients are accepted once there is a configuration, so that the evacuations come first.
+	if resp.Changed && resp.OperatorOffset > 0 {
+		c.sink.Evacuated(resp.Evacuated, resp.OperatorOffset)
+	}
 	if len(resp.Configuration) > 0 {
 		c.sink.Configuration(resp.Configuration)
 	}
@@ -160,6 +188,9 @@
 	c.start, c.revision = resp.Start, resp.Revision
 	c.mu.Lock()
 	c.confirmed = c.now().Add(-age)
+	if resp.OperatorOffset > 0 {
+		c.evacuationsConfirmed = c.confirmed
+	}
 	c.lastContact = c.now().Add(-time.Duration(resp.SilenceMs) * time.Millisecond)
 	c.mu.Unlock()
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -20,6 +20,11 @@
 	age          time.Duration
 	sinceContact time.Duration
 	unreachable  bool
+	evacuated    []string
+	// offset is zero for a reader of an older build.
+	offset int64
+	// onCall, if not nil, is called before each response.
+	onCall func()
 }
 
 func newReader() *reader {
@@ -28,6 +33,7 @@
 		Configuration: func() *routing.Configuration { return nil },
 		Backends:      func() []fleet.Entry { return nil },
 		Owners:        func() map[int]string { return map[int]string{0: "reader"} },
+		Evacuated:     func() ([]string, int64) { return r.evacuated, r.offset },
 		Age:           func() (time.Duration, bool) { return r.age, true },
 		SinceContact:  func() time.Duration { return r.sinceContact },
 	})
@@ -42,10 +48,14 @@
 }
 
 func (r *reader) Invoke(ctx context.Context, _ string, in, out any, _ ...grpc.CallOption) error {
+	if r.onCall != nil {
+		r.onCall()
+	}
 	resp := r.server.Snapshot(ctx, in.(*turnv1.SnapshotRequest))
 	to := out.(*turnv1.SnapshotResponse)
 	to.Start, to.Revision, to.Direct, to.AgeMs = resp.Start, resp.Revision, resp.Direct, resp.AgeMs
 	to.SilenceMs, to.Changed, to.Owners = resp.SilenceMs, resp.Changed, resp.Owners
+	to.Evacuated, to.OperatorOffset = resp.Evacuated, resp.OperatorOffset
 	return nil
 }
 
@@ -57,6 +67,7 @@
 	c := NewClient(r, func() []string { return []string{"reader"} }, func() *routing.Configuration { return nil },
 		func() bool { return true }, Sink{
 			Configuration: func([]byte) {}, Backends: func([]fleet.Entry) {}, Owners: func(map[int]string) {},
+			Evacuated: func([]string, int64) {},
 		})
 	c.now = func() time.Time { return *now }
 	c.pickReader()
@@ -90,3 +101,64 @@
 	now = now.Add(time.Second)
 	is.True(!c.ContactWithin(time.Second))
 }
+
+// followed is what a follower was told of evacuations.
+type followed struct {
+	names  []string
+	offset int64
+	calls  int
+}
+
+func follow(r *reader, now *time.Time) (*Client, *followed) {
+	c, got := newTestClient(r, now), &followed{}
+	c.sink.Evacuated = func(names []string, offset int64) {
+		*got = followed{names: names, offset: offset, calls: got.calls + 1}
+	}
+	return c, got
+}
+
+func TestFollowerLearnsOfEvacuationsFromItsReader(t *testing.T) {
+	is := is.New(t)
+	r, now := newReader(), time.Now()
+	c, got := follow(r, &now)
+	r.offset = 4
+	is.True(c.poll(t.Context()))
+	is.Equal(len(got.names), 0)
+	r.evacuated, r.offset = []string{"a"}, 5
+	r.server.NotifyChanged()
+	is.True(c.poll(t.Context()))
+	is.Equal(got.names, []string{"a"})
+	is.Equal(got.offset, int64(5))
+	is.True(c.EvacuationsConfirmedWithin(time.Second))
+	// Without a change the response leaves the data centres out, which takes nothing back.
+	calls := got.calls
+	is.True(c.poll(t.Context()))
+	is.Equal(got.calls, calls)
+	is.Equal(c.EvacuationsConfirmed(), now)
+}
+
+// Guards against a reader of an older build, which lists no evacuated data centres, passing for one that knows of none.
+func TestReaderOfAnOlderBuildTakesNoEvacuationBack(t *testing.T) {
+	is := is.New(t)
+	r, now := newReader(), time.Now()
+	c, got := follow(r, &now)
+	is.True(c.poll(t.Context()))
+	is.Equal(got.calls, 0)
+	is.True(c.ConfirmedWithin(time.Second))
+	is.True(!c.EvacuationsConfirmedWithin(time.Second))
+	is.True(c.EvacuationsConfirmed().IsZero())
+}
+
+// Guards against a response that waited in the kernel while the instance stood still counting as news.
+func TestResponseReadAfterAStandstillDoesNotConfirmTheView(t *testing.T) {
+	is := is.New(t)
+	r, now := newReader(), time.Now()
+	c, got := follow(r, &now)
+	r.offset, r.onCall = 4, func() { now = now.Add(6 * time.Second) }
+	is.True(!c.poll(t.Context()))
+	is.Equal(got.calls, 0)
+	is.True(!c.ConfirmedWithin(time.Minute))
+	r.onCall = nil
+	is.True(c.poll(t.Context()))
+	is.True(c.EvacuationsConfirmedWithin(time.Second))
+}
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -21,6 +21,8 @@
 	Configuration func() *routing.Configuration
 	Backends      func() []fleet.Entry
 	Owners        func() map[int]string
+	// Evacuated returns the evacuated data centres, and the offset in the operator's topic up to which they are current.
+	Evacuated func() (dataCentres []string, offset int64)
 	// Age returns how long ago the store confirmed the part of the view that was confirmed least recently. It reports
 	// false if the instance does not read the store itself.
 	Age func() (time.Duration, bool)
@@ -63,6 +65,8 @@
 	resp := &turnv1.SnapshotResponse{
 		Start: s.start, Revision: revision, Direct: direct, AgeMs: age.Milliseconds(), SilenceMs: s.view.SinceContact().Milliseconds(),
 	}
+	evacuated, offset := s.view.Evacuated()
+	resp.OperatorOffset = offset
 	if c := s.view.Configuration(); c != nil && c.Version > r.ConfigurationVersion {
 		resp.Configuration = c.Raw
 	}
@@ -70,6 +74,7 @@
 		return resp
 	}
 	resp.Changed = true
+	resp.Evacuated = evacuated
 	for _, e := range s.view.Backends() {
 		resp.Backends = append(resp.Backends, &turnv1.Backend{
 			Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: int32(e.Slots),
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,21 +63,26 @@
 	dataCentre string
 	// lastSend is how long after its announcement a leaving server may still be picked, if there is no other.
 	lastSend time.Duration
-	now      func() time.Time
+	// ReturnPeriod returns over what time the servers of a service get their share of requests back after their data centre
+	// was evacuated. Nil means at once. It must not change after the first request.
+	ReturnPeriod func(service string) time.Duration
+	now          func() time.Time
 
-	mu        sync.Mutex
-	announced map[string]announcement
-	byID      map[string]*server
-	byService map[string][]*server
-	loaded    bool
+	mu          sync.Mutex
+	evacuations evacuations
+	announced   map[string]announcement
+	byID        map[string]*server
+	byService   map[string][]*server
+	loaded      bool
 }
 
 // New returns an empty fleet. Servers in dataCentre are preferred. drainPeriod is the time after which nothing new may
 // reach a server that has announced that it is leaving; half of it is left for connecting and sending.
 func New(dataCentre string, drainPeriod time.Duration) *Fleet {
 	return &Fleet{
-		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, announced: map[string]announcement{},
-		byID: map[string]*server{}, byService: map[string][]*server{},
+		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now,
+		evacuations: evacuations{current: map[string]bool{}, returned: map[string]time.Time{}},
+		announced:   map[string]announcement{}, byID: map[string]*server{}, byService: map[string][]*server{},
 	}
 }
 
@@ -200,14 +205,19 @@
 	AnyDataCentre bool
 	// Permit takes permission to send one request to a server that limits them. Nil permits every request.
 	Permit func(backendlimit.Server, backendlimit.Limit) bool
+	// extraLoad is added to the load of the servers of some data centres.
+	extraLoad map[string]float64
 }
 
+func (c *Criteria) load(b *server) float64 { return b.load() + c.extraLoad[b.DataCentre] }
+
 // Acquire picks a server and counts a request on it until Release. It returns nil if no server can be used.
 func (f *Fleet) Acquire(c Criteria) *Backend {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	best := f.pick(c, func(b *server) bool { return b.isSound(now) })
+	c.extraLoad = f.returning(c.Service, now)
+	best := f.pick(c, func(b *server) bool { return f.mayBeUsed(b, now) && b.isSound(now) })
 	if best == nil {
 		c.Preferred = ""
 		best = f.pick(c, func(b *server) bool { return f.mayBeUsed(b, now) })
@@ -232,7 +242,7 @@
 			return nil
 		}
 		if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) && !denied[p] &&
-			!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
+			!excluded(c.Exclude, p.ID) && c.load(p) <= c.load(best)+affinitySlack {
 			best = p
 		}
 		if !best.limit.Announced || c.Permit == nil ||
@@ -251,7 +261,7 @@
 		if excluded(c.Exclude, b.ID) || !usable(b) {
 			continue
 		}
-		load := b.load()
+		load := c.load(b)
 		if b.DataCentre != f.dataCentre && !c.AnyDataCentre {
 			load += remotePenalty
 		}
@@ -273,9 +283,10 @@
 	return !b.Draining && b.leavingSince.IsZero() && now.After(b.suspectUntil)
 }
 
-// mayBeUsed reports whether the server may be picked for lack of a sound one.
+// mayBeUsed reports whether the server may be picked, for lack of a sound one at least.
 func (f *Fleet) mayBeUsed(b *server, now time.Time) bool {
-	return !b.Draining && (b.leavingSince.IsZero() || now.Sub(b.leavingSince) < f.lastSend)
+	return !b.Draining && !f.evacuations.current[b.DataCentre] &&
+		(b.leavingSince.IsZero() || now.Sub(b.leavingSince) < f.lastSend)
 }
 
 func (b *server) load() float64 { return float64(b.inFlight) / float64(b.Slots) }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,6 +93,10 @@
 	// reaches neither the store nor a peer that does.
 	draining, isolated func() bool
 	features           feature.Set
+	// viewUsable reports whether this instance knows which data centres are evacuated, recently enough to send requests.
+	viewUsable func() bool
+	// evacuationPeriod is the time within which instances learn that a data centre is evacuated or taken back.
+	evacuationPeriod time.Duration
 }
 
 // Options holds the dependencies of a Gateway.
@@ -107,6 +111,9 @@
 	Draining      func() bool
 	Isolated      func() bool
 	Features      feature.Set
+	// ViewUsable reports whether this instance knows which data centres are evacuated, recently enough to send requests.
+	ViewUsable       func() bool
+	EvacuationPeriod time.Duration
 }
 
 // New returns a gateway.
@@ -115,6 +122,7 @@
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Upstream, turnClient: o.TurnClient,
 		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, historyCache: newHistoryCache(), metrics: o.Metrics, now: time.Now,
 		draining: o.Draining, isolated: o.Isolated, features: o.Features,
+		viewUsable: o.ViewUsable, evacuationPeriod: o.EvacuationPeriod,
 	}
 }
 
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -11,6 +11,7 @@
 
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/quarantine"
+	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/routing"
 	"github.com/berylpond/berylpond/internal/upstream"
 	"github.com/berylpond/berylpond/internal/verdict"
@@ -50,10 +51,13 @@
 		if err := x.checkQuarantine(); err != nil {
 			return nil, x.finalError(err)
 		}
+		if err := x.awaitView(ctx); err != nil {
+			return nil, x.finalError(err)
+		}
 		b, denial := x.acquireBackend(ctx, preferred)
 		if b == nil {
-			if denial != nil && last == nil {
-				last = limitedError(denial)
+			if last == nil {
+				last = x.noBackendError(denial)
 			}
 			break
 		}
@@ -74,11 +78,25 @@
 	return nil, x.finalError(last)
 }
 
+// noBackendError is the refusal of a request for which there is no backend server.
+func (x *exchange) noBackendError(d *ratelimit.Denial) error {
+	switch {
+	case d != nil:
+		return limitedError(d)
+	case x.fleet.AllEvacuated(x.service):
+		return x.evacuatedError()
+	default:
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryAfterTransient,
+			"no backend server can be used")
+	}
+}
+
 // attempt sends the request to one backend server. An error is a *verdict.Error.
 func (x *exchange) attempt(ctx context.Context, b *fleet.Backend, body []byte) (*backendResponse, error) {
 	sent := x.now()
 	resp, err := x.servers.Do(ctx, b.Address, upstream.Request{
 		ID: x.ID, Method: x.r.Method, Target: x.target, Host: x.r.Host, Body: body,
+		Check: func() error { return x.maySend(b) },
 		Header: func() http.Header {
 			return platform.ForwardHeaders(x.r.Header, platform.ForwardOptions{
 				Backend: b.ID, Account: x.account.Name, Deadline: x.remaining(),
@@ -91,6 +109,11 @@
 			x.fleet.Release(b, ctx.Err() == nil)
 			return nil, err
 		}
+		var refused *verdict.Error
+		if errors.As(ue.Err, &refused) {
+			x.fleet.Cancel(b)
+			return nil, refused
+		}
 		x.fleet.Release(b, ctx.Err() == nil && !ue.PathLost)
 		if ue.Verdict != verdict.NotRun {
 			x.sends++
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -78,9 +78,11 @@
 	config    *storewatch.ConfigWatcher
 	backends  *storewatch.BackendWatcher
 	fleet     *fleet.Fleet
-	group     *membership.Membership
-	owner     *turnlog.Owner
-	limiter   *ratelimit.Limiter
+	// evacuations holds the data centres whose backend servers get nothing new.
+	evacuations *storewatch.Evacuations
+	group       *membership.Membership
+	owner       *turnlog.Owner
+	limiter     *ratelimit.Limiter
 	// quarantine keeps requests that crash backend servers from being sent on.
 	quarantine *quarantine.Quarantine
 	holder     *ratelimit.BucketHolder
@@ -120,7 +122,12 @@
 	store := platform.NewStore(i.transport)
 	i.store = store
 	hooks := storewatch.Hooks{UsesFeed: i.usesFeed, OnChange: func() { i.feedServer.NotifyChanged() }}
-	i.config = storewatch.NewConfigWatcher(store, hooks)
+	i.evacuations = storewatch.NewEvacuations(i.applyEvacuations)
+	i.config = storewatch.NewConfigWatcher(store, i.evacuations, storewatch.Hooks{
+		UsesFeed: i.usesFeedOfEvacuations, OnChange: hooks.OnChange,
+	})
+	i.fleet.ReturnPeriod = i.returnPeriod
+	registerEvacuationMetric(i.metrics, i.fleet)
 	i.backends = storewatch.NewBackendWatcher(store, i.fleet, hooks)
 	finder := &finder{}
 	i.owner = turnlog.NewOwner(ctx, store, s.Store, i.startID, finder, turnlog.NewMetrics(i.metrics))
@@ -130,10 +137,11 @@
 	})
 	i.feedServer = feed.NewServer(i.startID, feed.View{
 		Configuration: i.config.Current, Backends: i.fleet.Entries, Owners: i.group.OwnersByPartition, Age: i.viewAge,
-		SinceContact: i.transport.SinceContact,
+		SinceContact: i.transport.SinceContact, Evacuated: i.evacuations.Current,
 	})
 	i.feedClient = feed.NewClient(i.pool, i.group.OwnerAddresses, i.config.Current, func() bool { return !i.group.IsMember() }, feed.Sink{
 		Configuration: i.config.Apply, Backends: i.backends.Replace, Owners: i.group.SetOwners,
+		Evacuated: i.evacuations.Replace,
 	})
 	client := turnclient.New(s.Store.Partitions, i.group, i.pool)
 	client.Local = i.owner
@@ -155,7 +163,7 @@
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
-		Features: features,
+		Features: features, ViewUsable: i.viewUsable, EvacuationPeriod: s.EvacuationPeriod,
 	})
 	return i
 }
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -85,19 +85,25 @@
 
 func (s *site) start(seeds ...string) *node { return s.startWith(1, seeds...) }
 
-func (s *site) startWith(cores float64, seeds ...string) *node {
-	s.t.Helper()
+// newSettings returns the settings of an instance at an address of its own.
+func (s *site) newSettings(cores float64, seeds ...string) platform.Settings {
 	// Peers use the same port on different addresses. The process id keeps test runs on one machine apart.
 	pid := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&63, pid&255, nextIP.Add(1))
-	settings := platform.Settings{
+	return platform.Settings{
 		Instance: ip, DataCentre: "a", IP: ip, ClientAddress: net.JoinHostPort(ip, "18080"),
 		ReadyAddress: net.JoinHostPort(ip, "18081"), FirstPeerPort: 18082, LastPeerPort: 18090, SeedIPs: seeds,
 		Cores: cores, MemoryBytes: 1 << 30, GracePeriod: 4 * time.Second, RateWindow: 5 * time.Second,
+		EvacuationPeriod: 5 * time.Second,
 		Store: platform.StoreSettings{
 			Address: s.url, Partitions: 4, MaxRecordBytes: 1 << 18, MaxAppendBytes: 1 << 21, MinMemberTTL: time.Second,
 		},
 	}
+}
+
+func (s *site) startWith(cores float64, seeds ...string) *node {
+	s.t.Helper()
+	settings := s.newSettings(cores, seeds...)
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Instance: New(ctx, settings, feature.Set{}), url: "http://" + settings.ClientAddress, stop: cancel, done: make(chan struct{})}
 	if s.prepare != nil {
--- a/internal/storewatch/config.go
+++ b/internal/storewatch/config.go
@@ -1,5 +1,5 @@
-// Package storewatch keeps an instance's copy of two topics of the store up to date: the configuration and the entries
-// of the backend servers.
+// Package storewatch keeps an instance's copy of two topics of the store up to date: the operator's configuration and
+// evacuations, and the entries of the backend servers.
 package storewatch
 
 import (
@@ -38,32 +38,47 @@
 	OnChange func()
 }
 
-// readTime is the time of a watcher's last successful read.
-type readTime struct{ at atomic.Int64 }
+// readTime is the time of a watcher's last successful read. It is unaffected by steps of the clock.
+type readTime struct{ at atomic.Pointer[time.Time] }
 
-func (c *readTime) set(t time.Time) { c.at.Store(t.UnixNano()) }
+func (c *readTime) set(t time.Time) { c.at.Store(&t) }
+
+// get returns the time of the read; zero if there was none.
+func (c *readTime) get() time.Time {
+	if t := c.at.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
 
 // age returns the time since the read; it is very long if there was none.
-func (c *readTime) age(now time.Time) time.Duration { return now.Sub(time.Unix(0, c.at.Load())) }
+func (c *readTime) age(now time.Time) time.Duration { return now.Sub(c.get()) }
 
-// ConfigWatcher keeps the configuration up to date.
+// ConfigWatcher keeps the operator's configuration and evacuations up to date.
 type ConfigWatcher struct {
-	store    *platform.Store
-	hooks    Hooks
-	current  atomic.Pointer[routing.Configuration]
-	lastRead readTime
-	applyMu  sync.Mutex
-	ready    chan struct{}
+	store       *platform.Store
+	hooks       Hooks
+	current     atomic.Pointer[routing.Configuration]
+	lastRead    readTime
+	tries       tryRecord
+	evacuations *Evacuations
+	applyMu     sync.Mutex
+	ready       chan struct{}
 }
 
-// NewConfigWatcher returns a watcher without a configuration.
-func NewConfigWatcher(store *platform.Store, h Hooks) *ConfigWatcher {
-	return &ConfigWatcher{store: store, hooks: h, ready: make(chan struct{})}
+// NewConfigWatcher returns a watcher without a configuration that keeps e up to date.
+func NewConfigWatcher(store *platform.Store, e *Evacuations, h Hooks) *ConfigWatcher {
+	return &ConfigWatcher{store: store, hooks: h, evacuations: e, ready: make(chan struct{})}
 }
 
-// Age returns the time since this instance last read the configuration from the store.
+// Age returns the time since this instance last read the operator's topic from the store.
 func (c *ConfigWatcher) Age() time.Duration { return c.lastRead.age(time.Now()) }
 
+// Freshness returns when this instance last read the operator's topic from the store, and since when it has tried to.
+func (c *ConfigWatcher) Freshness() Freshness {
+	return Freshness{Confirmed: c.lastRead.get(), Tries: c.tries.get()}
+}
+
 // Current returns the configuration in force, or nil before the first.
 func (c *ConfigWatcher) Current() *routing.Configuration { return c.current.Load() }
 
@@ -74,23 +89,33 @@
 func (c *ConfigWatcher) Run(ctx context.Context) {
 	var offset int64
 	needSnapshot := true
+	var wait time.Duration
 	for ctx.Err() == nil {
 		if c.hooks.UsesFeed() {
 			needSnapshot = true
 			sleep(ctx, feedPollInterval)
 			continue
 		}
+		began, timeout := time.Now(), configReadTimeout
+		c.tries.begin(began)
 		var err error
 		if needSnapshot {
+			timeout = newestReadTimeout
 			offset, err = c.readNewest(ctx)
 		} else {
-			offset, err = c.readNext(ctx, offset)
+			offset, err = c.readNext(ctx, offset, wait)
 		}
+		// While the view may be old, after a failure or a standstill, the next read confirms it without waiting for a change.
+		wait = 0
 		var trimmed *platform.TrimmedError
 		switch {
 		case err == nil:
 			needSnapshot = false
-			c.lastRead.set(time.Now())
+			confirmed := confirmedAt(began, time.Now(), timeout)
+			c.lastRead.set(confirmed)
+			if confirmed != began {
+				wait = configLongPoll
+			}
 		case errors.As(err, &trimmed):
 			needSnapshot = true
 		default:
@@ -104,16 +129,18 @@
 	if err != nil {
 		return 0, err
 	}
+	// Clients are accepted once there is a configuration, so that the evacuations come first.
+	c.evacuations.replaceNewest(records, end)
 	for _, r := range records {
 		c.applyRecord(r)
 	}
 	return end, nil
 }
 
-func (c *ConfigWatcher) readNext(ctx context.Context, offset int64) (int64, error) {
+func (c *ConfigWatcher) readNext(ctx context.Context, offset int64, wait time.Duration) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, configReadTimeout)
 	defer cancel()
-	page, err := c.store.Read(ctx, platform.OperatorTopic, offset, 0, configLongPoll)
+	page, err := c.store.Read(ctx, platform.OperatorTopic, offset, 0, wait)
 	if err != nil {
 		return offset, err
 	}
@@ -124,6 +151,7 @@
 			klog.ErrorS(err, "skipping an operator record that cannot be decoded", "offset", offset-1)
 			continue
 		}
+		c.evacuations.apply(r, offset-1)
 		c.applyRecord(r)
 	}
 	return offset, nil
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -53,6 +53,8 @@
 	// Header returns the headers. It is called once the connection is open, as they say how much time is left.
 	Header func() http.Header
 	Body   []byte
+	// Check, if not nil, is called once the connection is open. The request is not sent if it returns an error.
+	Check func() error
 }
 
 // Response is a backend server's response. Its body ends with io.EOF only if it is complete.
@@ -124,6 +126,12 @@
 	if err != nil {
 		return nil, &Error{Verdict: verdict.NotRun, PathLost: errors.Is(err, backendpath.ErrLost), Err: err}
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			c.Close()
+			return nil, &Error{Verdict: verdict.NotRun, Err: err}
+		}
+	}
 	if deadline, ok := ctx.Deadline(); ok {
 		if err := c.SetDeadline(deadline); err != nil {
 			c.Close()
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -357,3 +357,37 @@
 	is.True(errors.As(err, &e))
 	is.True(!e.PathLost)
 }
+
+// Guards against a request going to a server that became forbidden while the connection was opened, or that was picked for an
+// open connection.
+func TestRequestIsNotSentIfTheCheckFails(t *testing.T) {
+	is := is.New(t)
+	requests := make(chan string, 4)
+	address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			requests <- id
+			fmt.Fprint(c, okResponse(id, ""))
+		}
+	})
+	p := NewPool(directPath{})
+	_, err := get(t, p, address, "r1")
+	is.NoErr(err)
+	for range 2 { // the open connection, then a new one
+		forbidden := errors.New("forbidden")
+		r := request("r2")
+		r.Check = func() error { return forbidden }
+		_, err = p.Do(t.Context(), address, r)
+		var ue *Error
+		is.True(errors.As(err, &ue))
+		is.Equal(ue.Verdict, verdict.NotRun)
+		is.True(errors.Is(err, forbidden))
+	}
+	_, err = get(t, p, address, "r3")
+	is.NoErr(err)
+	is.Equal(<-requests, "r1")
+	is.Equal(<-requests, "r3")
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -82,6 +82,8 @@
 	ReasonQueueTimeout        Reason = "queue_timeout"
 	ReasonNoBackend           Reason = "no_backend"
 	ReasonQuarantined         Reason = "quarantined"
+	ReasonEvacuated           Reason = "evacuated"
+	ReasonStaleView           Reason = "stale_view"
 	ReasonBackendFailed       Reason = "backend_failed"
 	ReasonBackendSilent       Reason = "backend_silent"
 	ReasonTruncated           Reason = "truncated"
