Merge evacuated data centres

Conflicts: the extra load of servers of a data centre that was taken back counts in the choice by expected cost as well.

--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -190,7 +190,9 @@
 			Reason: set.reasons[i], Read: total - kept, Kept: kept, Generate: estimate.Generate, Requests: b.requests(now),
 			Candidates: set.n,
 		}
-		d.Expected = placement.Completion(b.loadAt(now), p.costs.ReadTime(d.Read), d.Generate, p.costs.Service(),
+		load := b.loadAt(now)
+		load.Requests += int(c.extraLoad[b.DataCentre] * float64(b.Slots))
+		d.Expected = placement.Completion(load, p.costs.ReadTime(d.Read), d.Generate, p.costs.Service(),
 			b.DataCentre != f.dataCentre && !c.AnyDataCentre)
 		if best == nil || d.Expected < chosen.Expected {
 			best, chosen = b, d
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -83,6 +83,8 @@
 	ReasonMemoryFull          Reason = "memory_full"
 	ReasonNoBackend           Reason = "no_backend"
 	ReasonQuarantined         Reason = "quarantined"
+	ReasonEvacuated           Reason = "evacuated"
+	ReasonStaleView           Reason = "stale_view"
 	ReasonBackendFailed       Reason = "backend_failed"
 	ReasonBackendSilent       Reason = "backend_silent"
 	ReasonTruncated           Reason = "truncated"
