Bound what cold backend servers get, over all instances

What is new: a cold server has a limit that its entry states, with a bucket at the holder as for announced limits. ColdBucket derives rate and burst so that full buckets of two holders and what flows in during a second, the life of a grant and the time to send stay within the bound. Without a grant nothing is sent. Cold servers fill last. If only they are left, requests are refused at once with returns that a queue spreads. Fleet.AssumeCold takes the servers of a data centre as cold until newer entries. Backend.cold_known, cold_age_ms and ServerLimit.cold, burst are new fields; a holder of an older build grants cold servers nothing usable.

Ruled out: the own share of an instance without a holder (60 of them with a token each exceed the bound); health checks of our own; passing the state in the messages to the holder (see docs/design/places.md). The fill at the smaller of two rates is a precaution: no test was found that fails without it.

Seen to fail without their mechanism, by mutation, one at a time: own share, bucket of announced limits, tokens from before, one holder, no cold limit, no period, unknown at start, assumption ended at once, no assumption, no penalty, each heartbeat a change, constant returns. The test with 60 instances doesn't fail with the bucket of announced limits (27 in a second, 35 allowed); the one with changing holders does.

The text "every backend server is at its announced limit" is now "at its limit", since that of a cold server isn't announced.

--- a/internal/backendlimit/backendlimit.go
+++ b/internal/backendlimit/backendlimit.go
@@ -14,6 +14,19 @@
 	Announced bool
 	// RequestsPerSecond is the limit for the requests of all instances together.
 	RequestsPerSecond float64
+	// Cold marks the limit of a server that is cold: no request may be sent without a token of the holder. Burst is the
+	// number of tokens for which its bucket has room.
+	Cold  bool
+	Burst float64
+}
+
+// WithCold returns the limit of a server that is cold as well: the smaller of the two.
+func (l Limit) WithCold(requestsPerSecond, burst float64) Limit {
+	if l.Announced && l.RequestsPerSecond < requestsPerSecond {
+		burst = max(burst*l.RequestsPerSecond/requestsPerSecond, min(burst, 1))
+		requestsPerSecond = l.RequestsPerSecond
+	}
+	return Limit{Announced: true, RequestsPerSecond: requestsPerSecond, Cold: true, Burst: burst}
 }
 
 // State is the limit of a server as of a time.
--- a/internal/fakes/runner/runner.go
+++ b/internal/fakes/runner/runner.go
@@ -32,6 +32,8 @@
 	EventInterval time.Duration
 	// Incarnation changes with each start.
 	Incarnation int
+	// ColdLeft is how much longer the server says that it is cold.
+	ColdLeft time.Duration
 	// Handler, if not nil, is called first for each request. If it returns true, it has handled the request.
 	Handler func(w http.ResponseWriter, r *http.Request, body string) bool
 
@@ -51,7 +53,7 @@
 	host, port, _ := net.SplitHostPort(s.Listener.Addr().String())
 	b, _ := json.Marshal(map[string]any{
 		"service": s.Service, "addr": net.JoinHostPort(host, port), "zone": "a", "slots": 8, "state": state, "seq": 1,
-		"born": s.Incarnation,
+		"born": s.Incarnation, "coldLeftMs": s.ColdLeft.Milliseconds(),
 	})
 	return b
 }
--- a/internal/feed/client.go
+++ b/internal/feed/client.go
@@ -147,7 +147,10 @@
 		for _, b := range resp.Backends {
 			entries = append(entries, fleet.Entry{
 				ID: b.Id, Service: b.Service, Address: b.Address, DataCentre: b.DataCentre, Slots: int(b.Slots),
-				Draining: b.Draining, Incarnation: b.Incarnation,
+				Draining: b.Draining, Incarnation: b.Incarnation, Cold: fleet.ColdReport{
+					Known: b.ColdKnown, Left: time.Duration(b.ColdMs) * time.Millisecond,
+					AsOf: c.now().Add(-time.Duration(b.ColdAgeMs) * time.Millisecond),
+				},
 			})
 		}
 		c.sink.Backends(entries)
--- a/internal/feed/server.go
+++ b/internal/feed/server.go
@@ -73,7 +73,8 @@
 	for _, e := range s.view.Backends() {
 		resp.Backends = append(resp.Backends, &turnv1.Backend{
 			Id: e.ID, Service: e.Service, Address: e.Address, DataCentre: e.DataCentre, Slots: int32(e.Slots),
-			Draining: e.Draining, Incarnation: e.Incarnation,
+			Draining: e.Draining, Incarnation: e.Incarnation, ColdMs: e.Cold.Left.Milliseconds(), ColdKnown: e.Cold.Known,
+			ColdAgeMs: time.Since(e.Cold.AsOf).Milliseconds(),
 		})
 	}
 	for p, a := range s.view.Owners() {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,8 @@
 	Draining bool
 	// Incarnation changes when the server restarts under the same id; zero if the server does not report it.
 	Incarnation int64
+	// Cold is what the entry says about how long the server is still cold.
+	Cold ColdReport
 }
 
 // Backend is a backend server that was picked for one request, with its entry as of that moment. It is safe to read
@@ -56,6 +58,9 @@
 	// leavingSince is when the server first announced in a response that it is leaving; zero if it has not.
 	leavingSince time.Time
 	limit        limitState
+	cold         coldState
+	// notedCold is set if the last log line about it says that the server is cold.
+	notedCold bool
 }
 
 // Fleet is the set of known backend servers. It is safe for concurrent use.
@@ -70,6 +75,13 @@
 	byID      map[string]*server
 	byService map[string][]*server
 	loaded    bool
+	// coldLimitOf returns what a service allows for its cold servers; nil if nothing is limited. coldLimits holds what it
+	// returned lately.
+	coldLimitOf func(service string) ColdLimit
+	coldLimits  map[string]readColdLimit
+	// assumedCold holds the data centres whose servers were assumed to be cold, with the time since when.
+	assumedCold map[string]time.Time
+	coldSpells  int
 }
 
 // New returns an empty fleet. Servers in dataCentre are preferred. drainPeriod is the time after which nothing new may
@@ -77,23 +89,23 @@
 func New(dataCentre string, drainPeriod time.Duration) *Fleet {
 	return &Fleet{
 		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, announced: map[string]announcement{},
-		byID: map[string]*server{}, byService: map[string][]*server{},
+		assumedCold: map[string]time.Time{}, coldLimits: map[string]readColdLimit{}, byID: map[string]*server{}, byService: map[string][]*server{},
 	}
 }
 
 // Upsert adds a server or updates its entry. A changed incarnation, service or address makes it a new server, without
-// load or failures.
-func (f *Fleet) Upsert(e Entry) {
+// load or failures. It reports whether the server has turned cold or warm.
+func (f *Fleet) Upsert(e Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.setLocked(e)
+	return f.setLocked(e)
 }
 
-func (f *Fleet) setLocked(e Entry) {
+func (f *Fleet) setLocked(e Entry) bool {
 	b := f.byID[e.ID]
 	if b != nil && b.Incarnation == e.Incarnation && b.Service == e.Service && b.Address == e.Address {
 		b.Entry = e
-		return
+		return f.updateCold(b, b.cold.report(e.Cold.asOf(f.now())))
 	}
 	if b != nil {
 		f.removeLocked(e.ID)
@@ -108,6 +120,7 @@
 	}
 	f.byID[e.ID] = b
 	f.byService[e.Service] = append(f.byService[e.Service], b)
+	return f.updateCold(b, f.startCold(e))
 }
 
 // Remove removes a server.
@@ -150,9 +163,12 @@
 func (f *Fleet) Entries() []Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.now()
 	out := make([]Entry, 0, len(f.byID))
 	for _, b := range f.byID {
-		out = append(out, b.Entry)
+		e := b.Entry
+		e.Cold = f.currentCold(b, now)
+		out = append(out, e)
 	}
 	return out
 }
@@ -198,6 +214,8 @@
 	Exclude []string
 	// AnyDataCentre picks the least loaded server of all data centres alike.
 	AnyDataCentre bool
+	// WarmOnly passes over cold servers.
+	WarmOnly bool
 	// Permit takes permission to send one request to a server that limits them. Nil permits every request.
 	Permit func(backendlimit.Server, backendlimit.Limit) bool
 }
@@ -231,12 +249,16 @@
 		if best == nil {
 			return nil
 		}
+		now := f.now()
 		if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) && !denied[p] &&
-			!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
-			best = p
+			!excluded(c.Exclude, p.ID) {
+			load, cold := f.loadOf(p, now)
+			lowest, _ := f.loadOf(best, now)
+			if load <= lowest+affinitySlack && !(cold && c.WarmOnly) {
+				best = p
+			}
 		}
-		if !best.limit.Announced || c.Permit == nil ||
-			c.Permit(backendlimit.Server{ID: best.ID, Incarnation: best.Incarnation}, best.limit.Limit) {
+		if c.permits(best, f.limitOf(best, now)) {
 			return best
 		}
 		denied[best] = true
@@ -247,11 +269,15 @@
 	var best *server
 	var lowest float64
 	ties := 0
+	now := f.now()
 	for _, b := range f.byService[c.Service] {
 		if excluded(c.Exclude, b.ID) || !usable(b) {
 			continue
 		}
-		load := b.load()
+		load, cold := f.loadOf(b, now)
+		if cold && c.WarmOnly {
+			continue
+		}
 		if b.DataCentre != f.dataCentre && !c.AnyDataCentre {
 			load += remotePenalty
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -87,6 +87,8 @@
 	historyCache  *historyCache
 	metrics       *Metrics
 	now           func() time.Time
+	// coldReturns holds when the clients of each service come back that were refused since its servers are cold.
+	coldReturns returnQueues
 	// reports counts the reports of ended turns that are under way in the background.
 	reports sync.WaitGroup
 	// draining reports whether the instance closes client connections after their next response, isolated whether it
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -13,8 +13,12 @@
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
-// maxAsked is for how many servers at their limit a request asks for a token before it takes another server.
-const maxAsked = 2
+const (
+	// maxAsked is for how many servers at their limit a request asks for a token before it takes another server.
+	maxAsked = 2
+	// maxAskedCold is the same once one of them is cold: a request does not wait for a token of a cold server.
+	maxAskedCold = 4
+)
 
 // acquireBackend picks a backend server. If the best one limits its requests, a token is asked for; servers without one are
 // passed over. If that leaves none, the request waits for the best of them, and a denial tells that it waited in vain.
@@ -27,7 +31,7 @@
 		Service: x.service, Work: x.work(), Preferred: preferred, Exclude: slices.Clone(x.triedBackends),
 	}
 	var atLimit []ratelimit.ServerLimit
-	for len(atLimit) < maxAsked {
+	for most := maxAsked; len(atLimit) < most; {
 		b, limit := x.pickBackend(c)
 		if b == nil {
 			break
@@ -42,25 +46,36 @@
 		x.metrics.limited.WithLabelValues("passed_over").Inc()
 		x.fleet.Cancel(b)
 		atLimit = append(atLimit, *limit)
+		if limit.Cold {
+			most = maxAskedCold
+		}
 		c.Exclude, c.AnyDataCentre = append(c.Exclude, b.ID), true
 	}
 	if len(atLimit) == 0 {
 		return nil, nil
 	}
+	// Instances rarely hold tokens of cold servers, and there may be many of these.
+	c.WarmOnly = atLimit[len(atLimit)-1].Cold
 	c.Permit = func(server backendlimit.Server, l backendlimit.Limit) bool {
-		return x.rateLimiter.TakeForServer(serverLimit(server, l))
+		return x.rateLimiter.TakeForServer(ratelimit.LimitFor(server, l))
 	}
 	if b := x.fleet.Acquire(c); b != nil {
 		return b, nil
 	}
 	awaited := atLimit[0]
+	if awaited.Cold {
+		x.metrics.limited.WithLabelValues("refused_cold").Inc()
+		return nil, x.denyCold()
+	}
 	if d := x.rateLimiter.AwaitServer(ctx, awaited); d != nil {
 		x.metrics.limited.WithLabelValues("refused").Inc()
 		return nil, d
 	}
 	x.metrics.limited.WithLabelValues("awaited").Inc()
 	c.Exclude = x.triedBackends
-	c.Permit = func(server backendlimit.Server, _ backendlimit.Limit) bool { return server == awaited.Server }
+	c.Permit = func(server backendlimit.Server, l backendlimit.Limit) bool {
+		return server == awaited.Server && !l.Cold
+	}
 	return x.fleet.Acquire(c), nil
 }
 
@@ -68,7 +83,7 @@
 // limit is returned too.
 func (x *exchange) pickBackend(c fleet.Criteria) (b *fleet.Backend, needed *ratelimit.ServerLimit) {
 	c.Permit = func(server backendlimit.Server, l backendlimit.Limit) bool {
-		if limit := serverLimit(server, l); !x.rateLimiter.TakeForServer(limit) {
+		if limit := ratelimit.LimitFor(server, l); !x.rateLimiter.TakeForServer(limit) {
 			needed = &limit
 		}
 		return true
@@ -76,14 +91,10 @@
 	return x.fleet.Acquire(c), needed
 }
 
-func serverLimit(server backendlimit.Server, l backendlimit.Limit) ratelimit.ServerLimit {
-	return ratelimit.ServerLimit{Server: server, RequestsPerSecond: l.RequestsPerSecond}
-}
-
 // limitedError is the refusal of a request for which every backend server is at its limit.
 func limitedError(d *ratelimit.Denial) *verdict.Error {
 	return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, max(d.RetryAfter, retryAfterTransient),
-		"every backend server is at its announced limit")
+		"every backend server is at its limit")
 }
 
 // observeLimit records the request limit that the server announces, and tells the other instances if it changed. Only the
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -128,6 +128,8 @@
 		Store: store, Settings: s.Store, Topic: turnlog.Topic, Self: i.self, StartID: i.startID, Cores: s.Cores,
 		Assigner: i.owner, UsesFeed: i.usesFeed, OnChange: hooks.OnChange,
 	})
+	i.fleet.SetColdLimit(i.coldLimit)
+	registerColdMetrics(i.metrics, i.fleet)
 	i.feedServer = feed.NewServer(i.startID, feed.View{
 		Configuration: i.config.Current, Backends: i.fleet.Entries, Owners: i.group.OwnersByPartition, Age: i.viewAge,
 		SinceContact: i.transport.SinceContact,
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -94,6 +94,7 @@
 		Instance: ip, DataCentre: "a", IP: ip, ClientAddress: net.JoinHostPort(ip, "18080"),
 		ReadyAddress: net.JoinHostPort(ip, "18081"), FirstPeerPort: 18082, LastPeerPort: 18090, SeedIPs: seeds,
 		Cores: cores, MemoryBytes: 1 << 30, GracePeriod: 4 * time.Second, RateWindow: 5 * time.Second,
+		ColdExcess: 1.5, ColdBurst: 5,
 		Store: platform.StoreSettings{
 			Address: s.url, Partitions: 4, MaxRecordBytes: 1 << 18, MaxAppendBytes: 1 << 21, MinMemberTTL: time.Second,
 		},
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -129,6 +129,7 @@
 		s.batches = append(s.batches, tokenBatch{tokens: g.Tokens, expires: sent.Add(grantTTL)})
 	}
 	s.grantWaiters(l.now())
+	l.noteEmpty(g)
 	farOff := g.RetryAfterMs > 0 && s.retryAfter > maxWait
 	s.refuseWaiters(func(w *waiter) bool { return farOff || w.brief && !w.since.After(sent) })
 }
@@ -138,7 +139,8 @@
 	if g.Server == nil {
 		return l.state(g.Account)
 	}
-	if s := l.servers[backendlimit.Server{ID: g.Server.Id, Incarnation: g.Server.Incarnation}]; s != nil {
+	s := l.servers[backendlimit.Server{ID: g.Server.Id, Incarnation: g.Server.Incarnation}]
+	if s != nil && s.accepts(g) {
 		return &s.tokenState
 	}
 	return nil
@@ -244,6 +246,9 @@
 		s.fillFallback(a.RequestsPerSecond*fraction, a.Burst*fraction, now)
 	}
 	for _, s := range l.servers {
+		if s.cold {
+			continue
+		}
 		s.fillFallback(s.limit*fraction, serverBurst(s.limit)*fraction, now)
 	}
 }
--- a/internal/ratelimit/holder.go
+++ b/internal/ratelimit/holder.go
@@ -101,6 +101,8 @@
 	// filled is when tokens was last brought up to date.
 	filled  time.Time
 	created time.Time
+	// rate is the rate at which a backend server's bucket was last filled.
+	rate float64
 }
 
 // NewBucketHolder returns a holder without buckets. holderState reports whether the instance holds them now, and
--- a/internal/ratelimit/server.go
+++ b/internal/ratelimit/server.go
@@ -25,6 +25,9 @@
 type ServerLimit struct {
 	backendlimit.Server
 	RequestsPerSecond float64
+	// Cold limits are never exceeded by the share of an instance without a holder. Burst is the size of their bucket.
+	Cold  bool
+	Burst float64
 }
 
 // serverState is what one instance holds of the tokens of a backend server.
@@ -32,6 +35,11 @@
 	tokenState
 	// limit is the announced limit in requests per second.
 	limit float64
+	// cold is set while the server is cold, and burst is then the size of its bucket.
+	cold  bool
+	burst float64
+	// emptyUntil is when the bucket of a cold server is expected to have a token again.
+	emptyUntil time.Time
 	// used is when a request last asked for a token.
 	used time.Time
 }
@@ -48,6 +56,9 @@
 // server's bucket has one: another server may serve the request sooner. Tokens are not requested ahead. Among hundreds of
 // instances, those that hold one for a server rarely pick that server before the token expires.
 func (l *Limiter) AskForServer(ctx context.Context, limit ServerLimit) bool {
+	if l.isEmpty(limit) {
+		return false
+	}
 	s, w := l.waitForServer(limit, true)
 	if w == nil {
 		return true
@@ -95,7 +106,8 @@
 		s = &serverState{}
 		l.servers[limit.Server] = s
 	}
-	s.limit, s.used = max(limit.RequestsPerSecond, minServerRate), l.now()
+	s.setLimit(limit)
+	s.used = l.now()
 	return s
 }
 
@@ -109,11 +121,14 @@
 			continue
 		}
 		want := max(int64(len(s.waiters))-s.heldTokens(now), 0)
+		if s.cold {
+			s.unused = 0
+		}
 		if want == 0 && s.unused == 0 {
 			continue
 		}
 		out = append(out, &turnv1.Demand{Want: want, Unused: s.unused, Server: &turnv1.ServerLimit{
-			Id: server.ID, Incarnation: server.Incarnation, RequestsPerSecond: s.limit,
+			Id: server.ID, Incarnation: server.Incarnation, RequestsPerSecond: s.limit, Cold: s.cold, Burst: s.burst,
 		}})
 		s.unused = 0
 	}
@@ -133,9 +148,15 @@
 		b = &bucket{filled: now, created: now}
 		h.servers[key] = b
 	}
-	rate := max(d.Server.RequestsPerSecond, minServerRate) * share
-	g := b.grant(rate, max(serverBurst(rate), 1), d, now)
-	g.Server = &turnv1.ServerLimit{Id: key.ID, Incarnation: key.Incarnation}
+	var g *turnv1.Grant
+	if d.Server.Cold {
+		g = b.grantCold(d.Server.RequestsPerSecond*share, max(d.Server.Burst*share, 1), d.Want, now)
+	} else {
+		rate := max(d.Server.RequestsPerSecond, minServerRate) * share
+		g = b.grant(rate, max(serverBurst(rate), 1), d, now)
+		b.rate = rate
+	}
+	g.Server = &turnv1.ServerLimit{Id: key.ID, Incarnation: key.Incarnation, Cold: d.Server.Cold}
 	return g
 }
 
--- a/internal/storewatch/backends.go
+++ b/internal/storewatch/backends.go
@@ -187,8 +187,13 @@
 func (b *BackendWatcher) setEntry(e fleet.Entry) {
 	delete(b.lapsed, e.ID)
 	previous, known := b.known[e.ID]
+	turned := b.fleet.Upsert(e)
+	// How long the server is still cold changes with each heartbeat; the fleet tells whether that says anything new.
+	e.Cold = fleet.ColdReport{}
 	b.known[e.ID] = e
-	b.fleet.Upsert(e)
+	if turned && known && previous == e {
+		b.hooks.OnChange()
+	}
 	if !known || previous != e {
 		klog.InfoS("backend server", "id", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre,
 			"slots", e.Slots, "draining", e.Draining, "born", e.Incarnation)
