--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -23,7 +23,8 @@
 }
 
 // SetEvacuated replaces the data centres whose servers get nothing new, and returns what changed. Requests in progress go
-// on. A server of a data centre that is taken back gets its share of new requests step by step.
+// on. A server of a data centre that is taken back gets its share of new requests step by step, and counts as cold until
+// its entry says otherwise.
 func (f *Fleet) SetEvacuated(dataCentres []string) []EvacuationChange {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -35,6 +36,7 @@
 	for _, n := range slices.Sorted(maps.Keys(f.evacuations.current)) {
 		if !next[n] {
 			f.evacuations.returned[n] = f.now()
+			f.assumeCold(n, f.now())
 			changes = append(changes, EvacuationChange{DataCentre: n, Servers: f.serversIn(n)})
 		}
 	}
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -101,3 +101,18 @@
 		is.Equal(f.Acquire(Criteria{Service: "s"}).ID, "y")
 	}
 }
+
+// The servers may have lost their caches shortly before, and say so only with their next entry.
+func TestServersThatAreTakenBackAreColdUntilTheirEntriesSayOtherwise(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := newColdFleet(&now)
+	f.Upsert(coldEntry("x", 0))
+	is.True(!isCold(f, "x"))
+	f.SetEvacuated([]string{"a"})
+	f.SetEvacuated(nil)
+	is.True(isCold(f, "x"))
+	now = now.Add(2 * coldReadLag)
+	f.Upsert(coldEntry("x", 0))
+	is.True(!isCold(f, "x"))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,8 @@
 	Draining bool
 	// Incarnation changes when the server restarts under the same id; zero if the server does not report it.
 	Incarnation int64
+	// Cold is what the entry says about how long the server is still cold.
+	Cold ColdReport
 }
 
 // Backend is a backend server that was picked for one request, with its entry as of that moment. It is safe to read
@@ -63,6 +65,9 @@
 	kept          placement.Kept
 	speed         placement.Speed
 	reading, left time.Duration
+	cold          coldState
+	// notedCold is set if the last log line about it says that the server is cold.
+	notedCold bool
 }
 
 // Fleet is the set of known backend servers. It is safe for concurrent use.
@@ -85,6 +90,13 @@
 	// placements holds what was learned about each service.
 	placements map[string]*servicePlacement
 	loaded     bool
+	// coldLimitOf returns what a service allows for its cold servers; nil if nothing is limited. coldLimits holds what it
+	// returned lately.
+	coldLimitOf func(service string) ColdLimit
+	coldLimits  map[string]readColdLimit
+	// assumedCold holds the data centres whose servers were assumed to be cold, with the time since when.
+	assumedCold map[string]time.Time
+	coldSpells  int
 }
 
 // New returns an empty fleet. Servers in dataCentre are preferred. drainPeriod is the time after which nothing new may
@@ -94,26 +106,27 @@
 		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, random: rand.IntN,
 		evacuations: evacuations{current: map[string]bool{}, returned: map[string]time.Time{}},
 		announced:   map[string]announcement{}, byID: map[string]*server{}, byService: map[string][]*server{},
-		placements: map[string]*servicePlacement{},
+		placements:  map[string]*servicePlacement{},
+		assumedCold: map[string]time.Time{}, coldLimits: map[string]readColdLimit{},
 	}
 }
 
 // Upsert adds a server or updates its entry. A changed incarnation, service or address makes it a new server, without
-// load or failures.
-func (f *Fleet) Upsert(e Entry) {
+// load or failures. It reports whether the server has turned cold or warm.
+func (f *Fleet) Upsert(e Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.setLocked(e)
+	return f.setLocked(e)
 }
 
-func (f *Fleet) setLocked(e Entry) {
+func (f *Fleet) setLocked(e Entry) bool {
 	b := f.byID[e.ID]
 	if b != nil && b.Incarnation == e.Incarnation && b.Service == e.Service && b.Address == e.Address {
 		if b.DataCentre != e.DataCentre {
 			f.membersChanged(e.Service)
 		}
 		b.Entry = e
-		return
+		return f.updateCold(b, b.cold.report(e.Cold.asOf(f.now())))
 	}
 	if b != nil {
 		f.removeLocked(e.ID)
@@ -129,6 +142,7 @@
 	f.byID[e.ID] = b
 	f.byService[e.Service] = append(f.byService[e.Service], b)
 	f.membersChanged(e.Service)
+	return f.updateCold(b, f.startCold(e))
 }
 
 // Remove removes a server.
@@ -172,9 +186,12 @@
 func (f *Fleet) Entries() []Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.now()
 	out := make([]Entry, 0, len(f.byID))
 	for _, b := range f.byID {
-		out = append(out, b.Entry)
+		e := b.Entry
+		e.Cold = f.currentCold(b, now)
+		out = append(out, e)
 	}
 	return out
 }
@@ -222,20 +239,30 @@
 	Exclude []string
 	// AnyDataCentre picks the least loaded server of all data centres alike.
 	AnyDataCentre bool
+	// WarmOnly passes over cold servers.
+	WarmOnly bool
 	// Permit takes permission to send one request to a server that limits them. Nil permits every request.
 	Permit func(backendlimit.Server, backendlimit.Limit) bool
-	// extraLoad is added to the load of the servers of some data centres.
-	extraLoad map[string]float64
+	// returning is added to the load of the servers of data centres that were taken back.
+	returning map[string]float64
 }
 
-func (c *Criteria) load(b *server) float64 { return b.load() + c.extraLoad[b.DataCentre] }
+// load returns the load by which a server is compared for a request. f.mu must be held.
+func (f *Fleet) load(c *Criteria, b *server, now time.Time) float64 {
+	return b.load() + f.extraLoad(c, b, now)
+}
+
+// extraLoad is what is added to the load of a server that is to fill last. f.mu must be held.
+func (f *Fleet) extraLoad(c *Criteria, b *server, now time.Time) float64 {
+	return f.coldLoad(b, now) + c.returning[b.DataCentre]
+}
 
 // Acquire picks a server and counts a request on it until Release. It returns nil if no server can be used.
 func (f *Fleet) Acquire(c Criteria) *Backend {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	c.extraLoad = f.returning(c.Service, now)
+	c.returning = f.returning(c.Service, now)
 	best, decision := f.pick(c, now, func(b *server) bool { return f.mayBeUsed(b, now) && b.isSound(now) })
 	if best == nil {
 		c.Preferred = ""
@@ -256,12 +283,13 @@
 func (f *Fleet) pick(c Criteria, now time.Time, usable func(*server) bool) (*server, Decision) {
 	var denied map[*server]bool
 	for {
-		best, decision := f.choose(c, now, func(b *server) bool { return !denied[b] && usable(b) })
+		best, decision := f.choose(c, now, func(b *server) bool {
+			return !denied[b] && usable(b) && !(c.WarmOnly && f.isCold(b, now))
+		})
 		if best == nil {
 			return nil, Decision{}
 		}
-		if !best.limit.Announced || c.Permit == nil ||
-			c.Permit(backendlimit.Server{ID: best.ID, Incarnation: best.Incarnation}, best.limit.Limit) {
+		if c.permits(best, f.limitOf(best, now)) {
 			return best, decision
 		}
 		if denied == nil {
@@ -279,18 +307,18 @@
 			return b, d
 		}
 	}
-	best := f.leastLoaded(c, usable)
+	best := f.leastLoaded(c, now, usable)
 	if best == nil {
 		return nil, Decision{}
 	}
 	if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) &&
-		!excluded(c.Exclude, p.ID) && c.load(p) <= c.load(best)+affinitySlack {
+		!excluded(c.Exclude, p.ID) && f.load(&c, p, now) <= f.load(&c, best, now)+affinitySlack {
 		best = p
 	}
 	return best, Decision{Reason: ReasonLeastLoaded, Read: c.Work.PromptTokens(), Requests: best.inFlight}
 }
 
-func (f *Fleet) leastLoaded(c Criteria, usable func(*server) bool) *server {
+func (f *Fleet) leastLoaded(c Criteria, now time.Time, usable func(*server) bool) *server {
 	var best *server
 	var lowest float64
 	ties := 0
@@ -298,7 +326,7 @@
 		if excluded(c.Exclude, b.ID) || !usable(b) {
 			continue
 		}
-		load := c.load(b)
+		load := f.load(&c, b, now)
 		if b.DataCentre != f.dataCentre && !c.AnyDataCentre {
 			load += remotePenalty
 		}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -191,7 +191,7 @@
 			Candidates: set.n,
 		}
 		load := b.loadAt(now)
-		load.Requests += int(c.extraLoad[b.DataCentre] * float64(b.Slots))
+		load.Requests += int(f.extraLoad(&c, b, now) * float64(b.Slots))
 		d.Expected = placement.Completion(load, p.costs.ReadTime(d.Read), d.Generate, p.costs.Service(),
 			b.DataCentre != f.dataCentre && !c.AnyDataCentre)
 		if best == nil || d.Expected < chosen.Expected {
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -101,6 +101,7 @@
 		ReadyAddress: net.JoinHostPort(ip, "18081"), FirstPeerPort: 18082, LastPeerPort: 18090, SeedIPs: seeds,
 		Cores: cores, MemoryBytes: 1 << 30, GracePeriod: 4 * time.Second, RateWindow: 5 * time.Second,
 		EvacuationPeriod: 5 * time.Second,
+		ColdExcess:       1.5, ColdBurst: 5,
 		Store: platform.StoreSettings{
 			Address: s.url, Partitions: 4, MaxRecordBytes: 1 << 18, MaxAppendBytes: 1 << 21, MinMemberTTL: time.Second,
 		},
