turnlog: keep budgets while records wait for the store

Cause: a record says how much of a grant is charged. When turns of one program run in parallel, end with few tokens and their records wait, others may begin under the grants of the first ones. Once the waiting records are durable and the owner is lost, its successor takes back all that is granted but not charged. Also, records of concurrent calls may change places on their way to the queue, and the older one lowered the charge.

The test that was there appends at once, so it could not see this.

What is new: the charge of a record is at most one turn below its grant, and a record that was overtaken doesn't lower it. Turns in sequence are charged as before. After the loss of an owner, a program whose turns ran in parallel loses what they reserved and did not use. Mixed builds: no field is new, and an older owner reads the new records as the stricter ones.

Conclusion: the budget holds to one turn over every sequence of losses that the test draws.

--- /dev/null
+++ b/internal/turnlog/loss_test.go
@@ -0,0 +1,182 @@
+package turnlog
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+)
+
+const (
+	lossBudget      = 1000
+	lossReservation = 100
+)
+
+// pendingRecord is a record that waits for the store. turn begins once it is durable; empty if none waits for it.
+type pendingRecord struct {
+	record *turnv1.Record
+	turn   string
+}
+
+// lossyOwner is an owner whose records wait for the store. It goes on after it was replaced, until an append fails.
+type lossyOwner struct {
+	state   *state
+	pending []pendingRecord
+	running []string
+	dead    bool
+}
+
+// lossyProgram is one program, the store's records of it and its owners, of which only the last may append.
+type lossyProgram struct {
+	records   []*turnv1.Record
+	owners    []*lossyOwner
+	generated int64
+	turns     int
+}
+
+func newLossyProgram() *lossyProgram {
+	p := &lossyProgram{}
+	p.takeOver()
+	return p
+}
+
+func (p *lossyProgram) current() *lossyOwner { return p.owners[len(p.owners)-1] }
+
+func (p *lossyProgram) takeOver() {
+	s := newState(time.Hour)
+	for _, r := range p.records {
+		s.apply(r)
+	}
+	s.recoverCharges()
+	p.owners = append(p.owners, &lossyOwner{state: s})
+}
+
+func (p *lossyProgram) begin(o *lossyOwner) {
+	p.turns++
+	id := fmt.Sprint("t", p.turns)
+	a := o.state.admit(&turnv1.BeginRequest{Program: "p", Turn: id, Budget: lossBudget, Most: lossReservation}, time.Now())
+	switch {
+	case a.outcome != turnv1.Outcome_OUTCOME_OK:
+	case a.grant == 0:
+		o.running = append(o.running, id)
+	default:
+		o.pending = append(o.pending, pendingRecord{turn: id, record: &turnv1.Record{Change: &turnv1.Record_Granted{
+			Granted: &turnv1.Granted{Program: "p", Granted: a.grant, Charged: a.charged, Forgiven: a.forgiven},
+		}}})
+	}
+}
+
+// end ends the turn that has run for longest. If the report to the owner is lost, its reservation stays.
+func (p *lossyProgram) end(o *lossyOwner, tokens int64, reported bool) {
+	if len(o.running) == 0 {
+		return
+	}
+	id := o.running[0]
+	o.running = o.running[1:]
+	p.generated += tokens
+	if !reported {
+		return
+	}
+	ahead := o.state.grantAhead(&turnv1.EndRequest{
+		Program: "p", Turn: id, Tokens: tokens, Budget: lossBudget, Most: lossReservation,
+	}, time.Now())
+	o.state.settle("p", id, tokens)
+	o.pending = append(o.pending, pendingRecord{record: &turnv1.Record{Change: &turnv1.Record_Granted{Granted: ahead}}})
+}
+
+// commit makes one of the owner's waiting records durable. At a replaced owner that fails, and it ends.
+func (p *lossyProgram) commit(o *lossyOwner, index int) {
+	if index >= len(o.pending) {
+		return
+	}
+	r := o.pending[index]
+	o.pending = slices.Delete(o.pending, index, index+1)
+	if o != p.current() {
+		o.dead = true
+		return
+	}
+	p.records = append(p.records, r.record)
+	o.state.apply(r.record)
+	if r.turn != "" {
+		o.running = append(o.running, r.turn)
+	}
+}
+
+// mayHaveGenerated is what clients got or may still get.
+func (p *lossyProgram) mayHaveGenerated() int64 {
+	n := p.generated
+	for _, o := range p.owners {
+		n += int64(len(o.running)) * lossReservation
+	}
+	return n
+}
+
+// Load pattern: the store is away for seconds, so that records wait, and owners are lost, cut off or replaced meanwhile.
+func TestNoSequenceOfLossesExceedsTheBudgetByMoreThanOneTurn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newLossyProgram()
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			o := p.current()
+			if rapid.IntRange(0, 4).Draw(t, "at a replaced owner") == 0 {
+				o = p.owners[rapid.IntRange(0, len(p.owners)-1).Draw(t, "owner")]
+			}
+			step := rapid.SampledFrom([]string{"begin", "begin", "end", "end", "commit", "commit", "take over"}).Draw(t, "step")
+			for range rapid.IntRange(1, 6).Draw(t, "times") {
+				if o.dead {
+					break
+				}
+				switch step {
+				case "begin":
+					p.begin(o)
+				case "end":
+					tokens := rapid.SampledFrom([]int64{0, lossReservation / 2, lossReservation}).Draw(t, "tokens")
+					p.end(o, tokens, rapid.Bool().Draw(t, "reported"))
+				case "commit":
+					// Records of different calls may change places on their way to the queue.
+					p.commit(o, rapid.IntRange(0, 1).Draw(t, "index"))
+				case "take over":
+					p.takeOver()
+				}
+			}
+			if n := p.mayHaveGenerated(); n > lossBudget+lossReservation {
+				t.Fatalf("turns may have generated %d of %d tokens", n, lossBudget)
+			}
+		}
+	})
+}
+
+// Turns that run in parallel end with few tokens while the store is away. Their records wait, and say that little is charged;
+// meanwhile others begin under the grant that these have left. The owner is lost just after the records became durable.
+func TestGrantsOfParallelTurnsAreNotUsedTwiceWhileRecordsWait(t *testing.T) {
+	p := newLossyProgram()
+	o := p.current()
+	const parallel = 4
+	for range parallel {
+		p.begin(o)
+		p.commit(o, 0)
+	}
+	for range parallel {
+		p.end(o, 0, true)
+	}
+	for range parallel {
+		p.begin(o)
+	}
+	for len(o.running) > 0 {
+		p.end(o, lossReservation, false)
+	}
+	for len(o.pending) > 0 {
+		p.commit(o, 0)
+	}
+	p.takeOver()
+	for range 2 * lossBudget / lossReservation {
+		p.begin(p.current())
+		p.commit(p.current(), 0)
+	}
+	if n := p.mayHaveGenerated(); n > lossBudget+lossReservation {
+		t.Fatalf("turns may have generated %d of %d tokens", n, lossBudget)
+	}
+}
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -92,8 +92,12 @@
 	return p
 }
 
-// setTotals sets the totals from a durable record. granted and forgiven never decrease.
+// setTotals sets the totals from a durable record. granted and forgiven never decrease. A record with a smaller grant than one
+// before was overtaken by that one on its way to the store, so it doesn't lower the charge.
 func (p *program) setTotals(granted, charged, forgiven int64) {
+	if granted < p.granted {
+		charged = max(charged, p.recordedCharge)
+	}
 	p.granted, p.recordedCharge, p.forgiven = max(p.granted, granted), charged, max(p.forgiven, forgiven)
 }
 
@@ -193,6 +197,9 @@
 
 // nextGrant returns the totals to record with a completed turn. The grant covers the turns in progress and one more of
 // the same size, so that the program's next turn can start without an append.
+//
+// The charge is at most one turn below the grant. While the record waits for the store, other turns may begin under the grants
+// before it, and recoverCharges takes back all that is granted but not charged.
 func (s *state) nextGrant(programID, turnID string, tokens, reservation int64) totals {
 	p := s.programs[programID]
 	if p == nil {
@@ -202,7 +209,8 @@
 	if reserved, ok := p.reserved[turnID]; ok {
 		charged += tokens - reserved
 	}
-	return totals{granted: max(p.granted, charged+reservation), charged: charged, forgiven: p.forgiven}
+	granted := max(p.granted, charged+reservation)
+	return totals{granted: granted, charged: max(charged, granted-reservation), forgiven: p.forgiven}
 }
 
 // grantAhead returns the grant to record when a turn ends whose history is not stored, so that the program's next turn
