upstream: don't take a request's deadline for a failure of its server

Cause: the connection's deadline was that of the context, and often came first. The caller looks at its context to tell whether the server is at fault, so it took streams that were cut at their deadline for runs that the server broke off: evidence for the quarantine (a probe of the server each), a server to be avoided, a stream to be resumed.

Before: TestContextHasEndedWhenItsDeadlineCutsAResponse counts 40 of 64 responses that were cut while their context had not ended. After: none in four runs.

Conclusion: the connection's deadline is one second after the context's, which closes the connection by itself. Servers that are slow are no longer avoided for it; whether that was of use under overload is not measured.

--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -39,6 +39,10 @@
 // request has had one either. Silence alone ends no request: sound servers may be silent for longer.
 const suspiciousSilence = 500 * time.Millisecond
 
+// deadlineSlack is how much later than the context's end a connection's own deadline is. The context ends first, so that its
+// end is never mistaken for a failure of the server.
+const deadlineSlack = time.Second
+
 // ErrTooManyMismatched means that a connection carried too many responses to other requests.
 var ErrTooManyMismatched = errors.New("too many answers to other requests")
 
@@ -125,7 +129,7 @@
 		return nil, &Error{Verdict: verdict.NotRun, PathLost: errors.Is(err, backendpath.ErrLost), Err: err}
 	}
 	if deadline, ok := ctx.Deadline(); ok {
-		if err := c.SetDeadline(deadline); err != nil {
+		if err := c.SetDeadline(deadline.Add(deadlineSlack)); err != nil {
 			c.Close()
 			return nil, &Error{Verdict: verdict.NotRun, Err: errors.Wrap(err, "setting a deadline")}
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -357,3 +358,36 @@
 	is.True(errors.As(err, &e))
 	is.True(!e.PathLost)
 }
+
+// Load pattern: servers so slow that streams are cut at their deadline. That is no failure of the server, and a caller can tell
+// by its context.
+func TestContextHasEndedWhenItsDeadlineCutsAResponse(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		id, ok := readRequest(br)
+		if !ok {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nContent-Length: 100\r\n\r\npart")
+		io.Copy(io.Discard, c)
+	})
+	p := NewPool(directPath{})
+	var wg sync.WaitGroup
+	var early atomic.Int32
+	for i := range 64 {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			resp, err := p.Do(ctx, address, request(fmt.Sprint("r", i)))
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				defer resp.Close(false)
+			}
+			if err == nil || ctx.Err() == nil {
+				early.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(early.Load(), int32(0))
+}
