--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -149,6 +149,7 @@
 		Evacuated: i.evacuations.Replace,
 	})
 	client := turnclient.New(s.Store.Partitions, i.group, i.pool)
+	client.StoreAway = func() bool { return features.Enabled(feature.EarlyRefusal) && i.isolated() }
 	client.Local = i.owner
 	finder.Client = client
 	i.holder = ratelimit.NewBucketHolder(i.config.Current, i.group.RecentPeers, i.self, i.holderState,
