Place by the load and the evidence of all instances

Cause: each of 87 instances saw its own requests only, so the load of a server, its speed and its failures were unknown to the instance that decided.

What is new: internal/loadshare. Instances report what they have in progress and have seen along with their requests to the holder of the buckets; the holder adds up, smooths and answers with the sums, within a budget of bytes. The fleet counts a quarter of a server's difference from the mean of its service, less as news age; slow servers cost more, failing ones are avoided in proportion, a third of a service at most. The wait grows before the slots are full (M/M/c), and the slowdown of full batches is learned rather than assumed. Without the feature "load-sharing" nothing is sent, and own knowledge decides.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -63,6 +63,8 @@
 	kept          placement.Kept
 	speed         placement.Speed
 	reading, left time.Duration
+	seen          seen
+	shared        shared
 }
 
 // Fleet is the set of known backend servers. It is safe for concurrent use.
@@ -80,7 +82,9 @@
 	byService map[string][]*server
 	// placements holds what was learned about each service.
 	placements map[string]*servicePlacement
-	loaded     bool
+	// sharedAt is when the loads of other instances were last learned.
+	sharedAt time.Time
+	loaded   bool
 }
 
 // New returns an empty fleet. Servers in dataCentre are preferred. drainPeriod is the time after which nothing new may
@@ -268,15 +272,25 @@
 			return b, d
 		}
 	}
-	best := f.leastLoaded(c, usable)
+	load := (*server).load
+	var best *server
+	if c.Work.Route != "" && f.sharedWeight(now) > 0 && len(f.byService[c.Service]) > 0 {
+		load = func(b *server) float64 { return f.sharedLoad(b, now) }
+		best = f.leastLoadedOfSome(c, now, usable)
+	}
+	if best == nil {
+		best = f.leastLoaded(c, usable)
+	}
 	if best == nil {
 		return nil, Decision{}
 	}
 	if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) &&
-		!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
+		!excluded(c.Exclude, p.ID) && load(p) <= load(best)+affinitySlack {
 		best = p
 	}
-	return best, Decision{Reason: ReasonLeastLoaded, Read: c.Work.PromptTokens(), Requests: best.inFlight}
+	return best, Decision{
+		Reason: ReasonLeastLoaded, Read: c.Work.PromptTokens(), Requests: f.requestsAt(best, now), SharedAge: f.sharedAge(now),
+	}
 }
 
 func (f *Fleet) leastLoaded(c Criteria, usable func(*server) bool) *server {
@@ -345,9 +359,11 @@
 	s.end(&b.request)
 	if !failed {
 		s.failures = 0
+		s.seen.completed++
 		return
 	}
 	s.failures++
+	s.seen.failed++
 	backoff := minSuspectDuration << min(s.failures-1, 4)
 	s.suspectUntil = f.now().Add(min(backoff, maxSuspectDuration))
 }
--- /dev/null
+++ b/internal/fleet/loads_test.go
@@ -0,0 +1,129 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	shareInterval = 300 * time.Millisecond
+	shareDelay    = 20 * time.Millisecond
+)
+
+// Load pattern: many instances with a small part of the requests each, and shared parts that only some servers keep.
+func TestSharedLoadsEvenOutTheServers(t *testing.T) {
+	is := is.New(t)
+	play := func(shared bool) *replay {
+		r := newReplay(60, 24, 16)
+		if shared {
+			r.share(shareInterval, shareDelay, 35*time.Second, nil)
+		}
+		r.programs(90, 8, 30*time.Second)
+		r.run()
+		return r
+	}
+	alone, shared := play(false), play(true)
+	t.Logf("busiest/mean alone %.2f, shared %.2f; p99 %v, %v; read %.2f, %.2f", alone.imbalance(), shared.imbalance(),
+		alone.quantile(0.99), shared.quantile(0.99), alone.ratio(), shared.ratio())
+	is.True(shared.imbalance() < alone.imbalance())
+	is.True(shared.quantile(0.99) < alone.quantile(0.99))
+	is.True(shared.ratio() <= maxReadRatio)
+}
+
+// Load pattern: news so late that every instance acts on loads that the others have answered already.
+func TestLateNewsMakeNoHerd(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(60, 24, 16)
+	r.share(shareInterval, 600*time.Millisecond, 35*time.Second, nil)
+	r.programs(90, 8, 30*time.Second)
+	r.run()
+	alone := newReplay(60, 24, 16)
+	alone.programs(90, 8, 30*time.Second)
+	alone.run()
+	t.Logf("p99 with late news %v, alone %v; busiest/mean %.2f", r.quantile(0.99), alone.quantile(0.99), r.imbalance())
+	is.True(r.quantile(0.99) <= alone.quantile(0.99))
+}
+
+// Load pattern: a server that takes three times as long as the others.
+func TestSlowServerGetsLessButNotNothing(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(30, 12, 4)
+	r.servers["s-03"].slowness = 3
+	r.share(shareInterval, shareDelay, 35*time.Second, nil)
+	r.programs(20, 6, 40*time.Second)
+	r.run()
+	mean := float64(len(r.times)) / 12
+	t.Logf("slow server got %d, mean %.0f", r.servers["s-03"].served, mean)
+	is.True(float64(r.servers["s-03"].served) < 0.6*mean)
+	is.True(r.servers["s-03"].served > 0)
+}
+
+// Load pattern: a server that fails part of its requests; each instance alone sees one or two of them.
+func TestFailingServerIsAvoidedByTheEvidenceOfAll(t *testing.T) {
+	is := is.New(t)
+	play := func(shared bool) int {
+		r := newReplay(60, 12, 4)
+		r.servers["s-03"].failing = 0.5
+		if shared {
+			r.share(shareInterval, shareDelay, 35*time.Second, nil)
+		}
+		r.programs(30, 6, 40*time.Second)
+		r.run()
+		return r.failed
+	}
+	alone, shared := play(false), play(true)
+	t.Logf("failed alone %d, shared %d", alone, shared)
+	is.True(shared*2 < alone)
+	is.True(shared > 0)
+}
+
+func TestNoMoreThanAShareOfAServiceIsAvoided(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(30, 12, 4)
+	for _, s := range r.servers {
+		s.failing = 0.3
+	}
+	r.share(shareInterval, shareDelay, 20*time.Second, nil)
+	r.programs(30, 6, 15*time.Second)
+	avoided := 0
+	for t := 2 * time.Second; t < 15*time.Second; t += time.Second {
+		r.at(r.now.Add(t), func() {
+			n := 0
+			for _, s := range r.instances[5].byID {
+				if s.shared.failing > 0 {
+					n++
+				}
+			}
+			avoided = max(avoided, n)
+		})
+	}
+	r.run()
+	is.True(avoided > 0 && avoided <= 4)
+}
+
+// Load pattern: the holder is lost for three seconds and comes back.
+func TestOwnKnowledgeServesWhileTheHolderIsLost(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(60, 24, 16)
+	from, to := r.now.Add(15*time.Second), r.now.Add(18*time.Second)
+	lost := func() bool { return r.now.After(from) && r.now.Before(to) }
+	r.share(shareInterval, shareDelay, 35*time.Second, lost)
+	r.at(to, func() {
+		for _, f := range r.instances {
+			is.Equal(f.sharedWeight(r.now), 0.0)
+		}
+	})
+	r.at(to.Add(time.Second), func() {
+		for _, f := range r.instances {
+			is.True(f.sharedWeight(r.now) > 0)
+		}
+	})
+	r.programs(90, 8, 30*time.Second)
+	r.run()
+	alone := newReplay(60, 24, 16)
+	alone.programs(90, 8, 30*time.Second)
+	alone.run()
+	is.True(r.quantile(0.99) <= alone.quantile(0.99))
+}
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -20,13 +20,13 @@
 		if excluded(c.Exclude, b.ID) || !f.mayBeUsed(b, now) {
 			continue
 		}
-		wait := placement.Wait(b.loadAt(now), service)
+		wait := placement.Wait(f.loadAt(b, now), service)
 		if o.Servers == 0 || wait < o.Wait {
 			o.Wait = wait
 		}
 		o.Servers++
 		o.Places += b.Slots
-		o.Free += max(b.Slots-b.requests(now), 0)
+		o.Free += max(b.Slots-int(f.requestsAt(b, now)+0.5), 0)
 	}
 	o.Service = service
 	return o
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -10,8 +10,8 @@
 const (
 	// homeSamples is the number of servers that are to keep a shared part, and otherSamples of any others, that one decision
 	// compares. Few samples keep instances with late news from picking the same server.
-	homeSamples  = 2
-	otherSamples = 2
+	homeSamples  = 1
+	otherSamples = 1
 	// sampleTries bounds the draws for one sample.
 	sampleTries = 4
 	// maxCandidates bounds the servers that one decision compares.
@@ -43,9 +43,11 @@
 	Read, Kept int64
 	// Generate is the expected time to generate the output, Expected the weighed cost of the request there.
 	Generate, Expected time.Duration
-	// Requests is the number of requests that the server was known to have in progress, Candidates the number of servers
-	// that were compared.
-	Requests, Candidates int
+	// Requests is the number of requests that the server was known to have in progress, those of other instances included as
+	// of SharedAge ago; Candidates is the number of servers that were compared.
+	Requests   float64
+	SharedAge  time.Duration
+	Candidates int
 }
 
 // servicePlacement is what was learned about the requests of one service.
@@ -187,11 +189,11 @@
 			kept = max(kept, assumedPrefix(c.Work.Prompt, total))
 		}
 		d := Decision{
-			Reason: set.reasons[i], Read: total - kept, Kept: kept, Generate: estimate.Generate, Requests: b.requests(now),
-			Candidates: set.n,
+			Reason: set.reasons[i], Read: total - kept, Kept: kept, Generate: estimate.Generate, Requests: f.requestsAt(b, now),
+			SharedAge: f.sharedAge(now), Candidates: set.n,
 		}
-		d.Expected = placement.Completion(b.loadAt(now), p.costs.ReadTime(d.Read), d.Generate, p.costs.Service(),
-			b.DataCentre != f.dataCentre && !c.AnyDataCentre)
+		d.Expected = placement.Completion(f.loadAt(b, now), p.costs.ReadTime(d.Read), d.Generate, p.costs.Service(),
+			p.costs.Slowdown(), b.DataCentre != f.dataCentre && !c.AnyDataCentre)
 		if best == nil || d.Expected < chosen.Expected {
 			best, chosen = b, d
 		}
@@ -212,14 +214,6 @@
 	return slices.Contains(f.homesIn(p, b.DataCentre, shared), b.ID)
 }
 
-func (b *server) requests(time.Time) int { return b.inFlight }
-
-func (b *server) loadAt(now time.Time) placement.Load {
-	return placement.Load{
-		Requests: b.requests(now), Slots: b.Slots, Reading: b.reading, Slowness: b.speed.Slowness(now),
-	}
-}
-
 // send records that a request is sent to the server that was decided on.
 func (f *Fleet) send(b *server, c Criteria, d Decision, now time.Time) request {
 	if c.Work.Route == "" {
@@ -290,7 +284,7 @@
 	costs.ObserveService(now.Sub(r.sent))
 	if len(r.work.Prompt) == 0 {
 		if ratio, ok := costs.CallRatio(r.work, now.Sub(r.sent)); ok {
-			b.server.speed.Observe(ratio, now)
+			b.server.observeSpeed(ratio, now)
 		}
 		costs.ObserveCall(r.work, now.Sub(r.sent), now)
 		return
@@ -300,12 +294,19 @@
 	}
 	after, took := tokens-r.firstTokens, now.Sub(r.firstEvent)
 	if ratio, ok := costs.Pace(after, took); ok {
-		b.server.speed.Observe(ratio, now)
+		b.server.observeSpeed(ratio, now)
 	}
-	costs.ObserveOutput(r.work, tokens, after, took, now)
+	busy := r.decision.Requests / float64(max(b.Slots, 1))
+	costs.ObserveOutput(r.work, tokens, after, took, busy, now)
 	b.server.kept.Grow(r.work.Prompt[len(r.work.Prompt)-1].ID, tokens)
 }
 
+func (s *server) observeSpeed(ratio float64, now time.Time) {
+	s.speed.Observe(ratio, now)
+	s.seen.slow += ratio
+	s.seen.compared++
+}
+
 // end removes what the request had left to do.
 func (s *server) end(r *request) {
 	s.reading = max(s.reading-r.reading, 0)
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -4,11 +4,15 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/loadshare"
 	"github.com/berylpond/berylpond/internal/placement"
 )
 
@@ -29,6 +33,8 @@
 	ends     []time.Time
 	slowness float64
 	served   int
+	// failing is the share of requests that the server breaks off.
+	failing float64
 }
 
 func (s *modelServer) run(now time.Time, prompt []placement.Part) (first, end time.Time, read int64) {
@@ -92,6 +98,8 @@
 	shared    func() int
 	read, new int64
 	times     []time.Duration
+	// failed counts requests that a server broke off; a server fails the given share of its requests.
+	failed int
 }
 
 func newReplay(instances, servers, sharedParts int) *replay {
@@ -146,6 +154,11 @@
 		c.Preferred = r.owner[id]
 	}
 	b := f.Acquire(c)
+	if r.random.Float64() < r.servers[b.ID].failing {
+		r.failed++
+		f.Release(b, true)
+		return
+	}
 	first, end, read := r.servers[b.ID].run(r.now, prompt)
 	r.read += read
 	r.new += turnTokens
@@ -163,6 +176,46 @@
 	})
 }
 
+// share lets instances exchange their loads with the first one at intervals until the period ends. Each response is late by
+// delay. lost reports whether the holder is away.
+func (r *replay) share(interval, delay, period time.Duration, lost func() bool) {
+	var exchanges []*loadshare.Exchange
+	metrics := loadshare.NewMetrics(prometheus.NewRegistry())
+	for _, f := range r.instances {
+		exchanges = append(exchanges, loadshare.NewExchange(f, func() time.Time { return r.now }, metrics))
+	}
+	for i, x := range exchanges {
+		offset := time.Duration(r.random.Int64N(int64(interval)))
+		for t := offset; t < period; t += interval {
+			r.at(r.now.Add(t), func() {
+				request, response := &turnv1.TakeRequest{Instance: fmt.Sprint(i)}, &turnv1.TakeResponse{}
+				x.Report("holder", request)
+				if lost != nil && lost() {
+					x.ReportFailed(request)
+					return
+				}
+				exchanges[0].Serve(request, response)
+				r.at(r.now.Add(delay), func() { x.Learn(response) })
+			})
+		}
+	}
+}
+
+// imbalance is the load of the busiest server as a multiple of the mean.
+func (r *replay) imbalance() float64 {
+	most, all := 0, 0
+	for _, s := range r.servers {
+		most, all = max(most, s.served), all+s.served
+	}
+	return float64(most) * float64(len(r.servers)) / float64(all)
+}
+
+// quantile of the times of turns.
+func (r *replay) quantile(q float64) time.Duration {
+	slices.Sort(r.times)
+	return r.times[int(q*float64(len(r.times)-1))]
+}
+
 // ratio is the number of prompt tokens read for each new one.
 func (r *replay) ratio() float64 { return float64(r.read) / float64(r.new) }
 
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -52,7 +52,7 @@
 	if klog.V(1).Enabled() {
 		klog.V(1).InfoS("backend server picked", "request", x.ID, "backend", b.ID, "reason", string(d.Reason),
 			"read_tokens", d.Read, "kept_tokens", d.Kept, "generate_ms", d.Generate.Milliseconds(),
-			"expected_ms", d.Expected.Milliseconds(), "requests", d.Requests, "candidates", d.Candidates,
+			"expected_ms", d.Expected.Milliseconds(), "requests", d.Requests, "shared_age_ms", d.SharedAge.Milliseconds(), "candidates", d.Candidates,
 			"preferred", preferred, "session", x.Session, "data_centre", b.DataCentre)
 	}
 }
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/gateway"
+	"github.com/berylpond/berylpond/internal/loadshare"
 	"github.com/berylpond/berylpond/internal/membership"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/quarantine"
@@ -152,6 +153,10 @@
 		Metrics:   quarantine.NewMetrics(i.metrics),
 	})
 	i.limiter.Suspects, i.holder.ExchangeSuspects = i.quarantine, i.quarantine.Exchange
+	if features.Enabled(feature.LoadSharing) {
+		loads := loadshare.NewExchange(i.fleet, time.Now, loadshare.NewMetrics(i.metrics))
+		i.limiter.Loads, i.holder.ExchangeLoads = loads, loads.Serve
+	}
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -15,6 +15,11 @@
 	memoryObservations = 64
 	// minObservations is the number of observations before an average counts as known.
 	minObservations = 8
+	// minVariance is the least variance of what a regression rests on, as a fraction of its mean square.
+	minVariance = 1e-3
+	// defaultSlowdown is by how much a request in a full batch generates more slowly than alone, as a fraction, until there
+	// are observations, and maxSlowdown bounds it.
+	defaultSlowdown, maxSlowdown = 0.5, 2.0
 	// maxRateFactor bounds how far the measured reading rate may be from the default one.
 	maxRateFactor = 8.0
 	// defaultOutput is the number of tokens generated for a request without a hint, until there are observations.
@@ -56,7 +61,7 @@
 // value returns the slope, and false if the observations are too few or too much alike.
 func (s *slope) value() (float64, bool) {
 	variance := s.xx - s.x*s.x
-	if s.count < minObservations || variance < 1 {
+	if s.count < minObservations || variance <= minVariance*s.xx {
 		return 0, false
 	}
 	return (s.xy - s.x*s.y) / variance, true
@@ -66,9 +71,11 @@
 // by orders of magnitude in work. It is not safe for concurrent use.
 type Costs struct {
 	firstEvent slope
-	tokenTime  average
-	service    average
-	routes     map[string]*routeCosts
+	// pace is the time for a token over the fraction of the slots that is taken.
+	pace      slope
+	tokenTime average
+	service   average
+	routes    map[string]*routeCosts
 }
 
 type routeCosts struct {
@@ -146,10 +153,22 @@
 	c.firstEvent.add(float64(read), took.Seconds()*1e3)
 }
 
-// ObserveOutput learns from a complete stream: the tokens after its first event, and the time from there to its end.
-func (c *Costs) ObserveOutput(w Work, tokens, afterFirst int64, took time.Duration, now time.Time) {
+// Slowdown returns by how much a request in a full batch generates more slowly than alone, as a fraction.
+func (c *Costs) Slowdown() float64 {
+	v, ok := c.pace.value()
+	alone := c.pace.y - v*c.pace.x
+	if !ok || alone <= 0 {
+		return defaultSlowdown
+	}
+	return min(max(v/alone, 0), maxSlowdown)
+}
+
+// ObserveOutput learns from a complete stream: the tokens after its first event, the time from there to its end, and the
+// fraction of the server's slots that was taken.
+func (c *Costs) ObserveOutput(w Work, tokens, afterFirst int64, took time.Duration, busy float64, now time.Time) {
 	if afterFirst > 0 && took > 0 {
 		c.tokenTime.add(took.Seconds() / float64(afterFirst))
+		c.pace.add(min(max(busy, 0), 1), took.Seconds()/float64(afterFirst))
 	}
 	r := c.route(w.Route, now)
 	r.output.add(float64(tokens))
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -6,46 +6,55 @@
 )
 
 const (
-	// batchSlowdown is by how much a request in a full batch takes longer than one that runs alone, as a fraction.
-	batchSlowdown = 1.0
 	// remoteFraction is the price of a server in another data centre, as a fraction of the time to generate the output.
 	remoteFraction = 0.16
+	// failureCost is what a failed request costs, as a multiple of the mean time of a request.
+	failureCost = 8.0
+	// maxExpected bounds what a request is expected to cost or to wait.
+	maxExpected = time.Hour
 )
 
 // Load is what a server has in progress.
 type Load struct {
-	Requests, Slots int
+	Requests float64
+	Slots    int
 	// Reading is the time that the server needs to read the prompts that it has not begun to respond to.
 	Reading time.Duration
 	// Slowness is the time that the server takes relative to the others of its service; 1 for an average one.
 	Slowness float64
+	// Failing is the share of requests that the server is expected to fail.
+	Failing float64
 }
 
 // Wait returns the expected time until a server begins a further request: it reads the prompts of those that it runs first,
-// and takes those beyond its slots in order of arrival. service is the mean time of a request of the service.
+// and takes those beyond its slots in order of arrival. Below that, the requests in progress are a mean, around which arrivals
+// vary: the wait is that of a queue with as many servers as slots. service is the mean time of a request of the service.
 func Wait(l Load, service time.Duration) time.Duration {
-	wait, slots := l.Reading, max(l.Slots, 1)
-	if queued := l.Requests + 1 - slots; queued > 0 {
-		wait += service * time.Duration(queued) / time.Duration(slots)
-	}
-	return wait
+	slots := float64(max(l.Slots, 1))
+	busy := max(l.Requests, 0) / slots
+	queued := max(l.Requests+1-slots, 0) / slots
+	// Sakasegawa's approximation of the wait in an M/M/c queue.
+	random := math.Pow(min(busy, 1), math.Sqrt(2*(slots+1))-1) / slots / max(1-busy, 1/slots)
+	wait := float64(l.Reading) + float64(service)*max(queued, random)
+	return time.Duration(min(wait, float64(maxExpected)))
 }
 
 // Completion returns what the request costs at a server: the expected time until its end, and how much longer it makes
 // the requests that run there. read is the time to read what the server does not keep of the prompt, service the mean time
-// of a request of the service.
-func Completion(l Load, read, generate, service time.Duration, remote bool) time.Duration {
-	slots := max(l.Slots, 1)
+// of a request of the service, slowdown by how much a full batch is slower than a request alone.
+func Completion(l Load, read, generate, service time.Duration, slowdown float64, remote bool) time.Duration {
+	slots := float64(max(l.Slots, 1))
 	running := min(l.Requests, slots)
-	busy := float64(running) / float64(slots)
-	own := float64(generate) * (1 + 2*batchSlowdown*busy)
+	busy := running / slots
+	own := float64(generate) * (1 + 2*slowdown*busy)
 	// Reading delays every request that the server runs.
-	reading := float64(read) * float64(1+running)
+	reading := float64(read) * (1 + running)
 	t := (float64(Wait(l, service)) + own + reading) * max(l.Slowness, 0.1)
+	t += failureCost * l.Failing * float64(service)
 	if remote {
 		t += remoteFraction * float64(generate)
 	}
-	return time.Duration(t)
+	return time.Duration(min(t, float64(maxExpected)))
 }
 
 const (
@@ -81,5 +90,8 @@
 // Slowness returns the expected ratio of the next request.
 func (s *Speed) Slowness(now time.Time) float64 {
 	s.fade(now)
-	return (s.sum + slownessPrior) / (s.weight + slownessPrior)
+	return Slowness(s.sum, s.weight)
 }
+
+// Slowness returns the expected ratio of the next request, given the sum of the ratios that were seen and their weight.
+func Slowness(sum, weight float64) float64 { return (sum + slownessPrior) / (weight + slownessPrior) }
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -55,7 +55,7 @@
 	w := Work{Route: "r", Prompt: prompt, OutputHint: math.MaxInt64, MaxOutput: math.MaxInt64}
 	e := NewCosts().Estimate(w)
 	is.True(e.Read > 0 && e.Generate > 0)
-	is.True(Completion(Load{Requests: math.MaxInt32, Slots: -1, Reading: e.Read}, e.Read, e.Generate, time.Hour, true) > 0)
+	is.True(Completion(Load{Requests: math.MaxInt32, Slots: -1, Reading: e.Read}, e.Read, e.Generate, time.Hour, 1, true) > 0)
 }
 
 func TestReadingRateIsLearnedFromFirstEvents(t *testing.T) {
@@ -82,7 +82,7 @@
 	is.Equal(c.Estimate(work(100)).Output, int64(100))
 	for i := range 50 {
 		n := int64(100 + i%100)
-		c.ObserveOutput(work(n), 2*n, 2*n-27, time.Duration(2*n-27)*time.Millisecond, start)
+		c.ObserveOutput(work(n), 2*n, 2*n-27, time.Duration(2*n-27)*time.Millisecond, float64(i%10)/10, start)
 	}
 	e := c.Estimate(work(150))
 	is.True(e.Sure)
@@ -184,10 +184,10 @@
 	idle, busy := Load{Slots: 16, Slowness: 1}, Load{Requests: 8, Slots: 16, Slowness: 1}
 	const generate, service = 400 * time.Millisecond, 500 * time.Millisecond
 	// A conversation stays at a busy server, since to read it again delays what another one runs.
-	is.True(Completion(busy, 0, generate, service, false) < Completion(Load{Requests: 4, Slots: 16, Slowness: 1}, 120*time.Millisecond, generate, service, false))
+	is.True(Completion(busy, 0, generate, service, 0.5, false) < Completion(Load{Requests: 4, Slots: 16, Slowness: 1}, 120*time.Millisecond, generate, service, 0.5, false))
 	// It leaves a server where it would wait for longer than that.
 	full := Load{Requests: 40, Slots: 16, Slowness: 1}
-	is.True(Completion(full, 0, generate, service, false) > Completion(idle, 120*time.Millisecond, generate, service, false))
+	is.True(Completion(full, 0, generate, service, 0.5, false) > Completion(idle, 120*time.Millisecond, generate, service, 0.5, false))
 }
 
 func names(n int) []string {
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -79,12 +79,18 @@
 	if l.Suspects != nil {
 		l.Suspects.Report(holder, r)
 	}
+	if l.Loads != nil {
+		l.Loads.Report(holder, r)
+	}
 	resp, err := l.sendTake(ctx, holder, r)
 	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
 		l.repeatReports(r)
 		if l.Suspects != nil {
 			l.Suspects.ReportFailed(r)
 		}
+		if l.Loads != nil {
+			l.Loads.ReportFailed(r)
+		}
 		l.recordRelease(resp)
 		l.grantFallback()
 		return false
@@ -94,6 +100,9 @@
 	if l.Suspects != nil {
 		l.Suspects.Learn(resp)
 	}
+	if l.Loads != nil {
+		l.Loads.Learn(resp)
+	}
 	return true
 }
 
--- a/internal/ratelimit/holder.go
+++ b/internal/ratelimit/holder.go
@@ -82,6 +82,8 @@
 	now          func() time.Time
 	// ExchangeSuspects, if not nil, is the holder's part of Suspects.
 	ExchangeSuspects func(r *turnv1.TakeRequest, resp *turnv1.TakeResponse)
+	// ExchangeLoads, if not nil, is the holder's part of Loads.
+	ExchangeLoads func(r *turnv1.TakeRequest, resp *turnv1.TakeResponse)
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -153,6 +155,9 @@
 	if h.ExchangeSuspects != nil {
 		h.ExchangeSuspects(r, resp)
 	}
+	if h.ExchangeLoads != nil {
+		h.ExchangeLoads(r, resp)
+	}
 	for _, d := range r.Demands {
 		if d.Server != nil {
 			resp.Grants = append(resp.Grants, h.grantForServer(d, share, now))
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -32,6 +32,16 @@
 	Take(ctx context.Context, holder string, r *turnv1.TakeRequest) (*turnv1.TakeResponse, error)
 }
 
+// Loads is what an instance tells the holder of the loads of backend servers, and learns from it. It travels like Suspects.
+type Loads interface {
+	// Report adds what this instance knows to a request to the holder.
+	Report(holder string, r *turnv1.TakeRequest)
+	// ReportFailed tells that the holder has not taken the request.
+	ReportFailed(r *turnv1.TakeRequest)
+	// Learn takes what the holder's response says.
+	Learn(resp *turnv1.TakeResponse)
+}
+
 // Suspects is what an instance tells the holder about requests that make backend servers crash. It travels with the requests
 // for tokens, which every instance sends to the holder anyway.
 type Suspects interface {
@@ -53,6 +63,8 @@
 	OnLimit func(backendlimit.Server, backendlimit.State)
 	// Suspects, if not nil, is exchanged along with the tokens.
 	Suspects Suspects
+	// Loads, if not nil, is exchanged along with the tokens.
+	Loads Loads
 
 	mu     sync.Mutex
 	states map[string]*tokenState
