--- a/internal/instance/evacuation_test.go
+++ b/internal/instance/evacuation_test.go
@@ -92,6 +92,8 @@
 	}
 	// While the store is away nothing changes; then both learn that the data centre is back.
 	s.store.SetFault(func(*http.Request) metastore.Mode { return metastore.Silent })
+	// A long poll that was under way when the fault began still returns.
+	s.eventually("the store is out of reach", func() bool { return reader.transport.SinceContact() > time.Second })
 	s.takeBack("a")
 	for i := range 20 {
 		is.Equal(s.do(s.nodes[i%2], call{path: "/read/x"}).status, http.StatusOK)
