--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -37,6 +37,8 @@
 	Draining bool
 	// Incarnation changes when the server restarts under the same id; zero if the server does not report it.
 	Incarnation int64
+	// Cold is what the entry says about how long the server is still cold.
+	Cold ColdReport
 }
 
 // Backend is a backend server that was picked for one request, with its entry as of that moment. It is safe to read
@@ -63,6 +65,11 @@
 	kept          placement.Kept
 	speed         placement.Speed
 	reading, left time.Duration
+	cold          coldState
+	// notedCold is set if the last log line about it says that the server is cold.
+	notedCold bool
+	seen      seen
+	shared    shared
 }
 
 // Fleet is the set of known backend servers. It is safe for concurrent use.
@@ -70,44 +77,60 @@
 	dataCentre string
 	// lastSend is how long after its announcement a leaving server may still be picked, if there is no other.
 	lastSend time.Duration
-	now      func() time.Time
+	// ReturnPeriod returns over what time the servers of a service get their share of requests back after their data centre
+	// was evacuated. Nil means at once. It must not change after the first request.
+	ReturnPeriod func(service string) time.Duration
+	now          func() time.Time
 	// random returns a random number below its argument.
 	random func(int) int
 
-	mu        sync.Mutex
-	announced map[string]announcement
-	byID      map[string]*server
-	byService map[string][]*server
+	mu          sync.Mutex
+	evacuations evacuations
+	announced   map[string]announcement
+	byID        map[string]*server
+	byService   map[string][]*server
 	// placements holds what was learned about each service.
 	placements map[string]*servicePlacement
-	loaded     bool
+	// sharedAt is when the loads of other instances were last learned.
+	sharedAt time.Time
+	loaded   bool
+	// coldLimitOf returns what a service allows for its cold servers; nil if nothing is limited. coldLimits holds what it
+	// returned lately.
+	coldLimitOf func(service string) ColdLimit
+	coldLimits  map[string]readColdLimit
+	// assumedCold holds the data centres whose servers were assumed to be cold, with the time since when.
+	assumedCold map[string]time.Time
+	coldSpells  int
 }
 
 // New returns an empty fleet. Servers in dataCentre are preferred. drainPeriod is the time after which nothing new may
 // reach a server that has announced that it is leaving; half of it is left for connecting and sending.
 func New(dataCentre string, drainPeriod time.Duration) *Fleet {
 	return &Fleet{
-		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, random: rand.IntN, announced: map[string]announcement{},
-		byID: map[string]*server{}, byService: map[string][]*server{}, placements: map[string]*servicePlacement{},
+		dataCentre: dataCentre, lastSend: drainPeriod / 2, now: time.Now, random: rand.IntN,
+		evacuations: evacuations{current: map[string]bool{}, returned: map[string]time.Time{}},
+		announced:   map[string]announcement{}, byID: map[string]*server{}, byService: map[string][]*server{},
+		placements:  map[string]*servicePlacement{},
+		assumedCold: map[string]time.Time{}, coldLimits: map[string]readColdLimit{},
 	}
 }
 
 // Upsert adds a server or updates its entry. A changed incarnation, service or address makes it a new server, without
-// load or failures.
-func (f *Fleet) Upsert(e Entry) {
+// load or failures. It reports whether the server has turned cold or warm.
+func (f *Fleet) Upsert(e Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.setLocked(e)
+	return f.setLocked(e)
 }
 
-func (f *Fleet) setLocked(e Entry) {
+func (f *Fleet) setLocked(e Entry) bool {
 	b := f.byID[e.ID]
 	if b != nil && b.Incarnation == e.Incarnation && b.Service == e.Service && b.Address == e.Address {
 		if b.DataCentre != e.DataCentre {
 			f.membersChanged(e.Service)
 		}
 		b.Entry = e
-		return
+		return f.updateCold(b, b.cold.report(e.Cold.asOf(f.now())))
 	}
 	if b != nil {
 		f.removeLocked(e.ID)
@@ -123,6 +146,7 @@
 	f.byID[e.ID] = b
 	f.byService[e.Service] = append(f.byService[e.Service], b)
 	f.membersChanged(e.Service)
+	return f.updateCold(b, f.startCold(e))
 }
 
 // Remove removes a server.
@@ -166,9 +190,12 @@
 func (f *Fleet) Entries() []Entry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := f.now()
 	out := make([]Entry, 0, len(f.byID))
 	for _, b := range f.byID {
-		out = append(out, b.Entry)
+		e := b.Entry
+		e.Cold = f.currentCold(b, now)
+		out = append(out, e)
 	}
 	return out
 }
@@ -216,8 +243,22 @@
 	Exclude []string
 	// AnyDataCentre picks the least loaded server of all data centres alike.
 	AnyDataCentre bool
+	// WarmOnly passes over cold servers.
+	WarmOnly bool
 	// Permit takes permission to send one request to a server that limits them. Nil permits every request.
 	Permit func(backendlimit.Server, backendlimit.Limit) bool
+	// returning is added to the load of the servers of data centres that were taken back.
+	returning map[string]float64
+}
+
+// load returns the load by which a server is compared for a request. f.mu must be held.
+func (f *Fleet) load(c *Criteria, b *server, now time.Time) float64 {
+	return b.load() + f.extraLoad(c, b, now)
+}
+
+// extraLoad is what is added to the load of a server that is to fill last. f.mu must be held.
+func (f *Fleet) extraLoad(c *Criteria, b *server, now time.Time) float64 {
+	return f.coldLoad(b, now) + c.returning[b.DataCentre]
 }
 
 // Acquire picks a server and counts a request on it until Release. It returns nil if no server can be used.
@@ -225,7 +266,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	best, decision := f.pick(c, now, func(b *server) bool { return b.isSound(now) })
+	c.returning = f.returning(c.Service, now)
+	best, decision := f.pick(c, now, func(b *server) bool { return f.mayBeUsed(b, now) && b.isSound(now) })
 	if best == nil {
 		c.Preferred = ""
 		best, decision = f.pick(c, now, func(b *server) bool { return f.mayBeUsed(b, now) })
@@ -245,12 +287,13 @@
 func (f *Fleet) pick(c Criteria, now time.Time, usable func(*server) bool) (*server, Decision) {
 	var denied map[*server]bool
 	for {
-		best, decision := f.choose(c, now, func(b *server) bool { return !denied[b] && usable(b) })
+		best, decision := f.choose(c, now, func(b *server) bool {
+			return !denied[b] && usable(b) && !(c.WarmOnly && f.isCold(b, now))
+		})
 		if best == nil {
 			return nil, Decision{}
 		}
-		if !best.limit.Announced || c.Permit == nil ||
-			c.Permit(backendlimit.Server{ID: best.ID, Incarnation: best.Incarnation}, best.limit.Limit) {
+		if c.permits(best, f.limitOf(best, now)) {
 			return best, decision
 		}
 		if denied == nil {
@@ -268,18 +311,28 @@
 			return b, d
 		}
 	}
-	best := f.leastLoaded(c, usable)
+	load := func(b *server) float64 { return f.load(&c, b, now) }
+	var best *server
+	if c.Work.Route != "" && f.sharedWeight(now) > 0 && len(f.byService[c.Service]) > 0 {
+		load = func(b *server) float64 { return f.sharedLoad(b, now) + f.extraLoad(&c, b, now) }
+		best = f.leastLoadedOfSome(c, now, usable)
+	}
+	if best == nil {
+		best = f.leastLoaded(c, now, usable)
+	}
 	if best == nil {
 		return nil, Decision{}
 	}
 	if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) &&
-		!excluded(c.Exclude, p.ID) && p.load() <= best.load()+affinitySlack {
+		!excluded(c.Exclude, p.ID) && load(p) <= load(best)+affinitySlack {
 		best = p
 	}
-	return best, Decision{Reason: ReasonLeastLoaded, Read: c.Work.PromptTokens(), Requests: best.inFlight}
+	return best, Decision{
+		Reason: ReasonLeastLoaded, Read: c.Work.PromptTokens(), Requests: f.requestsAt(best, now), SharedAge: f.sharedAge(now),
+	}
 }
 
-func (f *Fleet) leastLoaded(c Criteria, usable func(*server) bool) *server {
+func (f *Fleet) leastLoaded(c Criteria, now time.Time, usable func(*server) bool) *server {
 	var best *server
 	var lowest float64
 	ties := 0
@@ -287,7 +340,7 @@
 		if excluded(c.Exclude, b.ID) || !usable(b) {
 			continue
 		}
-		load := b.load()
+		load := f.load(&c, b, now)
 		if b.DataCentre != f.dataCentre && !c.AnyDataCentre {
 			load += remotePenalty
 		}
@@ -309,9 +362,10 @@
 	return !b.Draining && b.leavingSince.IsZero() && now.After(b.suspectUntil)
 }
 
-// mayBeUsed reports whether the server may be picked for lack of a sound one.
+// mayBeUsed reports whether the server may be picked, for lack of a sound one at least.
 func (f *Fleet) mayBeUsed(b *server, now time.Time) bool {
-	return !b.Draining && (b.leavingSince.IsZero() || now.Sub(b.leavingSince) < f.lastSend)
+	return !b.Draining && !f.evacuations.current[b.DataCentre] &&
+		(b.leavingSince.IsZero() || now.Sub(b.leavingSince) < f.lastSend)
 }
 
 func (b *server) load() float64 { return float64(b.inFlight) / float64(b.Slots) }
@@ -345,9 +399,11 @@
 	s.end(&b.request)
 	if !failed {
 		s.failures = 0
+		s.seen.completed++
 		return
 	}
 	s.failures++
+	s.seen.failed++
 	backoff := minSuspectDuration << min(s.failures-1, 4)
 	s.suspectUntil = f.now().Add(min(backoff, maxSuspectDuration))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -93,12 +93,18 @@
 	rooms         *rooms
 	metrics       *Metrics
 	now           func() time.Time
+	// coldReturns holds when the clients of each service come back that were refused since its servers are cold.
+	coldReturns returnQueues
 	// reports counts the reports of ended turns that are under way in the background.
 	reports sync.WaitGroup
 	// draining reports whether the instance closes client connections after their next response, isolated whether it
 	// reaches neither the store nor a peer that does.
 	draining, isolated func() bool
 	features           feature.Set
+	// viewUsable reports whether this instance knows which data centres are evacuated, recently enough to send requests.
+	viewUsable func() bool
+	// evacuationPeriod is the time within which instances learn that a data centre is evacuated or taken back.
+	evacuationPeriod time.Duration
 }
 
 // Options holds the dependencies of a Gateway.
@@ -115,6 +121,9 @@
 	Draining  func() bool
 	Isolated  func() bool
 	Features  feature.Set
+	// ViewUsable reports whether this instance knows which data centres are evacuated, recently enough to send requests.
+	ViewUsable       func() bool
+	EvacuationPeriod time.Duration
 }
 
 // New returns a gateway.
@@ -123,6 +132,7 @@
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Upstream, turnClient: o.TurnClient,
 		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, rooms: newRooms(), metrics: o.Metrics, now: time.Now,
 		draining: o.Draining, isolated: o.Isolated, features: o.Features,
+		viewUsable: o.ViewUsable, evacuationPeriod: o.EvacuationPeriod,
 	}
 	limit := o.HeldBytes
 	if !o.Features.Enabled(feature.MemoryLimit) {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/gateway"
+	"github.com/berylpond/berylpond/internal/loadshare"
 	"github.com/berylpond/berylpond/internal/membership"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/quarantine"
@@ -81,9 +82,11 @@
 	config    *storewatch.ConfigWatcher
 	backends  *storewatch.BackendWatcher
 	fleet     *fleet.Fleet
-	group     *membership.Membership
-	owner     *turnlog.Owner
-	limiter   *ratelimit.Limiter
+	// evacuations holds the data centres whose backend servers get nothing new.
+	evacuations *storewatch.Evacuations
+	group       *membership.Membership
+	owner       *turnlog.Owner
+	limiter     *ratelimit.Limiter
 	// quarantine keeps requests that crash backend servers from being sent on.
 	quarantine *quarantine.Quarantine
 	holder     *ratelimit.BucketHolder
@@ -123,7 +126,12 @@
 	store := platform.NewStore(i.transport)
 	i.store = store
 	hooks := storewatch.Hooks{UsesFeed: i.usesFeed, OnChange: func() { i.feedServer.NotifyChanged() }}
-	i.config = storewatch.NewConfigWatcher(store, hooks)
+	i.evacuations = storewatch.NewEvacuations(i.applyEvacuations)
+	i.config = storewatch.NewConfigWatcher(store, i.evacuations, storewatch.Hooks{
+		UsesFeed: i.usesFeedOfEvacuations, OnChange: hooks.OnChange,
+	})
+	i.fleet.ReturnPeriod = i.returnPeriod
+	registerEvacuationMetric(i.metrics, i.fleet)
 	i.backends = storewatch.NewBackendWatcher(store, i.fleet, hooks)
 	finder := &finder{}
 	i.owner = turnlog.NewOwner(ctx, store, s.Store, i.startID, finder, turnlog.NewMetrics(i.metrics))
@@ -131,14 +139,18 @@
 		Store: store, Settings: s.Store, Topic: turnlog.Topic, Self: i.self, StartID: i.startID, Cores: s.Cores,
 		Assigner: i.owner, UsesFeed: i.usesFeed, OnChange: hooks.OnChange,
 	})
+	i.fleet.SetColdLimit(i.coldLimit)
+	registerColdMetrics(i.metrics, i.fleet)
 	i.feedServer = feed.NewServer(i.startID, feed.View{
 		Configuration: i.config.Current, Backends: i.fleet.Entries, Owners: i.group.OwnersByPartition, Age: i.viewAge,
-		SinceContact: i.transport.SinceContact,
+		SinceContact: i.transport.SinceContact, Evacuated: i.evacuations.Current,
 	})
 	i.feedClient = feed.NewClient(i.pool, i.group.OwnerAddresses, i.config.Current, func() bool { return !i.group.IsMember() }, feed.Sink{
 		Configuration: i.config.Apply, Backends: i.backends.Replace, Owners: i.group.SetOwners,
+		Evacuated: i.evacuations.Replace,
 	})
 	client := turnclient.New(s.Store.Partitions, i.group, i.pool)
+	client.StoreAway = func() bool { return features.Enabled(feature.EarlyRefusal) && i.isolated() }
 	client.Local = i.owner
 	finder.Client = client
 	i.holder = ratelimit.NewBucketHolder(i.config.Current, i.group.RecentPeers, i.self, i.holderState,
@@ -155,10 +167,15 @@
 		Metrics:   quarantine.NewMetrics(i.metrics),
 	})
 	i.limiter.Suspects, i.holder.ExchangeSuspects = i.quarantine, i.quarantine.Exchange
+	if features.Enabled(feature.LoadSharing) {
+		loads := loadshare.NewExchange(i.fleet, time.Now, loadshare.NewMetrics(i.metrics))
+		i.limiter.Loads, i.holder.ExchangeLoads = loads, loads.Serve
+	}
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
 		Features: features, HeldBytes: int64(float64(s.MemoryBytes) * heldMemoryFraction),
+		ViewUsable: i.viewUsable, EvacuationPeriod: s.EvacuationPeriod,
 	})
 	return i
 }
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -79,12 +79,18 @@
 	if l.Suspects != nil {
 		l.Suspects.Report(holder, r)
 	}
+	if l.Loads != nil {
+		l.Loads.Report(holder, r)
+	}
 	resp, err := l.sendTake(ctx, holder, r)
 	if err != nil || resp.Outcome != turnv1.Outcome_OUTCOME_OK {
 		l.repeatReports(r)
 		if l.Suspects != nil {
 			l.Suspects.ReportFailed(r)
 		}
+		if l.Loads != nil {
+			l.Loads.ReportFailed(r)
+		}
 		l.recordRelease(resp)
 		l.grantFallback()
 		return false
@@ -94,6 +100,9 @@
 	if l.Suspects != nil {
 		l.Suspects.Learn(resp)
 	}
+	if l.Loads != nil {
+		l.Loads.Learn(resp)
+	}
 	return true
 }
 
@@ -129,6 +138,7 @@
 		s.batches = append(s.batches, tokenBatch{tokens: g.Tokens, expires: sent.Add(grantTTL)})
 	}
 	s.grantWaiters(l.now())
+	l.noteEmpty(g)
 	farOff := g.RetryAfterMs > 0 && s.retryAfter > maxWait
 	s.refuseWaiters(func(w *waiter) bool { return farOff || w.brief && !w.since.After(sent) })
 }
@@ -138,7 +148,8 @@
 	if g.Server == nil {
 		return l.state(g.Account)
 	}
-	if s := l.servers[backendlimit.Server{ID: g.Server.Id, Incarnation: g.Server.Incarnation}]; s != nil {
+	s := l.servers[backendlimit.Server{ID: g.Server.Id, Incarnation: g.Server.Incarnation}]
+	if s != nil && s.accepts(g) {
 		return &s.tokenState
 	}
 	return nil
@@ -244,6 +255,9 @@
 		s.fillFallback(a.RequestsPerSecond*fraction, a.Burst*fraction, now)
 	}
 	for _, s := range l.servers {
+		if s.cold {
+			continue
+		}
 		s.fillFallback(s.limit*fraction, serverBurst(s.limit)*fraction, now)
 	}
 }
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -39,6 +39,10 @@
 // request has had one either. Silence alone ends no request: sound servers may be silent for longer.
 const suspiciousSilence = 500 * time.Millisecond
 
+// deadlineSlack is how much later than the context's end a connection's own deadline is. The context ends first, so that its
+// end is never mistaken for a failure of the server.
+const deadlineSlack = time.Second
+
 // ErrTooManyMismatched means that a connection carried too many responses to other requests.
 var ErrTooManyMismatched = errors.New("too many answers to other requests")
 
@@ -53,6 +57,8 @@
 	// Header returns the headers. It is called once the connection is open, as they say how much time is left.
 	Header func() http.Header
 	Body   []byte
+	// Check, if not nil, is called once the connection is open. The request is not sent if it returns an error.
+	Check func() error
 }
 
 // Response is a backend server's response. Its body ends with io.EOF only if it is complete.
@@ -124,8 +130,14 @@
 	if err != nil {
 		return nil, &Error{Verdict: verdict.NotRun, PathLost: errors.Is(err, backendpath.ErrLost), Err: err}
 	}
+	if r.Check != nil {
+		if err := r.Check(); err != nil {
+			c.Close()
+			return nil, &Error{Verdict: verdict.NotRun, Err: err}
+		}
+	}
 	if deadline, ok := ctx.Deadline(); ok {
-		if err := c.SetDeadline(deadline); err != nil {
+		if err := c.SetDeadline(deadline.Add(deadlineSlack)); err != nil {
 			c.Close()
 			return nil, &Error{Verdict: verdict.NotRun, Err: errors.Wrap(err, "setting a deadline")}
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -357,3 +358,70 @@
 	is.True(errors.As(err, &e))
 	is.True(!e.PathLost)
 }
+
+// Guards against a request going to a server that became forbidden while the connection was opened, or that was picked for an
+// open connection.
+func TestRequestIsNotSentIfTheCheckFails(t *testing.T) {
+	is := is.New(t)
+	requests := make(chan string, 4)
+	address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		for {
+			id, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			requests <- id
+			fmt.Fprint(c, okResponse(id, ""))
+		}
+	})
+	p := NewPool(directPath{})
+	_, err := get(t, p, address, "r1")
+	is.NoErr(err)
+	for range 2 { // the open connection, then a new one
+		forbidden := errors.New("forbidden")
+		r := request("r2")
+		r.Check = func() error { return forbidden }
+		_, err = p.Do(t.Context(), address, r)
+		var ue *Error
+		is.True(errors.As(err, &ue))
+		is.Equal(ue.Verdict, verdict.NotRun)
+		is.True(errors.Is(err, forbidden))
+	}
+	_, err = get(t, p, address, "r3")
+	is.NoErr(err)
+	is.Equal(<-requests, "r1")
+	is.Equal(<-requests, "r3")
+}
+
+// Load pattern: servers so slow that streams are cut at their deadline. That is no failure of the server, and a caller can tell
+// by its context.
+func TestContextHasEndedWhenItsDeadlineCutsAResponse(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		id, ok := readRequest(br)
+		if !ok {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+id+"\r\nContent-Length: 100\r\n\r\npart")
+		io.Copy(io.Discard, c)
+	})
+	p := NewPool(directPath{})
+	var wg sync.WaitGroup
+	var early atomic.Int32
+	for i := range 64 {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			resp, err := p.Do(ctx, address, request(fmt.Sprint("r", i)))
+			if err == nil {
+				_, err = io.ReadAll(resp.Body)
+				defer resp.Close(false)
+			}
+			if err == nil || ctx.Err() == nil {
+				early.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	is.Equal(early.Load(), int32(0))
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -84,6 +84,8 @@
 	ReasonNoRoom              Reason = "no_room"
 	ReasonNoBackend           Reason = "no_backend"
 	ReasonQuarantined         Reason = "quarantined"
+	ReasonEvacuated           Reason = "evacuated"
+	ReasonStaleView           Reason = "stale_view"
 	ReasonBackendFailed       Reason = "backend_failed"
 	ReasonBackendSilent       Reason = "backend_silent"
 	ReasonTruncated           Reason = "truncated"
