gateway: remember refused programs until they come back

Cause: a program that was only refused here had no time of its last request, so the next served turn dropped it from the memory, and its return did not count as one. A panic in a handler would also have kept the place of its request.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -151,7 +151,7 @@
 	x.logAdmission(w, held)
 	x.metrics.observeAdmission(w, held)
 	if w.Decision.Outcome == admission.Refuse {
-		x.rooms.programs.refused(x.programKey())
+		x.rooms.programs.refused(x.programKey(), x.now())
 		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoRoom, w.Decision.RetryAfter,
 			"%d places of %d servers are taken (%s)", w.Decision.Outlook.Places, w.Decision.Outlook.Servers, w.Decision.Cause)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -197,6 +197,7 @@
 	x := &exchange{Gateway: g, w: w, r: r, Request: platform.DecodeRequest(r.Header), started: g.now()}
 	defer func() { x.memory.Release(x.held) }()
 	x.setConnectionClose(w.Header())
+	defer func() { x.room.leave(x.now()) }()
 	err := x.admit()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(r.Context(), x.respondBy)
@@ -210,7 +211,6 @@
 			err = x.serveCall(ctx)
 		}
 	}
-	x.room.leave(x.now())
 	x.finish(err)
 }
 
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -23,7 +23,7 @@
 // programState is what this instance has seen of a program.
 type programState struct {
 	route string
-	// began is when its first turn came, zero if that came elsewhere; last is when its last request ended.
+	// began is when its first turn came, zero if that came elsewhere; last is when its last request ended or was refused.
 	began, last time.Time
 	refused     bool
 }
@@ -56,11 +56,12 @@
 }
 
 // refused records that a request of the program was refused for lack of room.
-func (m *programMemory) refused(k programKey) {
+func (m *programMemory) refused(k programKey, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if k.program != "" {
-		m.state(k).refused = true
+		p := m.state(k)
+		p.refused, p.last = true, now
 	}
 }
 
