--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -220,9 +220,14 @@
 		"retry_after_ms", d.RetryAfter.Milliseconds())
 }
 
-// spreadRetryAfter adds a random part to a Retry-After that was not spread by a queue.
+// spreadRetryAfter adds a random part to the Retry-After of a refusal whose end is not known.
 func (x *exchange) spreadRetryAfter(e *verdict.Error) *verdict.Error {
-	if e.RetryAfter <= 0 || e.Reason == verdict.ReasonNoRoom || !x.features.Enabled(feature.Admission) {
+	if e.RetryAfter <= 0 || !x.features.Enabled(feature.Admission) {
+		return e
+	}
+	switch e.Reason {
+	case verdict.ReasonNoRoom, verdict.ReasonQuarantined, verdict.ReasonEvacuated:
+		// The queue has spread it, or it is when the refusals end.
 		return e
 	}
 	spread := *e
