--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -119,6 +119,28 @@
 	IdleTimeout   time.Duration
 }
 
+// RepeatKind says what a Repeat repeats.
+type RepeatKind int
+
+// Kinds of repeats.
+const (
+	RepeatedService RepeatKind = iota
+	RepeatedAccount
+	// RepeatedKey is an API key that two accounts hold.
+	RepeatedKey
+)
+
+// Repeat is a name or key that the document holds more than once.
+type Repeat struct {
+	Kind RepeatKind
+	// Name is the name of the service or account; for a key, that of the account that repeats it.
+	Name string
+	// Index is the position of that service or account in the document, from 0.
+	Index int
+	// Key is the repeated key and Holder the account that held it before.
+	Key, Holder string
+}
+
 // Configuration is one version of a site's configuration. It is immutable after BuildIndex.
 type Configuration struct {
 	Version  int64
@@ -129,6 +151,8 @@
 	// Keys maps each API key to the name of its account.
 	Keys   map[string]string
 	Limits Limits
+	// Repeats lists what the document holds twice and the maps hold once: the last of each.
+	Repeats []Repeat
 	// Raw is the document as published.
 	Raw []byte
 
