storewatch: refuse what the operator's check calls an error

A check is only worth as much as it agrees with the daemon. ConfigWatcher.Apply now refuses a configuration with an error of configcheck.Errors as it refused one that can't be decoded: a log line with the first error, berylpond_config_ignored_total, and the version in force stays. Unknown fields, kinds and missing limits stay accepted, since the platform says that new fields may come. A refused document is decoded once, however often a reader of an older build sends it.

Cost: one wrong entry holds up the whole version, also a key that it withdraws.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -119,7 +119,9 @@
 	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
 	store := platform.NewStore(i.transport)
 	i.store = store
-	hooks := storewatch.Hooks{UsesFeed: i.usesFeed, OnChange: func() { i.feedServer.NotifyChanged() }}
+	hooks := storewatch.Hooks{
+		UsesFeed: i.usesFeed, OnChange: func() { i.feedServer.NotifyChanged() }, Metrics: storewatch.NewMetrics(i.metrics),
+	}
 	i.config = storewatch.NewConfigWatcher(store, hooks)
 	i.backends = storewatch.NewBackendWatcher(store, i.fleet, hooks)
 	finder := &finder{}
--- a/internal/storewatch/backends.go
+++ b/internal/storewatch/backends.go
@@ -127,7 +127,7 @@
 
 // readSnapshot reads the newest entry of each server and removes the servers without one.
 func (b *BackendWatcher) readSnapshot(ctx context.Context) (int64, error) {
-	end, records, err := readNewest(ctx, b.store, platform.BackendsTopic)
+	end, records, err := ReadNewest(ctx, b.store, platform.BackendsTopic)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/storewatch/config.go
+++ b/internal/storewatch/config.go
@@ -3,6 +3,7 @@
 package storewatch
 
 import (
+	"bytes"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/berylpond/berylpond/internal/configcheck"
 	"github.com/berylpond/berylpond/internal/routing"
 	"github.com/berylpond/berylpond/platform"
 )
@@ -36,6 +38,8 @@
 	UsesFeed func() bool
 	// OnChange is called after each change.
 	OnChange func()
+	// Metrics may be nil.
+	Metrics *Metrics
 }
 
 // readTime is the time of a watcher's last successful read.
@@ -54,6 +58,8 @@
 	lastRead readTime
 	applyMu  sync.Mutex
 	ready    chan struct{}
+	// ignored is the last configuration that was not put into force because it is wrong.
+	ignored atomic.Pointer[[]byte]
 }
 
 // NewConfigWatcher returns a watcher without a configuration.
@@ -100,7 +106,7 @@
 }
 
 func (c *ConfigWatcher) readNewest(ctx context.Context) (int64, error) {
-	end, records, err := readNewest(ctx, c.store, platform.OperatorTopic)
+	end, records, err := ReadNewest(ctx, c.store, platform.OperatorTopic)
 	if err != nil {
 		return 0, err
 	}
@@ -136,11 +142,15 @@
 	c.Apply(r.Value)
 }
 
-// Apply decodes a published configuration and puts it into force if it is newer than the current one.
+// Apply decodes a published configuration and puts it into force if it is valid and newer than the current one.
 func (c *ConfigWatcher) Apply(raw []byte) {
-	next, err := platform.DecodeConfig(raw)
-	if err != nil {
-		klog.ErrorS(err, "ignoring a configuration that cannot be decoded", "bytes", len(raw))
+	// A reader of the store of an older build may push what this one refuses with each of its responses.
+	if last := c.ignored.Load(); last != nil && bytes.Equal(*last, raw) {
+		return
+	}
+	next := c.decode(raw)
+	if next == nil {
+		c.ignored.Store(&raw)
 		return
 	}
 	c.applyMu.Lock()
@@ -158,6 +168,23 @@
 	c.hooks.OnChange()
 }
 
+// decode returns the decoded configuration, or nil if it must not be put into force.
+func (c *ConfigWatcher) decode(raw []byte) *routing.Configuration {
+	next, err := platform.DecodeConfig(raw)
+	if err != nil {
+		klog.ErrorS(err, "ignoring a configuration that cannot be decoded", "bytes", len(raw))
+		c.hooks.Metrics.ignored(ignoredUndecodable)
+		return nil
+	}
+	if found := configcheck.Errors(next); found.Total > 0 {
+		klog.ErrorS(nil, "ignoring an invalid configuration", "version", next.Version, "in_force", versionOf(c.current.Load()),
+			"errors", found.Total, "path", platform.ConfigPath(found.List[0].Location), "first", found.List[0].Message)
+		c.hooks.Metrics.ignored(ignoredInvalid)
+		return nil
+	}
+	return next
+}
+
 func versionOf(c *routing.Configuration) int64 {
 	if c == nil {
 		return 0
@@ -165,9 +192,9 @@
 	return c.Version
 }
 
-// readNewest returns the newest record of each key, and the offset at which to continue. That is the end offset
+// ReadNewest returns the newest record of each key, and the offset at which to continue. That is the end offset
 // reported by the first page, since records may be appended between two pages.
-func readNewest(ctx context.Context, s *platform.Store, p platform.Partition) (int64, []platform.KeyedRecord, error) {
+func ReadNewest(ctx context.Context, s *platform.Store, p platform.Partition) (int64, []platform.KeyedRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, newestReadTimeout)
 	defer cancel()
 	var records []platform.KeyedRecord
