--- a/internal/ctl/config_validate.go
+++ b/internal/ctl/config_validate.go
@@ -8,8 +8,11 @@
 
 func (a *app) configValidate() *cobra.Command {
 	return &cobra.Command{
-		Use:     "validate FILE",
-		Short:   "Validate a document and print every error with its line",
+		Use:   "validate FILE",
+		Short: "Validate a document and print every error with its line",
+		Long: `Validate a document of a team and print every error with its line.
+
+For a configuration of the users' platform see "berylctl platform check".`,
 		Example: "  berylctl config validate nile-current.toml",
 		Args:    args(cobra.ExactArgs(1)),
 		RunE: func(_ *cobra.Command, args []string) error {
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -27,6 +27,15 @@
 	return usageError{errors.Newf(format, args...)}
 }
 
+// exitStatus ends the command with an exit code after it has printed everything.
+type exitStatus int
+
+// Error implements error.
+func (s exitStatus) Error() string { return fmt.Sprintf("exit code %d", int(s)) }
+
+// unreadError means that a check was not made, since something that it needs could not be read.
+type unreadError struct{ error }
+
 // args wraps a check of positional arguments so that it returns a usageError.
 func args(check cobra.PositionalArgs) cobra.PositionalArgs {
 	return func(cmd *cobra.Command, a []string) error {
@@ -42,6 +51,10 @@
 	if err == nil {
 		return ExitOK
 	}
+	var printed exitStatus
+	if errors.As(err, &printed) {
+		return int(printed)
+	}
 	fmt.Fprintln(a.err, "berylctl:", errorMessage(err))
 	return exitCode(err)
 }
@@ -51,6 +64,10 @@
 	if errors.As(err, &usage) {
 		return ExitUsage
 	}
+	var unread unreadError
+	if errors.As(err, &unread) {
+		return ExitUnread
+	}
 	switch status.Code(errors.UnwrapAll(err)) {
 	case codes.Aborted:
 		return ExitConflict
--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -15,7 +15,9 @@
 // Output formats.
 const (
 	outputTable = "table"
-	outputJSON  = "json"
+	// outputText is another name of outputTable, for commands that print no table.
+	outputText = "text"
+	outputJSON = "json"
 )
 
 // printMessage writes m as JSON, or as a table with the rows that the function rows writes.
--- a/internal/ctl/root.go
+++ b/internal/ctl/root.go
@@ -40,23 +40,26 @@
 func (a *app) root() *cobra.Command {
 	root := a.group("berylctl", "Operate berylpond",
 		a.configCommand(), a.keyCommand(), a.backendCommand(), a.engineCommand(), a.instanceCommand(), a.programCommand(),
-		a.statusCommand(), a.versionCommand())
+		a.platformCommand(), a.statusCommand(), a.versionCommand())
 	root.Long = `Operate berylpond.
 
 Exit codes: 0 success, 1 failure, 2 usage error, 3 conflict with another edit, 4 no response (an edit may still take
-effect).`
+effect). "berylctl platform check" has its own.`
 	root.SilenceErrors = true
 	root.SilenceUsage = true
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	flags := root.PersistentFlags()
 	flags.StringVar(&a.instance, "instance", defaultInstance, "host:port of the gRPC server of an instance")
-	flags.StringVarP(&a.output, "output", "o", outputTable, "output format: table or json")
+	flags.StringVarP(&a.output, "output", "o", outputTable, "output format: table (or text) or json")
 	flags.DurationVar(&a.timeout, "timeout", defaultTimeout, "timeout of the command")
 	root.PersistentPreRunE = func(*cobra.Command, []string) error { return a.checkFlags() }
 	return root
 }
 
 func (a *app) checkFlags() error {
+	if a.output == outputText {
+		a.output = outputTable
+	}
 	if a.output != outputTable && a.output != outputJSON {
 		return usagef("--output must be table or json, not %q", a.output)
 	}
