platform: name every mistyped field of a configuration

The decoder reports the first value of a wrong type only, so an operator would have mended a file one field at a time. ParseConfig now names all of them with their places, by comparing the tokens with the types of the decoded document. It still fails exactly where DecodeConfig does; the fuzz target also checks that no value is called mistyped which the daemon decodes.

Ruled out: rules on the fields that could be decoded, as zeros in place of the mistyped ones would give further errors that are none.

--- a/internal/ctl/platform_check.go
+++ b/internal/ctl/platform_check.go
@@ -134,8 +134,10 @@
 	var invalid *platform.ConfigError
 	switch {
 	case errors.As(err, &invalid):
-		r.Errors = 1
-		r.Findings = append(r.Findings, newFinding(configcheck.Error, invalid.Position, invalid.Message))
+		r.Errors = invalid.Total
+		for _, n := range invalid.Notes {
+			r.Findings = append(r.Findings, newFinding(configcheck.Error, n.Position, n.Message))
+		}
 		return r, nil
 	case err != nil:
 		return nil, err
