--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -119,25 +119,25 @@
 	IdleTimeout   time.Duration
 }
 
-// RepeatKind says what a Repeat repeats.
-type RepeatKind int
+// DuplicateKind says what is duplicate.
+type DuplicateKind int
 
-// Kinds of repeats.
+// Kinds of duplicates.
 const (
-	RepeatedService RepeatKind = iota
-	RepeatedAccount
-	// RepeatedKey is an API key that two accounts hold.
-	RepeatedKey
+	DuplicateService DuplicateKind = iota
+	DuplicateAccount
+	// DuplicateKey is an API key that two accounts hold.
+	DuplicateKey
 )
 
-// Repeat is a name or key that the document holds more than once.
-type Repeat struct {
-	Kind RepeatKind
-	// Name is the name of the service or account; for a key, that of the account that repeats it.
+// Duplicate is a name or key that the document holds more than once.
+type Duplicate struct {
+	Kind DuplicateKind
+	// Name is the name of the service or account; for a key, that of the later account that holds it.
 	Name string
 	// Index is the position of that service or account in the document, from 0.
 	Index int
-	// Key is the repeated key and Holder the account that held it before.
+	// Key is the key and Holder the account that held it before.
 	Key, Holder string
 }
 
@@ -151,8 +151,8 @@
 	// Keys maps each API key to the name of its account.
 	Keys   map[string]string
 	Limits Limits
-	// Repeats lists what the document holds twice and the maps hold once: the last of each.
-	Repeats []Repeat
+	// Duplicates lists what the document holds twice and the maps hold once: the last of each.
+	Duplicates []Duplicate
 	// Raw is the document as published.
 	Raw []byte
 
