configcheck: fail a test if a field of the configuration is not compared

Fields that are added to routing would silently be missing from the changes that operators see. The test changes each field of routes, services, engines, accounts and limits and expects a change. It found that a list with an empty region was shown as none; regions are now quoted, and none is shown as any.

--- a/internal/configcheck/compare.go
+++ b/internal/configcheck/compare.go
@@ -115,7 +115,7 @@
 		return when(a.Resumable, "streams that break off are not continued")
 	}},
 	{EventInterval, show(func(r routing.Route) any { return r.EventInterval }), nil},
-	{HomeRegions, show(func(r routing.Route) []string { return r.HomeRegions }), nil},
+	{HomeRegions, func(r routing.Route) string { return showRegions(r.HomeRegions) }, nil},
 }
 
 var serviceValues = []value[routing.Service]{
@@ -142,7 +142,7 @@
 		}
 		return fmt.Sprint(a.Priority)
 	}, nil},
-	{HomeRegions, show(func(a routing.Account) []string { return a.HomeRegions }), nil},
+	{HomeRegions, func(a routing.Account) string { return showRegions(a.HomeRegions) }, nil},
 }
 
 // unreachable says what the requests of a route get that the next version no longer has.
@@ -171,6 +171,13 @@
 	return fmt.Sprintf("%v/s", v)
 }
 
+func showRegions(regions []string) string {
+	if len(regions) == 0 {
+		return "any"
+	}
+	return fmt.Sprintf("%q", regions)
+}
+
 func showTargets(r routing.Route) string {
 	texts := make([]string, len(r.Targets))
 	for i, t := range r.Targets {
--- a/internal/configcheck/configcheck_test.go
+++ b/internal/configcheck/configcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -316,3 +317,75 @@
 		is.Equal(Nearest(name, names), want) // for name
 	}
 }
+
+// TestAChangeOfAnyFieldIsShown fails for a field that is added to the configuration but not to Compare.
+func TestAChangeOfAnyFieldIsShown(t *testing.T) {
+	for _, part := range []struct {
+		name   string
+		fields reflect.Type
+		// of returns the part in which a field is changed.
+		of func(*routing.Configuration) reflect.Value
+		// put writes the part back where it is held by value.
+		put func(*routing.Configuration, reflect.Value)
+	}{
+		{"route", reflect.TypeFor[routing.Route](), func(c *routing.Configuration) reflect.Value { return reflect.ValueOf(&c.Routes[0]) }, nil},
+		{"limits", reflect.TypeFor[routing.Limits](), func(c *routing.Configuration) reflect.Value { return reflect.ValueOf(&c.Limits) }, nil},
+		{"engine", reflect.TypeFor[routing.Engine](), func(c *routing.Configuration) reflect.Value {
+			return reflect.ValueOf(c.Services["llm"].Engine)
+		}, nil},
+		{"service", reflect.TypeFor[routing.Service](), func(c *routing.Configuration) reflect.Value {
+			s := c.Services["llm"]
+			return reflect.ValueOf(&s)
+		}, func(c *routing.Configuration, v reflect.Value) {
+			c.Services["llm"] = v.Elem().Interface().(routing.Service)
+		}},
+		{"account", reflect.TypeFor[routing.Account](), func(c *routing.Configuration) reflect.Value {
+			a := c.Accounts["acme"]
+			a.HasPriority = true
+			return reflect.ValueOf(&a)
+		}, func(c *routing.Configuration, v reflect.Value) {
+			c.Accounts["acme"] = v.Elem().Interface().(routing.Account)
+		}},
+	} {
+		for field := range part.fields.Fields() {
+			if field.Name == "Name" && part.name != "route" || field.Name == "Engine" {
+				continue // The names of services and accounts are their keys; the fields of engines are compared.
+			}
+			t.Run(part.name+" "+field.Name, func(t *testing.T) {
+				is := is.New(t)
+				old, next := valid(), valid()
+				next.Version = old.Version + 1
+				for i, c := range []*routing.Configuration{old, next} {
+					v := part.of(c)
+					if i == 1 {
+						change(v.Elem().FieldByName(field.Name))
+					}
+					if part.put != nil {
+						part.put(c, v)
+					}
+					c.BuildIndex()
+				}
+				changes, _ := Compare(old, next)
+				is.True(len(changes) > 0)
+			})
+		}
+	}
+}
+
+// change sets a value to another one.
+func change(v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(v.String() + "x")
+	case reflect.Bool:
+		v.SetBool(!v.Bool())
+	case reflect.Int, reflect.Int64:
+		v.SetInt(v.Int() + 1)
+	case reflect.Float64:
+		v.SetFloat(v.Float() + 1)
+	case reflect.Slice:
+		v.Set(reflect.Append(v, reflect.Zero(v.Type().Elem())))
+	default:
+		panic("a field of a kind that the test can't change: " + v.Kind().String())
+	}
+}
