--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -125,10 +125,12 @@
 	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
 	store := platform.NewStore(i.transport)
 	i.store = store
-	hooks := storewatch.Hooks{UsesFeed: i.usesFeed, OnChange: func() { i.feedServer.NotifyChanged() }}
+	hooks := storewatch.Hooks{
+		UsesFeed: i.usesFeed, OnChange: func() { i.feedServer.NotifyChanged() }, Metrics: storewatch.NewMetrics(i.metrics),
+	}
 	i.evacuations = storewatch.NewEvacuations(i.applyEvacuations)
 	i.config = storewatch.NewConfigWatcher(store, i.evacuations, storewatch.Hooks{
-		UsesFeed: i.usesFeedOfEvacuations, OnChange: hooks.OnChange,
+		UsesFeed: i.usesFeedOfEvacuations, OnChange: hooks.OnChange, Metrics: hooks.Metrics,
 	})
 	i.fleet.ReturnPeriod = i.returnPeriod
 	registerEvacuationMetric(i.metrics, i.fleet)
