--- a/internal/ratelimit/cold_test.go
+++ b/internal/ratelimit/cold_test.go
@@ -162,3 +162,46 @@
 	announced := backendlimit.Limit{Announced: true, RequestsPerSecond: 10}
 	is.Equal(announced.WithCold(20, 2.5), backendlimit.Limit{Announced: true, RequestsPerSecond: 10, Cold: true, Burst: 1.25})
 }
+
+// Load pattern: the holder is killed while 60 instances send to a cold server; the next one is known 1.5 s later.
+func TestNextHolderServesAColdServerWithinItsBound(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(60, routing.Account{Name: "a"})
+	rule := coldRule{perSecond: 20, excess: 1.5, slack: 5}
+	lost, found := int(2*time.Second/tick), int(3500*time.Millisecond/tick)
+	arrivals := make([]int, int(6*time.Second/tick))
+	for step := range arrivals {
+		if step == lost {
+			s.changeHolder(0, 1, false)
+		}
+		for i := range s.reaches {
+			switch {
+			case step >= found:
+				s.reaches[i] = 1
+			case step >= lost:
+				s.reaches[i] = -1
+			}
+		}
+		s.coldTraffic(rule.limit("x"), 2, step, arrivals)
+	}
+	rule.check(t, arrivals)
+	inFlight := int((grantTTL + coldSendDelay) / tick)
+	for _, n := range arrivals[lost+inFlight : found] {
+		is.Equal(n, 0) // nobody grants
+	}
+	served := 0
+	for _, n := range arrivals[len(arrivals)-int(time.Second/tick):] {
+		served += n
+	}
+	is.True(served >= 15)
+}
+
+// Guards against a holder that gets its instances back granting what another one has granted meanwhile.
+func TestColdBucketFillsAtTheShareThatItHad(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	b := &bucket{filled: now, created: now}
+	b.grantCold(1, 2.5, 0, now)
+	is.Equal(b.grantCold(20, 2.5, 10, now.Add(time.Second)).Tokens, int64(1))
+	is.Equal(b.grantCold(20, 2.5, 10, now.Add(2*time.Second)).Tokens, int64(2))
+}
