feed: test that followers learn which servers are cold

Cause: the fields that carry coldness to followers were tested on both sides but not on the way.

Seen to fail with cold_known not sent.

--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -20,13 +20,14 @@
 	age          time.Duration
 	sinceContact time.Duration
 	unreachable  bool
+	backends     []fleet.Entry
 }
 
 func newReader() *reader {
 	r := &reader{}
 	r.server = NewServer("start", View{
 		Configuration: func() *routing.Configuration { return nil },
-		Backends:      func() []fleet.Entry { return nil },
+		Backends:      func() []fleet.Entry { return r.backends },
 		Owners:        func() map[int]string { return map[int]string{0: "reader"} },
 		Age:           func() (time.Duration, bool) { return r.age, true },
 		SinceContact:  func() time.Duration { return r.sinceContact },
@@ -45,7 +46,7 @@
 	resp := r.server.Snapshot(ctx, in.(*turnv1.SnapshotRequest))
 	to := out.(*turnv1.SnapshotResponse)
 	to.Start, to.Revision, to.Direct, to.AgeMs = resp.Start, resp.Revision, resp.Direct, resp.AgeMs
-	to.SilenceMs, to.Changed, to.Owners = resp.SilenceMs, resp.Changed, resp.Owners
+	to.SilenceMs, to.Changed, to.Owners, to.Backends = resp.SilenceMs, resp.Changed, resp.Owners, resp.Backends
 	return nil
 }
 
@@ -90,3 +91,24 @@
 	now = now.Add(time.Second)
 	is.True(!c.ContactWithin(time.Second))
 }
+
+// Guards against followers sending cold servers what the reader of the store knows to be too much.
+func TestFollowersLearnWhichServersAreCold(t *testing.T) {
+	is := is.New(t)
+	r, now := newReader(), time.Now()
+	r.backends = []fleet.Entry{
+		{ID: "cold", Cold: fleet.ColdReport{Known: true, Left: 2 * time.Second, AsOf: now}},
+		{ID: "warm", Cold: fleet.ColdReport{Known: true, AsOf: now.Add(-time.Minute)}},
+		{ID: "unknown"},
+	}
+	c := newTestClient(r, &now)
+	var got []fleet.Entry
+	c.sink.Backends = func(e []fleet.Entry) { got = e }
+	is.True(c.poll(t.Context()))
+	is.Equal(got[0].Cold.Known, true)
+	is.Equal(got[0].Cold.Left, 2*time.Second)
+	is.True(got[1].Cold.Known)
+	is.Equal(got[1].Cold.Left, time.Duration(0))
+	is.True(now.Sub(got[1].Cold.AsOf) >= time.Minute) // as old as at the reader
+	is.True(!got[2].Cold.Known)
+}
