admission: keep first turns to the instance's share of the places

Cause: all instances see the same free places and learn late what the others have sent.

TestFreePlacesGoToTheMostUrgentFirst now ends each admitted request before the next place is free: it kept them all in flight beside one free place, which is one request more than that instance's share. Order and causes are checked as before.

--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -98,6 +98,24 @@
 	}
 }
 
+// Load pattern: the same burst over many instances, which learn of each other's requests a few times a second.
+func TestBacklogEndsSoonAfterABurstOverManyInstances(t *testing.T) {
+	for seed := range uint64(5) {
+		is := is.New(t)
+		l := busyService(seed)
+		l.places, l.programsPerS = 5*l.places, 5*l.programsPerS
+		l.instances, l.loadsEvery = 40, 350*time.Millisecond
+		l.everyoneIsLoud, l.loudFactor, l.loudFrom, l.loudTo = true, 2.5, 2*time.Second, 5*time.Second
+		afterwards := begunBetween(l.loudTo+backlogTime, l.duration)
+		during := begunBetween(l.loudFrom, l.loudTo+backlogTime)
+		r := l.play(true)
+		t.Logf("seed %d: in time %.3f during and %.3f after, %d refusals", seed, r.inTimeShare(during), r.inTimeShare(afterwards),
+			r.refusals)
+		is.True(r.inTimeShare(during) >= wellUsed*l.carried(l.loudFrom, l.loudTo+backlogTime))
+		is.True(r.inTimeShare(afterwards) >= nearlyAll)
+	}
+}
+
 // Load pattern: half of the servers are lost for five seconds.
 func TestBacklogEndsSoonAfterServersReturn(t *testing.T) {
 	for seed := range uint64(5) {
@@ -171,6 +189,7 @@
 		is.Equal(decided[0], want)
 		is.Equal(want.Decision.Cause, CauseFree)
 		q.Sent()
+		q.Ended(full.Service) // and its place is the next free one
 	}
 }
 
--- a/internal/admission/pace.go
+++ b/internal/admission/pace.go
@@ -7,6 +7,9 @@
 )
 
 const (
+	// recentTime is the time over which the requests in flight are averaged. It is longer than the loads of other instances
+	// are old, so that an instance does not answer to its own changes.
+	recentTime = 500 * time.Millisecond
 	// shareGain is the weight of a new sample in the share of first turns.
 	shareGain = 0.02
 	// durationGain is the weight of a new sample in the mean duration of requests.
@@ -28,12 +31,30 @@
 	inFlight int
 	// duration is the mean time from sending a request to the end of its response; zero before the first one.
 	duration time.Duration
+	// recent is the mean of inFlight over recentTime, as of recentAt.
+	recent   float64
+	recentAt time.Time
 	// firstShare is the share of first turns in the admitted requests.
 	firstShare float64
 	// comeBacks holds, by account, the latest time at which a refused request was told to come back.
 	comeBacks map[string]time.Time
 }
 
+// share returns how many requests this instance may have in flight: as many as it had lately, more or less in the
+// proportion of the places to all that is in flight. If every instance keeps to it, they fill the places between them, also
+// while each knows late what the others do.
+func (p *pace) share(now time.Time, o placement.Outlook) float64 {
+	elapsed := now.Sub(p.recentAt)
+	p.recentAt = now
+	p.recent += min(elapsed.Seconds()/recentTime.Seconds(), 1) * (float64(p.inFlight) - p.recent)
+	all := float64(o.Places - o.Free)
+	if service := p.service(o); o.Free == 0 && service > 0 {
+		all += float64(o.Places) * float64(o.Wait) / float64(service)
+	}
+	others := max(all-float64(p.inFlight), 0)
+	return p.recent * float64(o.Places) / max(others+p.recent, 1)
+}
+
 func (p *pace) ended(took time.Duration) {
 	p.inFlight--
 	if p.duration == 0 {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -8,6 +8,9 @@
 	"github.com/berylpond/berylpond/internal/placement"
 )
 
+// plentyFree is the share of the places that must be free for first turns to begin whatever the instance has in flight.
+const plentyFree = 0.5
+
 // refusedCredit is the number of turns of its account by which a request goes ahead whose program was refused before.
 const refusedCredit = 1
 
@@ -58,7 +61,7 @@
 	case r.Objective <= 0 || o.Servers == 0 || o.Free <= 0 && q.pace.service(o) <= 0:
 		q.admit(w, Decision{Cause: CauseUnknown, Outlook: o})
 		return w, []*Waiter{w}
-	case len(q.waiting) == 0 && o.Free > q.reserved:
+	case len(q.waiting) == 0 && q.hasRoom(now, r.Class, o):
 		q.admit(w, Decision{Cause: CauseFree, Outlook: o})
 		return w, []*Waiter{w}
 	}
@@ -157,7 +160,7 @@
 	d := Decision{Expected: expected, Ahead: ahead, Outlook: o}
 	left := w.RespondBy.Sub(now)
 	switch {
-	case o.Free > q.reserved:
+	case q.hasRoom(now, w.Class, o):
 		d.Outcome, d.Cause = Admit, CauseFree
 	case o.Servers == 0 || q.pace.service(o) <= 0:
 		d.Outcome, d.Cause = Admit, CauseUnknown
@@ -176,6 +179,20 @@
 	return d
 }
 
+// hasRoom reports whether a request of the class may begin. Turns under way take any free place. First turns also keep to the
+// instance's share of the places: what others have sent is known late, and all of them see the same free places.
+func (q *Queue) hasRoom(now time.Time, c Class, o placement.Outlook) bool {
+	isFree := o.Free > q.reserved
+	if c == UnderWay || float64(o.Free) >= plentyFree*float64(o.Places) {
+		return isFree
+	}
+	share := q.pace.share(now, o)
+	if isFree {
+		share = max(share, 1)
+	}
+	return float64(q.pace.inFlight+q.reserved) < share
+}
+
 func (q *Queue) remove(i int) {
 	w := q.waiting[i]
 	q.waiting = slices.Delete(q.waiting, i, i+1)
