homes: keep requests in the regions that their route and account name

Cause: routes and accounts with home regions were decoded and nothing looked at them.

What is new: the home regions of route and account, both bind, filter the servers that fleet picks (also preferred ones, and as a last resort). Owners of programs and tunnels get contents only if their instance says (new call Relay.Place) that it is in a home region; calls to the store are relayed inside the own region once anything has homes. Homes that name no region of the site are refused at once with no_home. Without homes nothing is asked and nothing filtered.

Ruled out: regions in the members' names (owners only), copies at the client's instance (do not survive it).

--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -72,15 +72,22 @@
 	return f.evacuations.current[f.announcer(b).DataCentre]
 }
 
-// AllEvacuated reports whether the service has servers and all of them are in evacuated data centres.
-func (f *Fleet) AllEvacuated(service string) bool {
+// AllEvacuated reports whether there are servers of the service in data centres that the criteria allow, and all of them are
+// evacuated.
+func (f *Fleet) AllEvacuated(c Criteria) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	servers := f.byService[service]
-	if len(f.evacuations.current) == 0 {
-		return false
+	found := false
+	for _, b := range f.byService[c.Service] {
+		if !c.allows(b) {
+			continue
+		}
+		if !f.evacuations.current[b.DataCentre] {
+			return false
+		}
+		found = true
 	}
-	return len(servers) > 0 && !slices.ContainsFunc(servers, func(b *server) bool { return !f.evacuations.current[b.DataCentre] })
+	return found
 }
 
 // returning returns the extra load of the servers of each data centre that was taken back, for one pick.
--- a/internal/fleet/evacuation_test.go
+++ b/internal/fleet/evacuation_test.go
@@ -47,12 +47,12 @@
 func TestServiceWithoutAServerElsewhereIsKnownAsSuch(t *testing.T) {
 	is := is.New(t)
 	f, _ := evacuationFixture()
-	is.True(!f.AllEvacuated("s"))
+	is.True(!f.AllEvacuated(Criteria{Service: "s"}))
 	f.SetEvacuated([]string{"a"})
-	is.True(!f.AllEvacuated("s"))
+	is.True(!f.AllEvacuated(Criteria{Service: "s"}))
 	f.SetEvacuated([]string{"a", "b"})
-	is.True(f.AllEvacuated("s"))
-	is.True(!f.AllEvacuated("unregistered"))
+	is.True(f.AllEvacuated(Criteria{Service: "s"}))
+	is.True(!f.AllEvacuated(Criteria{Service: "unregistered"}))
 	is.Equal(f.EvacuatedCount(), 2)
 }
 
@@ -101,3 +101,17 @@
 		is.Equal(f.Acquire(Criteria{Service: "s"}).ID, "y")
 	}
 }
+
+func TestServerOutsideTheAllowedDataCentresIsNeverPicked(t *testing.T) {
+	is := is.New(t)
+	f, _ := evacuationFixture()
+	c := Criteria{Service: "s", Preferred: "x", InDataCentre: func(dataCentre string) bool { return dataCentre == "b" }}
+	for range 20 {
+		is.Equal(f.Acquire(c).ID, "y")
+	}
+	is.Equal(f.Outlook(c).Servers, 1)
+	c.Exclude = []string{"y"}
+	is.Equal(f.Acquire(c), nil)
+	f.SetEvacuated([]string{"b"})
+	is.True(f.AllEvacuated(c))
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -205,10 +205,17 @@
 	AnyDataCentre bool
 	// Permit takes permission to send one request to a server that limits them. Nil permits every request.
 	Permit func(backendlimit.Server, backendlimit.Limit) bool
+	// InDataCentre reports whether servers of a data centre may be picked. Nil allows all.
+	InDataCentre func(dataCentre string) bool
 	// extraLoad is added to the load of the servers of some data centres.
 	extraLoad map[string]float64
 }
 
+// allows reports whether the server may be picked as far as its place goes.
+func (c *Criteria) allows(b *server) bool {
+	return c.InDataCentre == nil || c.InDataCentre(b.DataCentre)
+}
+
 func (c *Criteria) load(b *server) float64 { return b.load() + c.extraLoad[b.DataCentre] }
 
 // Acquire picks a server and counts a request on it until Release. It returns nil if no server can be used.
@@ -242,7 +249,7 @@
 			return nil
 		}
 		if p := f.byID[c.Preferred]; p != nil && p.Service == c.Service && usable(p) && !denied[p] &&
-			!excluded(c.Exclude, p.ID) && c.load(p) <= c.load(best)+affinitySlack {
+			!excluded(c.Exclude, p.ID) && c.allows(p) && c.load(p) <= c.load(best)+affinitySlack {
 			best = p
 		}
 		if !best.limit.Announced || c.Permit == nil ||
@@ -258,7 +265,7 @@
 	var lowest float64
 	ties := 0
 	for _, b := range f.byService[c.Service] {
-		if excluded(c.Exclude, b.ID) || !usable(b) {
+		if excluded(c.Exclude, b.ID) || !c.allows(b) || !usable(b) {
 			continue
 		}
 		load := c.load(b)
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -9,7 +9,7 @@
 	var o placement.Outlook
 	now := f.now()
 	for _, b := range f.byService[c.Service] {
-		if excluded(c.Exclude, b.ID) || !f.mayBeUsed(b, now) {
+		if excluded(c.Exclude, b.ID) || !c.allows(b) || !f.mayBeUsed(b, now) {
 			continue
 		}
 		o.Servers++
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/fleet"
+	"github.com/berylpond/berylpond/internal/homes"
 	"github.com/berylpond/berylpond/internal/quarantine"
 	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/routing"
@@ -97,6 +98,8 @@
 	viewUsable func() bool
 	// evacuationPeriod is the time within which instances learn that a data centre is evacuated or taken back.
 	evacuationPeriod time.Duration
+	// regionOf is the region of each data centre.
+	regionOf map[string]string
 }
 
 // Options holds the dependencies of a Gateway.
@@ -114,6 +117,8 @@
 	// ViewUsable reports whether this instance knows which data centres are evacuated, recently enough to send requests.
 	ViewUsable       func() bool
 	EvacuationPeriod time.Duration
+	// RegionOf is the region of each data centre.
+	RegionOf map[string]string
 }
 
 // New returns a gateway.
@@ -122,7 +127,7 @@
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Upstream, turnClient: o.TurnClient,
 		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, historyCache: newHistoryCache(), metrics: o.Metrics, now: time.Now,
 		draining: o.Draining, isolated: o.Isolated, features: o.Features,
-		viewUsable: o.ViewUsable, evacuationPeriod: o.EvacuationPeriod,
+		viewUsable: o.ViewUsable, evacuationPeriod: o.EvacuationPeriod, regionOf: o.RegionOf,
 	}
 }
 
@@ -139,7 +144,9 @@
 	configuration *routing.Configuration
 	route         *routing.Route
 	account       routing.Account
-	body          []byte
+	// homes are the regions in which the request may be handled.
+	homes homes.Set
+	body  []byte
 	// identity identifies the request whatever its id.
 	identity quarantine.Identity
 	// target is the path and query exactly as the client sent them.
@@ -168,7 +175,7 @@
 	x.setConnectionClose(w.Header())
 	err := x.admit()
 	if err == nil {
-		ctx, cancel := context.WithDeadline(r.Context(), x.respondBy)
+		ctx, cancel := context.WithDeadline(homes.NewContext(r.Context(), x.homes), x.respondBy)
 		defer cancel()
 		switch {
 		case x.route.StoresHistory:
@@ -204,6 +211,11 @@
 	if err := x.authenticate(); err != nil {
 		return err
 	}
+	x.homes = homes.Of(x.route.HomeRegions, x.account.HomeRegions)
+	if !x.homes.AllowsAny(x.regionOf) {
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoHome, retryAfterUnavailable,
+			"no region of this site is a home of the request: route %v, account %v", x.route.HomeRegions, x.account.HomeRegions)
+	}
 	x.setDeadline()
 	if err := x.readBody(); err != nil {
 		return err
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -23,9 +23,8 @@
 // centre are limited, and the load of the others there, of which this instance sees only its own part, would grow far
 // beyond that of the servers elsewhere.
 func (x *exchange) acquireBackend(ctx context.Context, preferred string) (*fleet.Backend, *ratelimit.Denial) {
-	c := fleet.Criteria{
-		Service: x.service, Work: x.work(), Preferred: preferred, Exclude: slices.Clone(x.triedBackends),
-	}
+	c := x.criteria()
+	c.Work, c.Preferred, c.Exclude = x.work(), preferred, slices.Clone(x.triedBackends)
 	var atLimit []ratelimit.ServerLimit
 	for len(atLimit) < maxAsked {
 		b, limit := x.pickBackend(c)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -83,7 +83,7 @@
 	switch {
 	case d != nil:
 		return limitedError(d)
-	case x.fleet.AllEvacuated(x.service):
+	case x.fleet.AllEvacuated(x.criteria()):
 		return x.evacuatedError()
 	default:
 		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryAfterTransient,
@@ -91,6 +91,15 @@
 	}
 }
 
+// criteria returns those that hold for every pick of a backend server for the request.
+func (x *exchange) criteria() fleet.Criteria {
+	c := fleet.Criteria{Service: x.service}
+	if x.homes.IsRestricted() {
+		c.InDataCentre = func(dataCentre string) bool { return x.homes.Allows(x.regionOf[dataCentre]) }
+	}
+	return c
+}
+
 // attempt sends the request to one backend server. An error is a *verdict.Error.
 func (x *exchange) attempt(ctx context.Context, b *fleet.Backend, body []byte) (*backendResponse, error) {
 	sent := x.now()
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -5,9 +5,12 @@
 	"net/http"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+	"github.com/berylpond/berylpond/internal/homes"
+	"github.com/berylpond/berylpond/internal/turnclient"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -99,6 +102,10 @@
 	if x.isolated() {
 		limit = isolatedBeginTimeout
 	}
+	if !x.route.StoresHistory {
+		// The owner keeps count only, and is sent no contents.
+		ctx = homes.NewContext(ctx, homes.Set{})
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	resp, err := x.turnClient.Begin(ctx, &turnv1.BeginRequest{
@@ -107,6 +114,9 @@
 	})
 	if err != nil {
 		x.settle(0)
+		if errors.Is(err, turnclient.ErrNotAHome) {
+			return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoHome, x.retryDelay(), "%v", err)
+		}
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, x.retryDelay(), "%v", err)
 	}
 	switch resp.Outcome {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/gateway"
+	"github.com/berylpond/berylpond/internal/homes"
 	"github.com/berylpond/berylpond/internal/membership"
 	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/quarantine"
@@ -80,9 +81,11 @@
 	fleet     *fleet.Fleet
 	// evacuations holds the data centres whose backend servers get nothing new.
 	evacuations *storewatch.Evacuations
-	group       *membership.Membership
-	owner       *turnlog.Owner
-	limiter     *ratelimit.Limiter
+	// places knows the regions of peers.
+	places  *homes.Directory
+	group   *membership.Membership
+	owner   *turnlog.Owner
+	limiter *ratelimit.Limiter
 	// quarantine keeps requests that crash backend servers from being sent on.
 	quarantine *quarantine.Quarantine
 	holder     *ratelimit.BucketHolder
@@ -112,13 +115,16 @@
 		fleet: fleet.New(s.DataCentre, s.DrainPeriod), pool: peer.NewPool(net.ParseIP(s.IP)),
 		dialBackend: upstream.Dial, metrics: prometheus.NewRegistry(),
 	}
+	i.places = homes.NewDirectory(i.pool)
+	tunnels := tunnel.NewClient(i.pool, i.peers)
+	tunnels.Allows = i.places.Allows
 	i.backendPath = backendpath.New(ctx, func(ctx context.Context, address string) (net.Conn, error) {
 		return i.dialBackend(ctx, address)
-	}, tunnel.NewClient(i.pool, i.peers).Dial, i.fleet.Addresses, backendpath.NewMetrics(i.metrics))
+	}, tunnels.Dial, i.fleet.Addresses, backendpath.NewMetrics(i.metrics))
 	i.backendPool = upstream.NewPool(i.backendPath)
 	i.tunnels = tunnel.NewServer(i.backendPath.DialDirect, i.fleet, i.closing.Load)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
-	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
+	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.relays)
 	store := platform.NewStore(i.transport)
 	i.store = store
 	hooks := storewatch.Hooks{UsesFeed: i.usesFeed, OnChange: func() { i.feedServer.NotifyChanged() }}
@@ -144,7 +150,7 @@
 		Evacuated: i.evacuations.Replace,
 	})
 	client := turnclient.New(s.Store.Partitions, i.group, i.pool)
-	client.Local = i.owner
+	client.Local, client.Allows = i.owner, i.places.Allows
 	finder.Client = client
 	i.holder = ratelimit.NewBucketHolder(i.config.Current, i.group.RecentPeers, i.self, i.holderState,
 		i.transport.SinceContact)
@@ -163,7 +169,7 @@
 	i.gateway = gateway.New(gateway.Options{
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
-		Features: features, ViewUsable: i.viewUsable, EvacuationPeriod: s.EvacuationPeriod,
+		Features: features, ViewUsable: i.viewUsable, EvacuationPeriod: s.EvacuationPeriod, RegionOf: s.RegionOf,
 	})
 	return i
 }
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -43,6 +43,8 @@
 	nodes []*node
 	// prepare, if not nil, is called for each instance before it runs.
 	prepare func(*Instance)
+	// settle, if not nil, changes the settings of each instance before it starts.
+	settle func(*platform.Settings)
 }
 
 var nextIP atomic.Int32
@@ -104,6 +106,9 @@
 func (s *site) startWith(cores float64, seeds ...string) *node {
 	s.t.Helper()
 	settings := s.newSettings(cores, seeds...)
+	if s.settle != nil {
+		s.settle(&settings)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Instance: New(ctx, settings, feature.Set{}), url: "http://" + settings.ClientAddress, stop: cancel, done: make(chan struct{})}
 	if s.prepare != nil {
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log"
+	"slices"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 )
@@ -22,6 +23,23 @@
 	return r.i.transport.Relay(ctx, c), nil
 }
 
+// Place implements turnv1.RelayServer.
+func (r *relay) Place(context.Context, *turnv1.PlaceRequest) (*turnv1.PlaceResponse, error) {
+	return &turnv1.PlaceResponse{Region: r.i.settings.Region}, nil
+}
+
+// relays lists the peers through which this instance may call the store. The calls carry the contents of requests, so that
+// they stay in this instance's region if any request has homes.
+func (i *Instance) relays() []string {
+	peers := i.peers()
+	if c := i.config.Current(); c == nil || !c.HasHomes() {
+		return peers
+	}
+	return slices.DeleteFunc(peers, func(address string) bool {
+		return i.places.RegionOf(context.Background(), address) != i.settings.Region
+	})
+}
+
 // Snapshot implements turnv1.RelayServer.
 func (r *relay) Snapshot(ctx context.Context, s *turnv1.SnapshotRequest) (*turnv1.SnapshotResponse, error) {
 	return r.i.feedServer.Snapshot(ctx, s), nil
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -132,7 +132,8 @@
 	// Raw is the document as published.
 	Raw []byte
 
-	byHost map[string][]*Route
+	byHost   map[string][]*Route
+	hasHomes bool
 }
 
 // BuildIndex builds the lookup tables. It must be called once, before the configuration is shared between goroutines.
@@ -141,12 +142,19 @@
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
+		c.hasHomes = c.hasHomes || len(r.HomeRegions) > 0
+	}
+	for _, a := range c.Accounts {
+		c.hasHomes = c.hasHomes || len(a.HomeRegions) > 0
 	}
 	for _, routes := range c.byHost {
 		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
 	}
 }
 
+// HasHomes reports whether any route or account names regions in which its requests may be handled.
+func (c *Configuration) HasHomes() bool { return c.hasHomes }
+
 // RouteFor returns the route of host with the longest matching path prefix, or nil. The host may include a port.
 func (c *Configuration) RouteFor(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -38,6 +38,8 @@
 type Client struct {
 	dialer Dialer
 	peers  func() []string
+	// Allows reports whether the contents of the context's request may be sent to an instance. Nil allows all.
+	Allows func(ctx context.Context, address string) bool
 	now    func() time.Time
 
 	mu sync.Mutex
@@ -54,10 +56,15 @@
 // unless a peer that reaches other servers could not connect to this one.
 func (c *Client) Dial(ctx context.Context, address string) (net.Conn, error) {
 	last := errNoPeer
-	for i, peer := range c.candidates() {
-		if i == maxPeers || ctx.Err() != nil {
+	tried := 0
+	for _, peer := range c.candidates() {
+		if tried == maxPeers || ctx.Err() != nil {
 			break
 		}
+		if c.Allows != nil && !c.Allows(ctx, peer) {
+			continue
+		}
+		tried++
 		conn, err := c.open(ctx, peer, address)
 		if err == nil {
 			return conn, nil
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -212,3 +212,23 @@
 	is.True(time.Since(start) < 50*time.Millisecond)
 	is.Equal(<-carrier.leaving, "x/3")
 }
+
+// Guards against the contents of a request with homes passing through an instance elsewhere.
+func TestPeersOutsideTheHomesCarryNoTunnel(t *testing.T) {
+	is := is.New(t)
+	accepted := make(chan struct{}, 1)
+	backend := startBackend(t, func(c *net.TCPConn) {
+		accepted <- struct{}{}
+		c.Close()
+	})
+	elsewhere, home := startCarrier(t, dialTCP, backend), startCarrier(t, dialTCP, backend)
+	c := newClient(t, elsewhere.address)
+	c.Allows = func(_ context.Context, address string) bool { return address == home.address }
+	_, err := c.Dial(t.Context(), backend)
+	is.True(errors.Is(err, backendpath.ErrLost))
+	is.Equal(len(accepted), 0)
+	c.peers = func() []string { return []string{elsewhere.address, home.address} }
+	_, err = c.Dial(t.Context(), backend)
+	is.NoErr(err)
+	<-accepted
+}
--- a/internal/turnclient/turnclient.go
+++ b/internal/turnclient/turnclient.go
@@ -30,6 +30,9 @@
 // ErrNoOwner means that no owner responded in time.
 var ErrNoOwner = errors.New("no owner of the program's partition answered")
 
+// ErrNotAHome means that the owner is in a region where the contents of the request must not go.
+var ErrNotAHome = errors.New("the owner of the program's partition is in no home region of the request")
+
 // OwnerDirectory maps partitions to their owners.
 type OwnerDirectory interface {
 	// OwnerOf returns the peer address of the owner, or "" if it is unknown.
@@ -54,6 +57,8 @@
 	dialer     Dialer
 	// Local serves the partitions of this instance. It must be set before the first call.
 	Local turnv1.TurnsServer
+	// Allows reports whether the contents of the context's request may be sent to an instance. Nil allows all.
+	Allows func(ctx context.Context, address string) bool
 }
 
 // New returns a client for a topic with the given number of partitions.
@@ -74,6 +79,8 @@
 				return remote.Begin(ctx, r)
 			})
 		switch {
+		case errors.Is(err, ErrNotAHome):
+			return nil, err
 		case err != nil:
 			lastErr = err
 		case resp.Outcome == turnv1.Outcome_OUTCOME_NOT_OWNER, resp.Outcome == turnv1.Outcome_OUTCOME_UNAVAILABLE:
@@ -99,6 +106,8 @@
 				return remote.End(ctx, r)
 			})
 		switch {
+		case errors.Is(err, ErrNotAHome):
+			return err
 		case err != nil:
 			lastErr = err
 		case resp.Outcome == turnv1.Outcome_OUTCOME_OK:
@@ -143,6 +152,9 @@
 	if owner == c.directory.Self() {
 		return local(ctx, c.Local)
 	}
+	if c.Allows != nil && !c.Allows(ctx, owner) {
+		return zero, errors.Wrapf(ErrNotAHome, "owner %s", owner)
+	}
 	defer c.cancelOnReplacement(ctx, cancel, program, owner)()
 	conn, err := c.dialer.Conn(owner)
 	if err != nil {
--- a/internal/turnclient/turnclient_test.go
+++ b/internal/turnclient/turnclient_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
 
@@ -95,3 +96,18 @@
 	is.True(err != nil)
 	is.True(time.Since(start) >= 4*replacementCheckInterval)
 }
+
+// Guards against the contents of a request with homes going to an owner elsewhere.
+func TestOwnerOutsideTheHomesIsNotCalled(t *testing.T) {
+	is := is.New(t)
+	d := &directory{owner: "elsewhere"}
+	c := New(1, d, dialer{})
+	c.Allows = func(_ context.Context, address string) bool { return address != "elsewhere" }
+	start := time.Now()
+	_, err := c.Begin(t.Context(), &turnv1.BeginRequest{Program: "p"})
+	is.True(errors.Is(err, ErrNotAHome))
+	is.True(errors.Is(c.End(t.Context(), &turnv1.EndRequest{Program: "p"}), ErrNotAHome))
+	is.True(time.Since(start) < beginTimeout)
+	d.set("home")
+	is.NoErr(c.End(t.Context(), &turnv1.EndRequest{Program: "p"}))
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -83,6 +83,7 @@
 	ReasonNoBackend           Reason = "no_backend"
 	ReasonQuarantined         Reason = "quarantined"
 	ReasonEvacuated           Reason = "evacuated"
+	ReasonNoHome              Reason = "no_home"
 	ReasonStaleView           Reason = "stale_view"
 	ReasonBackendFailed       Reason = "backend_failed"
 	ReasonBackendSilent       Reason = "backend_silent"
