--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -96,10 +96,17 @@
 		return nil
 	}
 	period := f.ReturnPeriod(service)
-	extra := map[string]float64{}
-	draw := rand.Float64()
-	for dataCentre, since := range f.evacuations.returned {
-		extra[dataCentre] = slowStartLoad(now.Sub(since), period, draw)
+	var extra map[string]float64
+	var draw float64
+	for dataCentre, at := range f.evacuations.returned {
+		since := now.Sub(at)
+		if since >= period {
+			continue
+		}
+		if extra == nil {
+			extra, draw = map[string]float64{}, rand.Float64()
+		}
+		extra[dataCentre] = slowStartLoad(since, period, draw)
 	}
 	return extra
 }
--- a/internal/instance/evacuation_test.go
+++ b/internal/instance/evacuation_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -19,6 +20,8 @@
 	"github.com/berylpond/berylpond/internal/fakes/metastore"
 	"github.com/berylpond/berylpond/internal/fakes/runner"
 	"github.com/berylpond/berylpond/internal/feature"
+	"github.com/berylpond/berylpond/internal/feed"
+	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/upstream"
 	"github.com/berylpond/berylpond/platform"
 )
@@ -70,6 +73,8 @@
 	s.eventually("reader owns partitions", func() bool { return len(reader.owner.OwnedPartitions()) == 4 })
 	follower := s.startWith(0.1)
 	s.eventually("follower uses the feed", follower.usesFeedOfEvacuations)
+	// A read that was under way from before ends.
+	time.Sleep(1500 * time.Millisecond)
 	s.evacuate("a")
 	for _, n := range s.nodes {
 		s.eventually("evacuated", n.evacuated(1))
@@ -183,3 +188,36 @@
 	is.Equal(len(inA.Executions()), 0)
 	is.Equal(len(inB.Executions()), 1)
 }
+
+// Guards against a reader of an older build keeping its followers from learning of evacuations, or taking one back.
+func TestFollowerOfAnOlderReaderLearnsOfEvacuationsByItself(t *testing.T) {
+	is := is.New(t)
+	s, inA, _ := twoDataCentres(t)
+	s.prepare = func(i *Instance) {
+		i.feedServer = feed.NewServer(i.startID, feed.View{
+			Configuration: i.config.Current, Backends: i.fleet.Entries, Owners: i.group.OwnersByPartition, Age: i.viewAge,
+			SinceContact: i.transport.SinceContact, Evacuated: func() ([]string, int64) { return nil, 0 },
+		})
+	}
+	older := s.start()
+	s.eventually("reader owns partitions", func() bool { return len(older.owner.OwnedPartitions()) == 4 })
+	s.prepare = nil
+	follower := s.startWith(0.1)
+	s.eventually("follower uses the feed", follower.usesFeed)
+	// A read that was under way from before ends.
+	time.Sleep(1500 * time.Millisecond)
+	s.evacuate("a")
+	s.eventually("evacuated", follower.evacuated(1))
+	// The older reader's view changes and is sent anew.
+	s.register(s.tools[0], "a")
+	s.store.PutKeyed("keyed.servers", s.llm.ID, s.llm.Registration("draining"))
+	s.eventually("follower has the change", func() bool {
+		return slices.ContainsFunc(follower.fleet.Entries(), func(e fleet.Entry) bool { return e.ID == s.llm.ID && e.Draining })
+	})
+	is.True(follower.usesFeed())
+	before := len(inA.Executions())
+	for range 20 {
+		is.Equal(s.do(follower, call{path: "/read/x"}).status, http.StatusOK)
+	}
+	is.Equal(len(inA.Executions()), before)
+}
--- a/internal/instance/relay.go
+++ b/internal/instance/relay.go
@@ -29,10 +29,10 @@
 }
 
 // relays lists the peers through which this instance may call the store. The calls carry the contents of requests, so that
-// they stay in this instance's region if any request has homes.
+// they stay in this instance's region if any request has homes, or may have while there is no configuration.
 func (i *Instance) relays() []string {
 	peers := i.peers()
-	if c := i.config.Current(); c == nil || !c.HasHomes() {
+	if c := i.config.Current(); i.isOnlyRegion() || c != nil && !c.HasHomes() {
 		return peers
 	}
 	return slices.DeleteFunc(peers, func(address string) bool {
@@ -40,6 +40,16 @@
 	})
 }
 
+// isOnlyRegion reports whether the site has no other region than this instance's.
+func (i *Instance) isOnlyRegion() bool {
+	for _, r := range i.settings.RegionOf {
+		if r != i.settings.Region {
+			return false
+		}
+	}
+	return true
+}
+
 // Snapshot implements turnv1.RelayServer.
 func (r *relay) Snapshot(ctx context.Context, s *turnv1.SnapshotRequest) (*turnv1.SnapshotResponse, error) {
 	return r.i.feedServer.Snapshot(ctx, s), nil
