--- a/internal/fleet/evacuation.go
+++ b/internal/fleet/evacuation.go
@@ -74,15 +74,22 @@
 	return f.evacuations.current[f.announcer(b).DataCentre]
 }
 
-// AllEvacuated reports whether the service has servers and all of them are in evacuated data centres.
-func (f *Fleet) AllEvacuated(service string) bool {
+// AllEvacuated reports whether there are servers of the service in data centres that the criteria allow, and all of them are
+// evacuated.
+func (f *Fleet) AllEvacuated(c Criteria) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	servers := f.byService[service]
-	if len(f.evacuations.current) == 0 {
-		return false
+	found := false
+	for _, b := range f.byService[c.Service] {
+		if !c.allows(b) {
+			continue
+		}
+		if !f.evacuations.current[b.DataCentre] {
+			return false
+		}
+		found = true
 	}
-	return len(servers) > 0 && !slices.ContainsFunc(servers, func(b *server) bool { return !f.evacuations.current[b.DataCentre] })
+	return found
 }
 
 // returning returns the extra load of the servers of each data centre that was taken back, for one pick.
@@ -91,10 +98,17 @@
 		return nil
 	}
 	period := f.ReturnPeriod(service)
-	extra := map[string]float64{}
-	draw := rand.Float64()
-	for dataCentre, since := range f.evacuations.returned {
-		extra[dataCentre] = slowStartLoad(now.Sub(since), period, draw)
+	var extra map[string]float64
+	var draw float64
+	for dataCentre, at := range f.evacuations.returned {
+		since := now.Sub(at)
+		if since >= period {
+			continue
+		}
+		if extra == nil {
+			extra, draw = map[string]float64{}, rand.Float64()
+		}
+		extra[dataCentre] = slowStartLoad(since, period, draw)
 	}
 	return extra
 }
--- a/internal/fleet/outlook.go
+++ b/internal/fleet/outlook.go
@@ -17,7 +17,7 @@
 		service = p.costs.Service()
 	}
 	for _, b := range f.byService[c.Service] {
-		if excluded(c.Exclude, b.ID) || !f.mayBeUsed(b, now) {
+		if excluded(c.Exclude, b.ID) || !c.allows(b) || !f.mayBeUsed(b, now) {
 			continue
 		}
 		wait := placement.Wait(f.loadAt(b, now), service)
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -11,7 +11,6 @@
 
 	"github.com/berylpond/berylpond/internal/admission"
 	"github.com/berylpond/berylpond/internal/feature"
-	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/placement"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
@@ -139,7 +138,7 @@
 	if x.room != nil || !x.features.Enabled(feature.Admission) {
 		return nil
 	}
-	criteria := fleet.Criteria{Service: x.service, Work: x.work()}
+	criteria := x.criteria()
 	outlook := func() placement.Outlook { return x.fleet.Outlook(criteria) }
 	q := x.rooms.queue(x.service)
 	r := x.admissionRequest()
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -10,6 +10,7 @@
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/feature"
+	"github.com/berylpond/berylpond/internal/homes"
 	"github.com/berylpond/berylpond/internal/turnclient"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
@@ -146,6 +147,10 @@
 	if x.isolated() {
 		limit = x.isolatedBeginLimit()
 	}
+	if !x.route.StoresHistory {
+		// The owner keeps count only, and is sent no contents.
+		ctx = homes.NewContext(ctx, homes.Set{})
+	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	resp, err := x.turnClient.Begin(ctx, &turnv1.BeginRequest{
@@ -154,6 +159,9 @@
 	})
 	if err != nil {
 		x.settle(0)
+		if errors.Is(err, turnclient.ErrNotAHome) {
+			return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoHome, x.retryDelay(), "%v", err)
+		}
 		return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonOwnerUnavailable, x.ownerRetryDelay(err), "%v", err)
 	}
 	switch resp.Outcome {
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -49,6 +49,8 @@
 	prepare func(*Instance)
 	// features are those of the instances that are started.
 	features feature.Set
+	// settle, if not nil, changes the settings of each instance before it starts.
+	settle func(*platform.Settings)
 }
 
 var nextIP atomic.Int32
@@ -114,6 +116,9 @@
 	if s.memoryBytes > 0 {
 		settings.MemoryBytes = s.memoryBytes
 	}
+	if s.settle != nil {
+		s.settle(&settings)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Instance: New(ctx, settings, s.features), url: "http://" + settings.ClientAddress, stop: cancel, done: make(chan struct{})}
 	if s.prepare != nil {
