turnlog: programs without stored history go on while the store is away

Cause: a program on a route without stored history could begin one turn without a record, so it stopped soon after the store did.

What is new: each record of such a program grants half of what is left, at least one turn, and says that all but one turn of it is charged. Whoever takes over counts that, so the budget is exceeded by one turn at most whatever is lost. A released partition gives the difference back. No record has a new field. feature.AdvanceGrants turns it off.

Ruled out: all that is left granted (ends programs at the loss of an owner); first turns without a record; records at a majority of instances (docs/design/advance-grants.md).

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -124,6 +124,7 @@
 	i.backends = storewatch.NewBackendWatcher(store, i.fleet, hooks)
 	finder := &finder{}
 	i.owner = turnlog.NewOwner(ctx, store, s.Store, i.startID, finder, turnlog.NewMetrics(i.metrics))
+	i.owner.AdvanceGrants = features.Enabled(feature.AdvanceGrants)
 	i.group = membership.New(membership.Options{
 		Store: store, Settings: s.Store, Topic: turnlog.Topic, Self: i.self, StartID: i.startID, Cores: s.Cores,
 		Assigner: i.owner, UsesFeed: i.usesFeed, OnChange: hooks.OnChange,
--- /dev/null
+++ b/internal/turnlog/advance.go
@@ -0,0 +1,32 @@
+package turnlog
+
+import turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+
+// advanceShare is the divisor of the part of a program's remaining budget that is granted ahead. A program whose owner is lost keeps
+// the rest, and one turn.
+const advanceShare = 2
+
+// advance returns how far the grant of a program without stored history reaches beyond what is charged.
+//
+// Load pattern: the store is away for seconds, in which an instance can record nothing, while programs of many short turns are in
+// progress. Their turns begin under the grant that was recorded before.
+//
+// After the loss of an owner its successor counts the grant as spent but for one turn, whether it was used or not. So a grant
+// of all that is left would end every program early whose owner is lost.
+func advance(budget, charged, most int64) int64 { return max(most, (budget-charged)/advanceShare) }
+
+// unused returns the records that give back what programs were granted ahead and did not use. The owner must admit no turn after
+// that. Turns in progress stay charged with their maximum.
+func (s *state) unused() []*turnv1.Record {
+	var out []*turnv1.Record
+	for id, p := range s.programs {
+		if p.charged() >= p.recordedCharge {
+			continue
+		}
+		out = append(out, &turnv1.Record{Change: &turnv1.Record_Granted{Granted: &turnv1.Granted{
+			Program: id, Account: p.account, Granted: p.granted, Charged: p.charged(), Forgiven: p.forgiven,
+			KeepMs: p.keep.Milliseconds(), AtUnixMs: p.lastUse.UnixMilli(),
+		}}})
+	}
+	return out
+}
--- a/internal/turnlog/loss_test.go
+++ b/internal/turnlog/loss_test.go
@@ -32,14 +32,15 @@
 
 // lossyProgram is one program, the store's records of it and its owners, of which only the last may append.
 type lossyProgram struct {
-	records   []*turnv1.Record
-	owners    []*lossyOwner
-	generated int64
-	turns     int
+	advanceGrants bool
+	records       []*turnv1.Record
+	owners        []*lossyOwner
+	generated     int64
+	turns         int
 }
 
-func newLossyProgram() *lossyProgram {
-	p := &lossyProgram{}
+func newLossyProgram(advanceGrants bool) *lossyProgram {
+	p := &lossyProgram{advanceGrants: advanceGrants}
 	p.takeOver()
 	return p
 }
@@ -52,6 +53,7 @@
 		s.apply(r)
 	}
 	s.recoverCharges()
+	s.advanceGrants = p.advanceGrants
 	p.owners = append(p.owners, &lossyOwner{state: s})
 }
 
@@ -106,6 +108,20 @@
 	}
 }
 
+// release has the owner give the program to another one, which finds the first of the records that it leaves.
+func (p *lossyProgram) release(o *lossyOwner, appended int) {
+	for _, r := range o.state.unused() {
+		o.pending = append(o.pending, pendingRecord{record: r})
+	}
+	for range min(appended, len(o.pending)) {
+		p.commit(o, 0)
+	}
+	o.dead = true
+	if o == p.current() {
+		p.takeOver()
+	}
+}
+
 // mayHaveGenerated is what clients got or may still get.
 func (p *lossyProgram) mayHaveGenerated() int64 {
 	n := p.generated
@@ -118,13 +134,13 @@
 // Load pattern: the store is away for seconds, so that records wait, and owners are lost, cut off or replaced meanwhile.
 func TestNoSequenceOfLossesExceedsTheBudgetByMoreThanOneTurn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := newLossyProgram()
+		p := newLossyProgram(rapid.Bool().Draw(t, "advance grants"))
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			o := p.current()
 			if rapid.IntRange(0, 4).Draw(t, "at a replaced owner") == 0 {
 				o = p.owners[rapid.IntRange(0, len(p.owners)-1).Draw(t, "owner")]
 			}
-			step := rapid.SampledFrom([]string{"begin", "begin", "end", "end", "commit", "commit", "take over"}).Draw(t, "step")
+			step := rapid.SampledFrom([]string{"begin", "begin", "end", "end", "commit", "commit", "take over", "release"}).Draw(t, "step")
 			for range rapid.IntRange(1, 6).Draw(t, "times") {
 				if o.dead {
 					break
@@ -140,6 +156,8 @@
 					p.commit(o, rapid.IntRange(0, 1).Draw(t, "index"))
 				case "take over":
 					p.takeOver()
+				case "release":
+					p.release(o, rapid.IntRange(0, 20).Draw(t, "appended"))
 				}
 			}
 			if n := p.mayHaveGenerated(); n > lossBudget+lossReservation {
@@ -152,7 +170,7 @@
 // Turns that run in parallel end with few tokens while the store is away. Their records wait, and say that little is charged;
 // meanwhile others begin under the grant that these have left. The owner is lost just after the records became durable.
 func TestGrantsOfParallelTurnsAreNotUsedTwiceWhileRecordsWait(t *testing.T) {
-	p := newLossyProgram()
+	p := newLossyProgram(false)
 	o := p.current()
 	const parallel = 4
 	for range parallel {
@@ -180,3 +198,74 @@
 		t.Fatalf("turns may have generated %d of %d tokens", n, lossBudget)
 	}
 }
+
+// turn runs a turn of half of its maximum. durable says whether the store takes the owner's records.
+func (p *lossyProgram) turn(o *lossyOwner, durable, reported bool) {
+	if o.dead {
+		return
+	}
+	p.begin(o)
+	for durable && len(o.pending) > 0 {
+		p.commit(o, 0)
+	}
+	p.end(o, lossReservation/2, reported)
+	for durable && len(o.pending) > 0 {
+		p.commit(o, 0)
+	}
+}
+
+// The rows of the table in docs/design/advance-grants.md. Whatever is lost, a program exceeds its budget by one turn at most, and
+// is left with at least half of what it had.
+func TestProgramsKeepTheirBudgetOverEachLoss(t *testing.T) {
+	const many = 3 * lossBudget / lossReservation
+	const before = 3
+	for name, lose := range map[string]func(p *lossyProgram){
+		"nothing":   func(*lossyProgram) {},
+		"the owner": func(p *lossyProgram) { p.takeOver() },
+		"the store": func(p *lossyProgram) {
+			for range many {
+				p.turn(p.current(), false, true)
+			}
+		},
+		"the owner and the store": func(p *lossyProgram) {
+			for range before {
+				p.turn(p.current(), false, true)
+			}
+			p.takeOver()
+		},
+		"all instances, twice": func(p *lossyProgram) {
+			p.takeOver()
+			p.takeOver()
+		},
+		"the way between entry instance and owner": func(p *lossyProgram) {
+			p.turn(p.current(), true, false)
+		},
+		"a partition is reassigned while the old owner lives": func(p *lossyProgram) {
+			old := p.current()
+			p.takeOver()
+			for range many {
+				p.turn(old, false, true)
+			}
+		},
+		"a partition is released": func(p *lossyProgram) { p.release(p.current(), many) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newLossyProgram(true)
+			for range before {
+				p.turn(p.current(), true, true)
+			}
+			lose(p)
+			for range many {
+				p.turn(p.current(), true, true)
+			}
+			n := p.mayHaveGenerated()
+			t.Logf("%d of %d tokens", n, lossBudget)
+			if n > lossBudget+lossReservation {
+				t.Errorf("turns may have generated %d of %d tokens", n, lossBudget)
+			}
+			if n < lossBudget/2 {
+				t.Errorf("the program ended after %d of %d tokens", n, lossBudget)
+			}
+		})
+	}
+}
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -53,6 +53,9 @@
 	metrics    *Metrics
 	now        func() time.Time
 	background context.Context
+	// AdvanceGrants has programs without stored history granted more than their next turn needs. It must be set before the
+	// first call.
+	AdvanceGrants bool
 
 	mu         sync.Mutex
 	partitions map[int]*partition
@@ -102,7 +105,7 @@
 	ctx, cancel := context.WithCancel(o.background)
 	p := &partition{
 		number: number, name: platform.Partition{Topic: Topic, Number: number}, store: o.store, writer: o.writer,
-		maxAppendBytes: o.settings.MaxAppendBytes, now: o.now, metrics: o.metrics, state: newState(inlineAfter),
+		maxAppendBytes: o.settings.MaxAppendBytes, advanceGrants: o.AdvanceGrants, now: o.now, metrics: o.metrics, state: newState(inlineAfter),
 		wake: make(chan struct{}, 1), cancel: cancel, closed: make(chan struct{}),
 	}
 	go p.run(ctx)
--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -370,3 +370,55 @@
 	is.True(refuse)
 	is.Equal(away, 3*time.Second)
 }
+
+// The load: the store is away while a program of many short turns is in progress.
+func TestProgramWithoutHistoryGoesOnWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	o := NewOwner(s.ctx, platform.NewStore(platform.NewHTTPTransport(s.url, nil)),
+		platform.StoreSettings{Partitions: 1, MaxRecordBytes: 1 << 18, MaxAppendBytes: 1 << 21}, "one", stubFinder{},
+		NewMetrics(prometheus.NewRegistry()))
+	o.AdvanceGrants = true
+	o.Assign([]int{0})
+	for !owns(o) {
+		time.Sleep(time.Millisecond)
+	}
+	endWithin := func(turn string, timeout time.Duration) turnv1.Outcome {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		r := endUnstored(turn, 40)
+		r.Budget = 1000
+		resp, err := o.End(ctx, r)
+		is.NoErr(err)
+		return resp.Outcome
+	}
+	mustBegin(t, o, begin("t0", "", 1000, 100))
+	is.Equal(endWithin("t0", time.Second), turnv1.Outcome_OUTCOME_OK)
+	s.store.SetFault(func(*http.Request) metastore.Mode { return metastore.Silent })
+	for _, turn := range []string{"t1", "t2", "t3", "t4"} {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		resp, err := o.Begin(ctx, begin(turn, "", 1000, 100))
+		cancel()
+		is.NoErr(err)
+		is.Equal(resp.Outcome, turnv1.Outcome_OUTCOME_OK)
+		is.Equal(endWithin(turn, 10*time.Millisecond), turnv1.Outcome_OUTCOME_UNAVAILABLE)
+	}
+}
+
+// A planned change of owners costs a program nothing.
+func TestReleasedPartitionGivesUnusedGrantsBack(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	o := s.owner("one", stubFinder{})
+	p := o.partition(0)
+	p.mu.Lock()
+	p.state.advanceGrants = true
+	p.mu.Unlock()
+	mustBegin(t, o, begin("t0", "", 1000, 100))
+	r := endUnstored("t0", 40)
+	r.Budget = 1000
+	mustEnd(t, o, r)
+	o.Assign(nil)
+	next := s.owner("two", stubFinder{})
+	is.Equal(mustBegin(t, next, begin("t1", "", 1000, 100)).Charged, int64(140))
+}
--- a/internal/turnlog/partition.go
+++ b/internal/turnlog/partition.go
@@ -45,6 +45,7 @@
 	store          *platform.Store
 	writer         string
 	maxAppendBytes int
+	advanceGrants  bool
 	now            func() time.Time
 	metrics        *Metrics
 
@@ -198,11 +199,21 @@
 	}
 }
 
-// release stops accepting records, waits up to releaseTimeout for the queued ones to be appended, and stops the writer.
+// release stops accepting records, gives back unused grants, waits up to releaseTimeout for the queued records to be appended,
+// and stops the writer.
 func (p *partition) release() {
 	p.mu.Lock()
+	if p.owned && p.state.advanceGrants {
+		for _, r := range p.state.unused() {
+			p.queue = append(p.queue, &entry{record: r, ctx: context.Background(), done: make(chan error, 1)})
+		}
+	}
 	p.owned = false
 	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
 	for deadline := p.now().Add(releaseTimeout); p.now().Before(deadline); time.Sleep(releasePollInterval) {
 		p.mu.Lock()
 		idle := !p.busy && len(p.queue) == 0
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -14,6 +14,8 @@
 	// inlineAfter is the age of a turn's oldest record from which the next turn's record contains the whole history, so
 	// that no history depends on records that are about to expire.
 	inlineAfter time.Duration
+	// advanceGrants has programs without stored history granted more than their next turn needs.
+	advanceGrants bool
 }
 
 // program holds the token accounting of a program and the ids of its turns.
@@ -201,6 +203,11 @@
 // The charge is at most one turn below the grant. While the record waits for the store, other turns may begin under the grants
 // before it, and recoverCharges takes back all that is granted but not charged.
 func (s *state) nextGrant(programID, turnID string, tokens, reservation int64) totals {
+	return s.totalsAfter(programID, turnID, tokens, reservation, func(int64) int64 { return reservation })
+}
+
+// totalsAfter returns the totals to record with the end of a turn. ahead is how far the grant reaches beyond the charge.
+func (s *state) totalsAfter(programID, turnID string, tokens, reservation int64, ahead func(charged int64) int64) totals {
 	p := s.programs[programID]
 	if p == nil {
 		return totals{granted: tokens + reservation, charged: tokens}
@@ -209,17 +216,23 @@
 	if reserved, ok := p.reserved[turnID]; ok {
 		charged += tokens - reserved
 	}
-	granted := max(p.granted, charged+reservation)
+	granted := max(p.granted, charged+ahead(charged))
 	return totals{granted: granted, charged: max(charged, granted-reservation), forgiven: p.forgiven}
 }
 
 // grantAhead returns the grant to record when a turn ends whose history is not stored, so that the program's next turn
-// can start without an append. It returns nil if none is requested or the program is unknown.
+// can start without an append, and with advance grants those after it. It returns nil if none is requested or the program is
+// unknown.
 func (s *state) grantAhead(r *turnv1.EndRequest, now time.Time) *turnv1.Granted {
 	if r.Most <= 0 || s.programs[r.Program] == nil {
 		return nil
 	}
-	next := s.nextGrant(r.Program, r.Turn, r.Tokens, r.Most)
+	next := s.totalsAfter(r.Program, r.Turn, r.Tokens, r.Most, func(charged int64) int64 {
+		if !s.advanceGrants {
+			return r.Most
+		}
+		return advance(r.Budget, charged, r.Most)
+	})
 	return &turnv1.Granted{
 		Program: r.Program, Account: r.Account, Budget: r.Budget, Granted: next.granted, Charged: next.charged,
 		Forgiven: next.forgiven, KeepMs: r.KeepMs, AtUnixMs: now.UnixMilli(),
--- a/internal/turnlog/takeover.go
+++ b/internal/turnlog/takeover.go
@@ -19,6 +19,7 @@
 func (p *partition) acquire(ctx context.Context) error {
 	start := p.now()
 	s := newState(inlineAfter)
+	s.advanceGrants = p.advanceGrants
 	var offset int64
 	var records, bytes int
 	for {
