--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -204,6 +204,7 @@
 	x := &exchange{Gateway: g, w: w, r: r, Request: platform.DecodeRequest(r.Header), started: g.now()}
 	defer func() { x.memory.Release(x.held) }()
 	x.setConnectionClose(w.Header())
+	defer func() { x.room.leave(x.now()) }()
 	err := x.admit()
 	if err == nil {
 		ctx, cancel := context.WithDeadline(homes.NewContext(r.Context(), x.homes), x.respondBy)
@@ -217,7 +218,6 @@
 			err = x.serveCall(ctx)
 		}
 	}
-	x.room.leave(x.now())
 	x.finish(err)
 }
 
