placement: prefer the own data centre, and drop what a cut-off instance saw

Cause: decisions drew most candidates from all data centres, and the price of another one was a part of the time to generate only, far below what noise in speeds and reading make. Conversations placed elsewhere break off when data centres lose each other. An instance that was cut off from the holder reported the failures that it had seen meanwhile.

What is new: the further candidate comes from the own data centre; another one costs a quarter more, unless the server keeps the conversation. What was seen goes into the next report, but is dropped after a second lost one.

Tests for a hot shared part, a burst of a new part and absurd requests are added.

--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -169,17 +169,17 @@
 
 // requestsAt returns the number of requests in progress at a server, those of other instances included.
 func (f *Fleet) requestsAt(b *server, now time.Time) float64 {
-	return float64(b.inFlight) + f.sharedWeight(now)*b.shared.damped(b.shared.Requests, b.shared.mean.requests)
+	return float64(b.inFlight) + f.sharedWeight(now)*damped(b.shared.Requests, b.shared.mean.requests)
 }
 
 // readingAt returns the time to read the prompts of the requests in progress at a server, those of other instances included.
 func (f *Fleet) readingAt(b *server, now time.Time) time.Duration {
-	others := b.shared.damped(float64(b.shared.Reading), b.shared.mean.reading)
+	others := damped(float64(b.shared.Reading), b.shared.mean.reading)
 	return b.reading + time.Duration(f.sharedWeight(now)*others)
 }
 
 // damped returns the mean of a service with a part of a server's difference from it.
-func (shared) damped(x, mean float64) float64 { return mean + sharedGain*(x-mean) }
+func damped(x, mean float64) float64 { return mean + sharedGain*(x-mean) }
 
 // loadAt returns the load of a server, that of other instances included.
 func (f *Fleet) loadAt(b *server, now time.Time) placement.Load {
@@ -207,14 +207,14 @@
 	f.groupsOf(c.Service, p)
 	var best *server
 	var lowest float64
-	sample := func(ids []string, n int, extra float64) {
+	sample := func(ids []string, n int, factor, extra float64) {
 		for range n {
 			for range sampleTries {
 				b := f.byID[ids[f.random(len(ids))]]
 				if excluded(c.Exclude, b.ID) || !usable(b) {
 					continue
 				}
-				if load := f.sharedLoad(b, now) + extra; best == nil || load < lowest {
+				if load := f.sharedLoad(b, now)*factor + extra; best == nil || load < lowest {
 					best, lowest = b, load
 				}
 				break
@@ -222,14 +222,14 @@
 		}
 	}
 	if local := p.groups[f.dataCentre]; len(local) > 0 {
-		sample(local, localSamples, 0)
+		sample(local, localSamples, 1, 0)
 	}
 	if other := p.dataCentres[f.random(len(p.dataCentres))]; other != f.dataCentre {
-		extra := remotePenalty
+		factor, extra := 1+placement.RemoteFraction, remotePenalty
 		if c.AnyDataCentre {
-			extra = 0
+			factor, extra = 1, 0
 		}
-		sample(p.groups[other], remoteSamples, extra)
+		sample(p.groups[other], remoteSamples, factor, extra)
 	}
 	return best
 }
--- a/internal/fleet/loads_test.go
+++ b/internal/fleet/loads_test.go
@@ -127,3 +127,32 @@
 	alone.run()
 	is.True(r.quantile(0.99) <= alone.quantile(0.99))
 }
+
+// Load pattern: one shared part has most of the requests, far more than the servers that keep it at first can take.
+func TestHotSharedPartSpreadsOverAsManyServersAsItNeeds(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(60, 24, 16)
+	r.shared = func() int {
+		if r.random.IntN(10) < 7 {
+			return 0
+		}
+		return 1 + r.random.IntN(15)
+	}
+	r.share(shareInterval, shareDelay, 35*time.Second, nil)
+	r.programs(80, 8, 30*time.Second)
+	r.run()
+	t.Logf("p50 %v, p99 %v; busiest/mean %.2f; read %.2f", r.quantile(0.5), r.quantile(0.99), r.imbalance(), r.ratio())
+	is.True(r.ratio() <= maxReadRatio)
+	is.True(r.imbalance() < 1.5)
+	is.True(r.quantile(0.99) < 2*r.quantile(0.5))
+}
+
+// Load pattern: instances that have just begun, all with the same part to place.
+func TestBurstOfANewPartAtManyInstancesMakesNoQueue(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(60, 24, 1)
+	r.programs(120, 1, time.Second)
+	r.run()
+	t.Logf("p99 %v, busiest/mean %.2f", r.quantile(0.99), r.imbalance())
+	is.True(r.quantile(0.99) < time.Second)
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -41,8 +41,9 @@
 	Reason Reason
 	// Read and Kept are the prompt tokens that the server is expected to read and to keep.
 	Read, Kept int64
-	// Generate is the expected time to generate the output, Expected the weighed cost of the request there.
-	Generate, Expected time.Duration
+	// Reading and Generate are the expected times to read these and to generate the output, Expected the weighed cost of the
+	// request there.
+	Reading, Generate, Expected time.Duration
 	// Requests is the number of requests that the server was known to have in progress, those of other instances included as
 	// of SharedAge ago; Candidates is the number of servers that were compared.
 	Requests   float64
@@ -134,66 +135,65 @@
 		return nil
 	}
 	var set candidates
-	owners := usableID(c.Preferred)
+	named := usableID(c.Preferred)
 	for i := len(prompt) - 1; i >= 0; i-- {
 		set.add(usableID(p.sessions.Get(prompt[i].ID)), ReasonSession)
 	}
-	set.add(owners, ReasonSession)
+	set.add(named, ReasonSession)
 	if len(prompt) > 1 {
 		f.addHomes(&set, p, prompt[0], usableID)
 	}
-	all := f.byService[c.Service]
-	for range otherSamples {
-		for range sampleTries {
-			if b := all[f.random(len(all))]; usableID(b.ID) != nil {
-				set.add(b, ReasonLeastWork)
-				break
-			}
-		}
+	others := p.groups[f.dataCentre]
+	if len(others) == 0 || c.AnyDataCentre {
+		others = p.groups[p.dataCentres[f.random(len(p.dataCentres))]]
 	}
-	return f.cheapest(&set, p, c, owners, now)
+	f.addSamples(&set, others, otherSamples, ReasonLeastWork, usableID)
+	return f.cheapest(&set, p, c, named, now)
 }
 
 // addHomes adds some of the servers that are to keep the shared part: of this data centre, and one of another.
 func (f *Fleet) addHomes(set *candidates, p *servicePlacement, shared placement.Part, usable func(string) *server) {
-	addFrom := func(dataCentre string, samples int) {
-		homes := f.homesIn(p, dataCentre, shared)
-		if len(homes) == 0 {
-			return
-		}
-		for range samples {
-			for range sampleTries {
-				if b := usable(homes[f.random(len(homes))]); b != nil {
-					set.add(b, ReasonShared)
-					break
-				}
+	f.addSamples(set, f.homesIn(p, f.dataCentre, shared), homeSamples, ReasonShared, usable)
+	other := p.dataCentres[f.random(len(p.dataCentres))]
+	f.addSamples(set, f.homesIn(p, other, shared), homeSamples, ReasonShared, usable)
+}
+
+// addSamples adds servers that are drawn at random from a list.
+func (f *Fleet) addSamples(set *candidates, ids []string, n int, reason Reason, usable func(string) *server) {
+	if len(ids) == 0 {
+		return
+	}
+	for range n {
+		for range sampleTries {
+			if b := usable(ids[f.random(len(ids))]); b != nil {
+				set.add(b, reason)
+				break
 			}
 		}
 	}
-	addFrom(f.dataCentre, homeSamples)
-	addFrom(p.dataCentres[f.random(len(p.dataCentres))], 1)
 }
 
 func (f *Fleet) homesIn(p *servicePlacement, dataCentre string, shared placement.Part) []string {
 	return p.homes.Of(dataCentre, shared, func() []string { return p.groups[dataCentre] })
 }
 
-func (f *Fleet) cheapest(set *candidates, p *servicePlacement, c Criteria, owners *server, now time.Time) (*server, Decision) {
+func (f *Fleet) cheapest(set *candidates, p *servicePlacement, c Criteria, named *server, now time.Time) (*server, Decision) {
 	estimate := p.costs.Estimate(c.Work)
 	total := c.Work.PromptTokens()
 	var best *server
 	var chosen Decision
 	for i, b := range set.servers[:set.n] {
 		kept := b.kept.Prefix(c.Work.Prompt, len(c.Work.Prompt) > 1 && f.isHome(p, b, c.Work.Prompt[0]))
-		if b == owners {
+		if b == named {
 			kept = max(kept, assumedPrefix(c.Work.Prompt, total))
 		}
 		d := Decision{
 			Reason: set.reasons[i], Read: total - kept, Kept: kept, Generate: estimate.Generate, Requests: f.requestsAt(b, now),
 			SharedAge: f.sharedAge(now), Candidates: set.n,
 		}
-		d.Expected = placement.Completion(f.loadAt(b, now), p.costs.ReadTime(d.Read), d.Generate, p.costs.Service(),
-			p.costs.Slowdown(), b.DataCentre != f.dataCentre && !c.AnyDataCentre)
+		d.Reading = p.costs.ReadTime(d.Read)
+		d.Expected = placement.Completion(f.loadAt(b, now), d.Reading, d.Generate, p.costs.Service(),
+			p.costs.Slowdown(), b.DataCentre != f.dataCentre && !c.AnyDataCentre && set.reasons[i] != ReasonSession)
 		if best == nil || d.Expected < chosen.Expected {
 			best, chosen = b, d
 		}
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -359,3 +360,22 @@
 
 func BenchmarkAcquireAmong60Servers(b *testing.B)    { benchmarkAcquire(b, 60) }
 func BenchmarkAcquireAmong10000Servers(b *testing.B) { benchmarkAcquire(b, 10_000) }
+
+func TestAbsurdRequestsArePlaced(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(5)
+	for i, c := range []Criteria{
+		{Service: "llm", Work: placement.Work{Route: "r", Prompt: []placement.Part{{}}}},
+		{Service: "llm", Work: placement.Work{Route: "r", Prompt: []placement.Part{{ID: "a", Tokens: math.MinInt64}, {ID: "a", Tokens: math.MaxInt64}}}},
+		{Service: "llm", CacheTokens: -5, Preferred: "none", Work: placement.Work{Route: "r", OutputHint: math.MaxInt64, MaxOutput: math.MinInt64, Prompt: make([]placement.Part, 5000)}},
+		{Service: "llm", CacheTokens: 1, Work: placement.Work{Route: "r", OutputHint: math.MinInt64, Prompt: []placement.Part{{ID: "a", Tokens: 1 << 40}}}},
+	} {
+		b := f.Acquire(c)
+		is.True(b != nil)
+		f.FirstEvent(b, math.MaxInt64)
+		f.Completed(b, math.MinInt64)
+		f.Release(b, i%2 == 0)
+		is.Equal(b.server.left, time.Duration(0))
+	}
+	is.Equal(f.Acquire(Criteria{Service: "none", Work: placement.Work{Route: "r", Prompt: []placement.Part{{ID: "a"}}}}), nil)
+}
--- a/internal/gateway/work.go
+++ b/internal/gateway/work.go
@@ -51,7 +51,7 @@
 	x.metrics.observePlacement(d)
 	if klog.V(1).Enabled() {
 		klog.V(1).InfoS("backend server picked", "request", x.ID, "backend", b.ID, "reason", string(d.Reason),
-			"read_tokens", d.Read, "kept_tokens", d.Kept, "generate_ms", d.Generate.Milliseconds(),
+			"read_tokens", d.Read, "kept_tokens", d.Kept, "read_ms", d.Reading.Milliseconds(), "generate_ms", d.Generate.Milliseconds(),
 			"expected_ms", d.Expected.Milliseconds(), "requests", d.Requests, "shared_age_ms", d.SharedAge.Milliseconds(), "candidates", d.Candidates,
 			"preferred", preferred, "session", x.Session, "data_centre", b.DataCentre)
 	}
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -39,8 +39,10 @@
 	revision int64
 	reported time.Time
 	own      []Load
-	sums     *Sums
-	sent     map[string]time.Time
+	// lost counts the reports that were lost since the last response.
+	lost int
+	sums *Sums
+	sent map[string]time.Time
 }
 
 // NewExchange returns an exchange for the fleet.
@@ -65,7 +67,8 @@
 	r.LoadsRevision, r.Loads = x.revision, encode(x.own)
 }
 
-// ReportFailed tells that the request was lost.
+// ReportFailed tells that the request was lost. What was seen goes into the next report, but not beyond that: an instance
+// that is cut off from the holder sees servers fail that others reach.
 func (x *Exchange) ReportFailed(r *turnv1.TakeRequest) {
 	if r.LoadsRevision == noReport {
 		return
@@ -73,7 +76,9 @@
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.metrics.reports.WithLabelValues("lost").Inc()
-	x.fleet.RestoreLoads(x.own)
+	if x.lost++; x.lost == 1 {
+		x.fleet.RestoreLoads(x.own)
+	}
 	x.reported = time.Time{}
 }
 
@@ -81,6 +86,7 @@
 func (x *Exchange) Learn(resp *turnv1.TakeResponse) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.lost = 0
 	if resp.LoadsRevision <= 0 || resp.LoadsRevision == x.revision {
 		return
 	}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -135,6 +135,25 @@
 	is.Equal(len(f.restored), 0)
 }
 
+func TestWhatWasSeenWhileTheHolderIsOutOfReachIsDropped(t *testing.T) {
+	is := is.New(t)
+	f := &fakeFleet{report: []Load{load("s", 2)}}
+	x := NewExchange(f, func() time.Time { return start }, NewMetrics(prometheus.NewRegistry()))
+	lose := func() {
+		f.restored = nil
+		r := &turnv1.TakeRequest{}
+		x.Report("h", r)
+		x.ReportFailed(r)
+	}
+	lose()
+	is.Equal(len(f.restored), 1)
+	lose()
+	is.Equal(len(f.restored), 0)
+	x.Learn(&turnv1.TakeResponse{})
+	lose()
+	is.Equal(len(f.restored), 1)
+}
+
 func TestHolderWithoutLoadsTeachesNothing(t *testing.T) {
 	is := is.New(t)
 	f := &fakeFleet{}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -6,8 +6,9 @@
 )
 
 const (
-	// remoteFraction is the price of a server in another data centre, as a fraction of the time to generate the output.
-	remoteFraction = 0.16
+	// RemoteFraction is what a server in another data centre costs in addition, as a fraction: its traffic is billed, and
+	// what it runs breaks off when the data centres lose each other.
+	RemoteFraction = 0.25
 	// failureCost is what a failed request costs, as a multiple of the mean time of a request.
 	failureCost = 8.0
 	// maxExpected bounds what a request is expected to cost or to wait.
@@ -52,7 +53,7 @@
 	t := (float64(Wait(l, service)) + own + reading) * max(l.Slowness, 0.1)
 	t += failureCost * l.Failing * float64(service)
 	if remote {
-		t += remoteFraction * float64(generate)
+		t *= 1 + RemoteFraction
 	}
 	return time.Duration(min(t, float64(maxExpected)))
 }
