--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -247,10 +247,17 @@
 	WarmOnly bool
 	// Permit takes permission to send one request to a server that limits them. Nil permits every request.
 	Permit func(backendlimit.Server, backendlimit.Limit) bool
+	// InDataCentre reports whether servers of a data centre may be picked. Nil allows all.
+	InDataCentre func(dataCentre string) bool
 	// returning is added to the load of the servers of data centres that were taken back.
 	returning map[string]float64
 }
 
+// allows reports whether the server may be picked as far as its place goes.
+func (c *Criteria) allows(b *server) bool {
+	return c.InDataCentre == nil || c.InDataCentre(b.DataCentre)
+}
+
 // load returns the load by which a server is compared for a request. f.mu must be held.
 func (f *Fleet) load(c *Criteria, b *server, now time.Time) float64 {
 	return b.load() + f.extraLoad(c, b, now)
@@ -288,7 +295,7 @@
 	var denied map[*server]bool
 	for {
 		best, decision := f.choose(c, now, func(b *server) bool {
-			return !denied[b] && usable(b) && !(c.WarmOnly && f.isCold(b, now))
+			return !denied[b] && c.allows(b) && usable(b) && !(c.WarmOnly && f.isCold(b, now))
 		})
 		if best == nil {
 			return nil, Decision{}
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -27,10 +27,8 @@
 // centre are limited, and the load of the others there, of which this instance sees only its own part, would grow far
 // beyond that of the servers elsewhere.
 func (x *exchange) acquireBackend(ctx context.Context, preferred string) (*fleet.Backend, *ratelimit.Denial) {
-	c := fleet.Criteria{
-		Service: x.service, Work: x.work(), CacheTokens: x.cacheTokens(), Preferred: preferred,
-		Exclude: slices.Clone(x.triedBackends),
-	}
+	c := x.criteria()
+	c.Preferred, c.Exclude = preferred, slices.Clone(x.triedBackends)
 	var atLimit []ratelimit.ServerLimit
 	for most := maxAsked; len(atLimit) < most; {
 		b, limit := x.pickBackend(c)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/gateway"
+	"github.com/berylpond/berylpond/internal/homes"
 	"github.com/berylpond/berylpond/internal/loadshare"
 	"github.com/berylpond/berylpond/internal/membership"
 	"github.com/berylpond/berylpond/internal/peer"
@@ -84,9 +85,11 @@
 	fleet     *fleet.Fleet
 	// evacuations holds the data centres whose backend servers get nothing new.
 	evacuations *storewatch.Evacuations
-	group       *membership.Membership
-	owner       *turnlog.Owner
-	limiter     *ratelimit.Limiter
+	// places knows the regions of peers.
+	places  *homes.Directory
+	group   *membership.Membership
+	owner   *turnlog.Owner
+	limiter *ratelimit.Limiter
 	// quarantine keeps requests that crash backend servers from being sent on.
 	quarantine *quarantine.Quarantine
 	holder     *ratelimit.BucketHolder
@@ -116,13 +119,16 @@
 		fleet: fleet.New(s.DataCentre, s.DrainPeriod), pool: peer.NewPool(net.ParseIP(s.IP)),
 		dialBackend: upstream.Dial, metrics: prometheus.NewRegistry(),
 	}
+	i.places = homes.NewDirectory(i.pool)
+	tunnels := tunnel.NewClient(i.pool, i.peers)
+	tunnels.Allows = i.places.Allows
 	i.backendPath = backendpath.New(ctx, func(ctx context.Context, address string) (net.Conn, error) {
 		return i.dialBackend(ctx, address)
-	}, tunnel.NewClient(i.pool, i.peers).Dial, i.fleet.Addresses, backendpath.NewMetrics(i.metrics))
+	}, tunnels.Dial, i.fleet.Addresses, backendpath.NewMetrics(i.metrics))
 	i.backendPool = upstream.NewPool(i.backendPath)
 	i.tunnels = tunnel.NewServer(i.backendPath.DialDirect, i.fleet, i.closing.Load)
 	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryLimitFraction))
-	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.peers)
+	i.transport = storetransport.New(platform.NewHTTPTransport(s.Store.Address, net.ParseIP(s.IP)), i.pool, i.relays)
 	store := platform.NewStore(i.transport)
 	i.store = store
 	hooks := storewatch.Hooks{
@@ -137,6 +143,7 @@
 	i.backends = storewatch.NewBackendWatcher(store, i.fleet, hooks)
 	finder := &finder{}
 	i.owner = turnlog.NewOwner(ctx, store, s.Store, i.startID, finder, turnlog.NewMetrics(i.metrics))
+	i.owner.AdvanceGrants = features.Enabled(feature.AdvanceGrants)
 	i.group = membership.New(membership.Options{
 		Store: store, Settings: s.Store, Topic: turnlog.Topic, Self: i.self, StartID: i.startID, Cores: s.Cores,
 		Assigner: i.owner, UsesFeed: i.usesFeed, OnChange: hooks.OnChange,
@@ -153,7 +160,7 @@
 	})
 	client := turnclient.New(s.Store.Partitions, i.group, i.pool)
 	client.StoreAway = func() bool { return features.Enabled(feature.EarlyRefusal) && i.isolated() }
-	client.Local = i.owner
+	client.Local, client.Allows = i.owner, i.places.Allows
 	finder.Client = client
 	i.holder = ratelimit.NewBucketHolder(i.config.Current, i.group.RecentPeers, i.self, i.holderState,
 		i.transport.SinceContact)
@@ -177,7 +184,7 @@
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
 		Features: features, HeldBytes: int64(float64(s.MemoryBytes) * heldMemoryFraction),
-		ViewUsable: i.viewUsable, EvacuationPeriod: s.EvacuationPeriod,
+		ViewUsable: i.viewUsable, EvacuationPeriod: s.EvacuationPeriod, RegionOf: s.RegionOf,
 	})
 	return i
 }
--- a/internal/instance/memory_test.go
+++ b/internal/instance/memory_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/matryer/is"
+	dto "github.com/prometheus/client_model/go"
 )
 
 // slowSender opens a connection, announces a body and sends the beginning of it.
@@ -28,18 +29,24 @@
 
 // heldBytes returns the bytes that an instance holds for its requests.
 func (s *site) heldBytes(n *node) float64 {
+	s.t.Helper()
+	return s.metricOf(n, "berylpond_gateway_held_bytes").GetGauge().GetValue()
+}
+
+// metricOf returns a metric without labels.
+func (s *site) metricOf(n *node, name string) *dto.Metric {
 	s.t.Helper()
 	families, err := n.metrics.Gather()
 	if err != nil {
 		s.t.Fatal(err)
 	}
 	for _, f := range families {
-		if f.GetName() == "berylpond_gateway_held_bytes" {
-			return f.Metric[0].GetGauge().GetValue()
+		if f.GetName() == name {
+			return f.Metric[0]
 		}
 	}
-	s.t.Fatal("there is no metric of held bytes")
-	return 0
+	s.t.Fatalf("there is no metric %s", name)
+	return nil
 }
 
 // Load pattern: clients send slowly what they announce, beside ordinary ones.
--- a/internal/instance/quarantine_test.go
+++ b/internal/instance/quarantine_test.go
@@ -57,15 +57,30 @@
 // restarts them.
 func (s *crashSite) crash(crashes int32, nodes ...*node) {
 	s.t.Helper()
+	runs, reports := s.runs.Load(), s.crashReports(nodes)
 	for i := 0; s.runs.Load() < crashes; i++ {
 		if i > 20 {
 			s.t.Fatalf("the request ran %d times in %d attempts", s.runs.Load(), i)
 		}
 		s.do(nodes[i%len(nodes)], call{path: "/quote/x", body: deadlyBody})
 	}
+	// An instance takes a server that accepts connections again for one that has not crashed.
+	s.eventually("the crashes are noticed", func() bool {
+		return s.crashReports(nodes)-reports >= float64(s.runs.Load()-runs)
+	})
 	s.restart()
 }
 
+// crashReports returns how many reports of crashes the instances have made.
+func (s *crashSite) crashReports(nodes []*node) float64 {
+	s.t.Helper()
+	var sum float64
+	for _, n := range nodes {
+		sum += s.metricOf(n, "berylpond_quarantine_crash_reports_total").GetCounter().GetValue()
+	}
+	return sum
+}
+
 func (s *crashSite) restart() {
 	s.t.Helper()
 	for _, b := range s.servers {
