placement: know slow servers as such, and where parts fit everywhere

Three faults: an instance reported speeds relative to its own mean, so that those in the data centre of the slow servers found them normal, and first turns stayed there; servers that merely seemed a little fast won each comparison that they took part in; and shared parts that all fit into every server got few homes until an instance had seen many requests.

What is new: speeds are reported relative to one nominal time for a token and compared with the mean of the servers; differences up to a fifth don't count; unknown parts are estimated by Good and Turing instead of by a prior alone.

--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -62,7 +62,7 @@
 		l := loadshare.Load{
 			Server:   backendlimit.Server{ID: s.ID, Incarnation: s.Incarnation},
 			Requests: float64(s.inFlight), Reading: s.reading, Left: s.left, Completed: float64(s.seen.completed),
-			Failed: float64(s.seen.failed), Slowness: 1,
+			Failed: float64(s.seen.failed),
 		}
 		if s.seen.compared > 0 {
 			l.Slowness = s.seen.slow / float64(s.seen.compared)
@@ -84,8 +84,10 @@
 		}
 		s.seen.completed += int(l.Completed)
 		s.seen.failed += int(l.Failed)
-		s.seen.compared += int(l.Completed)
-		s.seen.slow += l.Completed * l.Slowness
+		if l.Slowness > 0 {
+			s.seen.compared += int(l.Completed)
+			s.seen.slow += l.Completed * l.Slowness
+		}
 	}
 }
 
@@ -129,14 +131,25 @@
 	}
 }
 
+// setMean sets the mean load of the servers of a service, and their slowness relative to their mean.
 func setMean(servers []*server) {
 	var m meanLoad
 	for _, s := range servers {
 		m.requests += s.shared.Requests / float64(len(servers))
 		m.reading += float64(s.shared.Reading) / float64(len(servers))
 	}
+	slowness, compared := 0.0, 0
 	for _, s := range servers {
 		s.shared.mean = m
+		if s.shared.Slowness > 0 {
+			slowness, compared = slowness+s.shared.Slowness, compared+1
+		}
+	}
+	// What instances compare with is the same for all servers, but not their mean.
+	for _, s := range servers {
+		if s.shared.Slowness > 0 {
+			s.shared.Slowness *= float64(compared) / slowness
+		}
 	}
 }
 
@@ -193,7 +206,7 @@
 
 // slowness is the evidence of all instances, or this instance's own while there is none.
 func (f *Fleet) slowness(b *server, now time.Time) float64 {
-	if f.sharedWeight(now) > 0 && b.shared.Completed > 0 {
+	if f.sharedWeight(now) > 0 && b.shared.Slowness > 0 {
 		return placement.Slowness(b.shared.Completed*b.shared.Slowness, b.shared.Completed)
 	}
 	return b.speed.Slowness(now)
--- a/internal/fleet/loads_test.go
+++ b/internal/fleet/loads_test.go
@@ -156,3 +156,32 @@
 	t.Logf("p99 %v, busiest/mean %.2f", r.quantile(0.99), r.imbalance())
 	is.True(r.quantile(0.99) < time.Second)
 }
+
+// Load pattern: instances that use slow servers mostly, and so find them as fast as their mean.
+func TestSlowServersAreKnownAsSuchToThoseThatUseThemMostly(t *testing.T) {
+	is := is.New(t)
+	r := newReplay(2, 4, 4)
+	r.servers["s-00"].slowness = 3
+	slow, fast := r.instances[0], r.instances[1]
+	use := func(f *Fleet, id string) {
+		c := conversation(1)
+		for other := range r.servers {
+			if other != id {
+				c.Exclude = append(c.Exclude, other)
+			}
+		}
+		for range 40 {
+			b := f.Acquire(c)
+			f.FirstEvent(b, 1)
+			r.now = r.now.Add(time.Duration(r.servers[id].slowness * float64(100*modelTokenTime)))
+			f.Completed(b, 101)
+			f.Release(b, false)
+		}
+	}
+	use(slow, "s-00")
+	use(fast, "s-01")
+	r.share(shareInterval, 0, 2*shareInterval, nil)
+	r.run()
+	is.True(slow.slowness(slow.byID["s-00"], r.now) > 1.2)
+	is.True(slow.slowness(slow.byID["s-01"], r.now) < 0.8)
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -232,7 +232,8 @@
 	}
 	last := len(c.Work.Prompt) - 1
 	if last > 0 {
-		p.homes.Observe(c.Work.Prompt[0], c.CacheTokens, now)
+		first := p.sessions.Get(c.Work.Prompt[last].ID) == ""
+		p.homes.Observe(c.Work.Prompt[0], first, c.CacheTokens, now)
 	}
 	b.kept.Use(c.Work.Prompt, c.CacheTokens, len(f.byService[c.Service]))
 	p.sessions.Put(c.Work.Prompt[last].ID, b.ID)
@@ -284,7 +285,7 @@
 	costs.ObserveService(now.Sub(r.sent))
 	if len(r.work.Prompt) == 0 {
 		if ratio, ok := costs.CallRatio(r.work, now.Sub(r.sent)); ok {
-			b.server.observeSpeed(ratio, now)
+			b.server.observeSpeed(ratio, ratio, now)
 		}
 		costs.ObserveCall(r.work, now.Sub(r.sent), now)
 		return
@@ -294,16 +295,18 @@
 	}
 	after, took := tokens-r.firstTokens, now.Sub(r.firstEvent)
 	if ratio, ok := costs.Pace(after, took); ok {
-		b.server.observeSpeed(ratio, now)
+		b.server.observeSpeed(ratio, placement.NominalPace(after, took), now)
 	}
 	busy := r.decision.Requests / float64(max(b.Slots, 1))
 	costs.ObserveOutput(r.work, tokens, after, took, busy, now)
 	b.server.kept.Grow(r.work.Prompt[len(r.work.Prompt)-1].ID, tokens)
 }
 
-func (s *server) observeSpeed(ratio float64, now time.Time) {
-	s.speed.Observe(ratio, now)
-	s.seen.slow += ratio
+// observeSpeed records the ratio of the time of a request to this instance's mean, and to what all instances compare with: one
+// that uses slow servers mostly finds them as fast as its mean.
+func (s *server) observeSpeed(toOwnMean, toNominal float64, now time.Time) {
+	s.speed.Observe(toOwnMean, now)
+	s.seen.slow += toNominal
 	s.seen.compared++
 }
 
--- a/internal/loadshare/sums.go
+++ b/internal/loadshare/sums.go
@@ -48,7 +48,7 @@
 	Requests      float64
 	Reading, Left time.Duration
 	// Completed and Failed count requests that ended; Slowness is the mean ratio of the time that the completed ones took to
-	// what was expected, zero if there are none.
+	// one that is the same for all servers of the service, zero if unknown.
 	Completed, Failed, Slowness float64
 }
 
@@ -56,7 +56,9 @@
 	l.Requests = bound(l.Requests, 0, maxRequests)
 	l.Reading, l.Left = min(max(l.Reading, 0), maxWork), min(max(l.Left, 0), maxWork)
 	l.Completed, l.Failed = bound(l.Completed, 0, maxCount), bound(l.Failed, 0, maxCount)
-	l.Slowness = bound(l.Slowness, minSlowness, maxSlowness)
+	if l.Slowness = bound(l.Slowness, 0, maxSlowness); l.Slowness > 0 {
+		l.Slowness = max(l.Slowness, minSlowness)
+	}
 	return l
 }
 
@@ -84,10 +86,10 @@
 	loads []Load
 }
 
-// sum is the state of one server. slow is the sum of the ratios of the completed requests.
+// sum is the state of one server. slow is the sum of the ratios of those completed requests that were compared.
 type sum struct {
-	smooth                  Load
-	completed, failed, slow float64
+	smooth                            Load
+	completed, failed, slow, compared float64
 }
 
 // NewSums returns sums without reports.
@@ -112,7 +114,10 @@
 			continue
 		}
 		if e := s.server(l.Server); e != nil {
-			e.completed, e.failed, e.slow = e.completed+l.Completed, e.failed+l.Failed, e.slow+l.Completed*l.Slowness
+			e.completed, e.failed = e.completed+l.Completed, e.failed+l.Failed
+			if l.Slowness > 0 {
+				e.slow, e.compared = e.slow+l.Completed*l.Slowness, e.compared+l.Completed
+			}
 		}
 	}
 	s.reports[instance] = report{at: now, loads: loads}
@@ -192,7 +197,8 @@
 	m.Requests += gain * (now.Requests - m.Requests)
 	m.Reading += time.Duration(gain * float64(now.Reading-m.Reading))
 	m.Left += time.Duration(gain * float64(now.Left-m.Left))
-	e.completed, e.failed, e.slow = e.completed*fade, e.failed*fade, e.slow*fade
+	e.completed, e.failed = e.completed*fade, e.failed*fade
+	e.slow, e.compared = e.slow*fade, e.compared*fade
 }
 
 func (e *sum) idle() bool { return e.smooth.Requests < minWeight && e.completed+e.failed < minWeight }
@@ -200,8 +206,8 @@
 func (e *sum) load() Load {
 	l := e.smooth
 	l.Completed, l.Failed = e.completed, e.failed
-	if e.completed > 0 {
-		l.Slowness = e.slow / e.completed
+	if e.compared > 0 {
+		l.Slowness = e.slow / e.compared
 	}
 	return l
 }
--- a/internal/placement/costs.go
+++ b/internal/placement/costs.go
@@ -230,6 +230,11 @@
 	return took.Seconds() / float64(afterFirst) / c.tokenTime.mean, true
 }
 
+// NominalPace returns the ratio of the time that a stream took after its first event to one that is the same at all instances.
+func NominalPace(afterFirst int64, took time.Duration) float64 {
+	return float64(took) / float64(max(afterFirst, 1)) / float64(defaultTokenTime)
+}
+
 // CallRatio returns the ratio of the time that a plain call took to the mean of its route, and false without enough
 // observations.
 func (c *Costs) CallRatio(w Work, took time.Duration) (float64, bool) {
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -33,6 +33,8 @@
 type Homes struct {
 	parts map[string]*popularity
 	total float64
+	// conversations is the number of conversations of all parts.
+	conversations int
 	// scaled is when the weights were last brought up to date.
 	scaled time.Time
 	ranks  map[rankKey][]string
@@ -42,6 +44,8 @@
 
 type popularity struct {
 	weight float64
+	// conversations is the number of conversations that began with the part.
+	conversations int
 	// fraction of the servers that are the part's homes.
 	fraction float64
 }
@@ -51,9 +55,9 @@
 // NewHomes returns homes without observations.
 func NewHomes() *Homes { return &Homes{parts: map[string]*popularity{}, ranks: map[rankKey][]string{}} }
 
-// Observe counts one request whose prompt begins with a part. capacity is the memory of a server in tokens, zero if
+// Observe counts one request whose prompt begins with a part. first tells that its conversation is new here. capacity is the memory of a server in tokens, zero if
 // unknown.
-func (h *Homes) Observe(p Part, capacity int64, now time.Time) {
+func (h *Homes) Observe(p Part, first bool, capacity int64, now time.Time) {
 	h.decay(now)
 	e := h.parts[p.ID]
 	if e == nil {
@@ -65,6 +69,10 @@
 	}
 	e.weight++
 	h.total++
+	if first {
+		e.conversations++
+		h.conversations++
+	}
 	fit := math.Inf(1)
 	if capacity > 0 && p.tokens() > 0 {
 		fit = max(sharedMemory*float64(capacity)/float64(p.tokens()), 1)
@@ -78,9 +86,20 @@
 // share is the part's share of the requests: with few observations between that and the share of all parts alike, and lower
 // as long as parts may be unknown.
 func (h *Homes) share(e *popularity) float64 {
-	observed := h.total / (h.total + priorRequests)
 	alike := priorRequests / float64(len(h.parts))
-	return observed * (e.weight + alike) / (h.total + priorRequests)
+	return h.coverage() * (e.weight + alike) / (h.total + priorRequests)
+}
+
+// coverage estimates the share of the conversations whose part is known, by Good and Turing: as many are still to come of
+// unknown parts as there were of parts that came once.
+func (h *Homes) coverage() float64 {
+	once := 0
+	for _, e := range h.parts {
+		if e.conversations == 1 {
+			once++
+		}
+	}
+	return 1 - float64(once)/float64(max(h.conversations, 1))
 }
 
 func (h *Homes) decay(now time.Time) {
@@ -96,6 +115,7 @@
 	h.total = 0
 	for id, e := range h.parts {
 		if e.weight *= factor; e.weight < 0.01 {
+			h.conversations -= e.conversations
 			delete(h.parts, id)
 			continue
 		}
@@ -111,6 +131,7 @@
 		}
 	}
 	h.total -= h.parts[least].weight
+	h.conversations -= h.parts[least].conversations
 	delete(h.parts, least)
 }
 
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -63,6 +63,8 @@
 	slownessHalfLife = 10 * time.Second
 	// slownessPrior is the weight of the assumption that a server is as fast as the others.
 	slownessPrior = 8.0
+	// slownessNoise is by how much servers of equal speed seem to differ.
+	slownessNoise = 0.2
 	// maxSlowness bounds one observation, as work differs much between requests that look alike.
 	maxSlowness = 10.0
 )
@@ -95,4 +97,9 @@
 }
 
 // Slowness returns the expected ratio of the next request, given the sum of the ratios that were seen and their weight.
-func Slowness(sum, weight float64) float64 { return (sum + slownessPrior) / (weight + slownessPrior) }
+// Differences up to slownessNoise are taken for noise: a server that merely seems fast would draw requests from every
+// comparison that it takes part in.
+func Slowness(sum, weight float64) float64 {
+	r := (sum + slownessPrior) / (weight + slownessPrior)
+	return 1 + max(r-1-slownessNoise, 0) + min(r-1+slownessNoise, 0)
+}
