fleet: a server that comes back counts as idle, not as empty

Cause: what other instances have in progress counts as the mean of the service and a quarter of the difference from it. A server that restarts or joins has neither until the next sums, so that it seemed to have nothing at all while an idle one counted as three quarters of the mean: for up to a second every instance took it in each comparison. Ruled out: that sums of the earlier incarnation stay (they are compared by incarnation). Before: TestRestartedServerCountsAsIdleUntilTheNextSums, 0 requests against 6 for an idle server; after: equal. Conclusion: a new server takes over the mean of its service.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -136,6 +136,9 @@
 		f.removeLocked(e.ID)
 	}
 	b = &server{Entry: e}
+	if others := f.byService[e.Service]; len(others) > 0 {
+		b.shared.mean = others[0].shared.mean
+	}
 	if a, ok := f.announced[e.ID]; ok {
 		if a.appliesTo(e) {
 			b.leavingSince, b.limit = a.leavingSince, a.limit
--- a/internal/fleet/loads_test.go
+++ b/internal/fleet/loads_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/backendlimit"
+	"github.com/berylpond/berylpond/internal/loadshare"
 )
 
 const (
@@ -185,3 +188,22 @@
 	is.True(slow.slowness(slow.byID["s-00"], r.now) > 1.2)
 	is.True(slow.slowness(slow.byID["s-01"], r.now) < 0.8)
 }
+
+// A server that comes back has nothing in progress; until the next sums it must not seem emptier than the emptiest.
+func TestRestartedServerCountsAsIdleUntilTheNextSums(t *testing.T) {
+	is := is.New(t)
+	f := New("dc-0", time.Second)
+	now := time.Unix(1000, 0)
+	f.now = func() time.Time { return now }
+	var loads []loadshare.Load
+	for _, id := range []string{"a", "b", "c"} {
+		f.Upsert(Entry{ID: id, Service: "llm", DataCentre: "dc-0", Slots: 16, Incarnation: 1})
+		if id != "a" {
+			loads = append(loads, loadshare.Load{Server: backendlimit.Server{ID: id, Incarnation: 1}, Requests: 12, Reading: time.Second})
+		}
+	}
+	f.LearnLoads(loads, now)
+	f.Upsert(Entry{ID: "c", Service: "llm", DataCentre: "dc-0", Slots: 16, Incarnation: 2})
+	is.Equal(f.requestsAt(f.byID["c"], now), f.requestsAt(f.byID["a"], now))
+	is.Equal(f.readingAt(f.byID["c"], now), f.readingAt(f.byID["a"], now))
+}
