fleet: forget the prompt of a request that was not sent

Cause: a server at its request limit is picked first and asked for a token then. Without one the pick is cancelled, but the server stayed noted as the one that keeps the prompt: the next turns counted up to all of its tokens as kept there, its other parts were pushed out of the memory for it, and a passed-over pick also counted in the popularity of the shared part. Ruled out: to record the prompt at the first event only, since requests of the same conversation in between would not find the server. Before: TestServerThatWasPassedOverIsNotExpectedToKeepThePrompt, 13440 tokens kept at the server that was passed over; after: 0, and what a server had before stays. What was evicted for the cancelled prompt is not brought back. Conclusion: Cancel takes back parts, conversation and popularity.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -395,6 +395,7 @@
 	defer f.mu.Unlock()
 	b.server.inFlight--
 	b.server.end(&b.request)
+	f.unsend(b)
 	if b.server.limit.sent > 0 {
 		b.server.limit.sent--
 	}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -74,6 +74,10 @@
 	// ahead is the expected time until the first event.
 	ahead       time.Duration
 	firstTokens int64
+	// keptParts is how many parts at the start of the prompt the server had before, and previous the id of the server that the
+	// conversation was last sent to.
+	keptParts int
+	previous  string
 }
 
 func (f *Fleet) placementOf(service string) *servicePlacement {
@@ -233,15 +237,31 @@
 		return r
 	}
 	last := len(c.Work.Prompt) - 1
+	r.keptParts, r.previous = b.kept.Leading(c.Work.Prompt), p.sessions.Get(c.Work.Prompt[last].ID)
 	if last > 0 {
-		first := p.sessions.Get(c.Work.Prompt[last].ID) == ""
-		p.homes.Observe(c.Work.Prompt[0], first, c.CacheTokens, now)
+		p.homes.Observe(c.Work.Prompt[0], r.previous == "", c.CacheTokens, now)
 	}
 	b.kept.Use(c.Work.Prompt, c.CacheTokens, len(f.byService[c.Service]))
 	p.sessions.Put(c.Work.Prompt[last].ID, b.ID)
 	return r
 }
 
+// unsend takes back what send recorded of the prompt, as the request was not sent. f.mu must be held.
+func (f *Fleet) unsend(b *Backend) {
+	r := &b.request
+	if !r.known || len(r.work.Prompt) == 0 {
+		return
+	}
+	b.server.kept.Drop(r.work.Prompt[r.keptParts:])
+	p, conversation := f.placementOf(b.Service), r.work.Prompt[len(r.work.Prompt)-1].ID
+	if len(r.work.Prompt) > 1 {
+		p.homes.TakeBack(r.work.Prompt[0], r.previous == "")
+	}
+	if p.sessions.Get(conversation) == b.ID {
+		p.sessions.Put(conversation, r.previous)
+	}
+}
+
 // Decision returns how the server was picked.
 func (b *Backend) Decision() Decision {
 	if !b.request.known {
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -321,6 +321,26 @@
 	}
 }
 
+// A server at its request limit is picked before a token for it is asked for.
+func TestServerThatWasPassedOverIsNotExpectedToKeepThePrompt(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(40)
+	c := conversation(5)
+	first := f.Acquire(c)
+	f.Release(first, false)
+	c.Exclude = []string{first.ID}
+	passed := f.Acquire(c)
+	is.True(passed.ID != first.ID)
+	f.Cancel(passed)
+	is.Equal(f.byID[passed.ID].kept.Prefix(c.Work.Prompt, false), int64(0))
+	again := f.Acquire(conversation(5))
+	is.Equal(again.ID, first.ID)
+	is.Equal(again.Decision().Read, int64(0))
+	f.Cancel(again)
+	// What it had before stays.
+	is.Equal(f.byID[first.ID].kept.Prefix(c.Work.Prompt, false), int64(sharedTokens+turnTokens))
+}
+
 func TestOutlookTellsTheWaitAndTheTimeOfAService(t *testing.T) {
 	is := is.New(t)
 	f := placementFleet(2)
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// TakeBack undoes Observe for a request that was not sent.
+func (h *Homes) TakeBack(p Part, first bool) {
+	e := h.parts[p.ID]
+	if e == nil {
+		return
+	}
+	n := min(e.weight, 1)
+	e.weight -= n
+	h.total = max(h.total-n, 0)
+	if first && e.conversations > 0 {
+		e.conversations--
+		h.conversations--
+	}
+}
+
 // share is the part's share of the requests: with few observations between that and the share of all parts alike, and lower
 // as long as parts may be unknown.
 func (h *Homes) share(e *popularity) float64 {
--- a/internal/placement/kept.go
+++ b/internal/placement/kept.go
@@ -50,8 +50,9 @@
 	k.tokens += n
 }
 
-func (k *Kept) dropOldest() {
-	e := k.order.Back()
+func (k *Kept) dropOldest() { k.remove(k.order.Back()) }
+
+func (k *Kept) remove(e *list.Element) {
 	p := k.order.Remove(e).(*Part)
 	delete(k.byID, p.ID)
 	k.tokens -= p.Tokens
@@ -70,6 +71,25 @@
 // Has reports whether the server is expected to keep a part.
 func (k *Kept) Has(id string) bool { return k.byID[id] != nil }
 
+// Leading returns how many parts at the start of the prompt the server is expected to keep.
+func (k *Kept) Leading(prompt []Part) int {
+	for i, p := range prompt {
+		if !k.Has(p.ID) {
+			return i
+		}
+	}
+	return len(prompt)
+}
+
+// Drop removes parts that the server wasn't sent after all.
+func (k *Kept) Drop(parts []Part) {
+	for _, p := range parts {
+		if e := k.byID[p.ID]; e != nil {
+			k.remove(e)
+		}
+	}
+}
+
 // Prefix returns how many tokens of the prompt the server is expected to keep. A part is of use only if all before it are
 // kept. home tells that the server keeps the first part whether or not this instance has sent it there.
 func (k *Kept) Prefix(prompt []Part, home bool) int64 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -222,3 +222,21 @@
 	}
 	return out
 }
+
+func TestRequestsThatAreNotSentDoNotMakeAPartPopular(t *testing.T) {
+	is := is.New(t)
+	h, now := NewHomes(), time.Unix(1000, 0)
+	part := Part{ID: "a", Tokens: 1000}
+	h.Observe(part, true, 100_000, now)
+	before := *h.parts["a"]
+	for range 5 {
+		h.Observe(part, true, 100_000, now)
+		h.TakeBack(part, true)
+	}
+	is.Equal(h.parts["a"].weight, before.weight)
+	is.Equal(h.parts["a"].conversations, before.conversations)
+	is.Equal(h.total, 1.0)
+	is.Equal(h.conversations, 1)
+	h.TakeBack(Part{ID: "unknown"}, true)
+	is.Equal(h.conversations, 1)
+}
