fleet: don't count the wait for a token as time of the server

Cause: the time of a request is taken from the pick, and a request may wait for a token of its server after that. The wait went into the rate of reading, the mean time of the service and the slowness of the server, so that a limited server seemed slow to all instances. Ruled out: the wait for a refused token (the pick is cancelled), and the wait of AwaitServer (it comes before its pick). Before: TestWaitForATokenIsNotTheServersTime with Sent doing nothing fails, as the mean time of the service includes the 20 ms of wait; after: 100 ms. Conclusion: the time counts from the grant of the token.

--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -270,6 +270,13 @@
 	return b.request.decision
 }
 
+// Sent records that the request is sent only now: it had to wait for a token of the server.
+func (f *Fleet) Sent(b *Backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.request.sent = f.now()
+}
+
 // FirstEvent records that a stream has begun, with the given number of tokens in what came at first. It returns by how much
 // it is later than expected, and false if nothing was expected.
 func (f *Fleet) FirstEvent(b *Backend, tokens int64) (time.Duration, bool) {
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -341,6 +341,24 @@
 	is.Equal(f.byID[first.ID].kept.Prefix(c.Work.Prompt, false), int64(sharedTokens+turnTokens))
 }
 
+// Load pattern: servers that limit their requests; the wait for a token says nothing of their speed.
+func TestWaitForATokenIsNotTheServersTime(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(1)
+	now := time.Unix(1000, 0)
+	f.now = func() time.Time { return now }
+	for range 10 {
+		b := f.Acquire(conversation(1))
+		now = now.Add(20 * time.Millisecond)
+		f.Sent(b)
+		now = now.Add(100 * time.Millisecond)
+		f.FirstEvent(b, 1)
+		f.Completed(b, 10)
+		f.Release(b, false)
+	}
+	is.Equal(f.Outlook(conversation(1)).Service.Round(time.Millisecond), 100*time.Millisecond)
+}
+
 func TestOutlookTellsTheWaitAndTheTimeOfAService(t *testing.T) {
 	is := is.New(t)
 	f := placementFleet(2)
--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -40,6 +40,7 @@
 		}
 		if x.rateLimiter.AskForServer(ctx, *limit) {
 			x.metrics.limited.WithLabelValues("granted").Inc()
+			x.fleet.Sent(b)
 			return b, nil
 		}
 		x.metrics.limited.WithLabelValues("passed_over").Inc()
