gateway: a call that the client cancels is no failure of the server

Cause: a body that could not be read to its end counted as a failure of the server, also when the client had left or the deadline had passed, unlike for streams. With shared loads such a failure counts at all instances, and a server is avoided for it; here it also was suspect for 250 ms and more. Ruled out: requests without a response (attempt looks at the context). Before: TestCallThatTheClientCancelsIsNoFailureOfTheServer, one failure for a cancelled call; after: none. Conclusion: only bodies that broke off while the request was still wanted count.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,7 +56,7 @@
 	if err == nil && resp.Status < http.StatusInternalServerError {
 		x.fleet.Completed(resp.backend, 0)
 	}
-	resp.close(err == nil, err != nil)
+	resp.close(err == nil, err != nil && ctx.Err() == nil)
 	if err == nil {
 		if resp.Stamped {
 			x.quarantine.Completed(x.identity)
