fleet: count only whole responses as completed

Cause: each request that ended without a failure counted as completed in what instances report: those cut off by their deadline, cancelled ones, long responses that broke off, and those that the server refused to run. A server that hangs until the deadlines seemed healthy to all instances, and refusals diluted its failures. Ruled out: to count them as failures, as a deadline or a client that leaves may have nothing to do with the server. What a suspect server is and when the consecutive failures begin anew is as before. Before: TestRequestWithoutAWholeResponseIsNotCountedAsCompleted, 1 completed for a response cut off in its middle; after: 0 completed, 0 failed. Conclusion: such requests end with Abandon, whole responses with Release.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -401,7 +401,17 @@
 	}
 }
 
-// Release ends a request on a server. failed reports a failure that indicates a problem with the server.
+// Abandon ends a request that got no whole response for a reason that says nothing of the server, such as its deadline.
+func (f *Fleet) Abandon(b *Backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.server.inFlight--
+	b.server.end(&b.request)
+	b.server.failures = 0
+}
+
+// Release ends a request on a server. failed reports a failure that indicates a problem with the server; otherwise the
+// response was whole.
 func (f *Fleet) Release(b *Backend, failed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/gateway/release_test.go
+++ b/internal/gateway/release_test.go
@@ -69,3 +69,14 @@
 	})
 	is.Equal(failed, 0.0)
 }
+
+// Load pattern: a server that hangs until the deadline of each request.
+func TestRequestWithoutAWholeResponseIsNotCountedAsCompleted(t *testing.T) {
+	is := is.New(t)
+	completed, failed := endedCall(t, func(_ *exchange, _ context.Context, resp *backendResponse, cancel func()) {
+		cancel()
+		resp.close(false, false)
+	})
+	is.Equal(completed, 0.0)
+	is.Equal(failed, 0.0)
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -35,10 +35,19 @@
 // close closes the response and releases the backend server.
 func (r *backendResponse) close(complete, failed bool) {
 	r.Response.Close(complete)
-	r.fleet.Release(r.backend, failed)
+	release(r.fleet, r.backend, complete, failed)
 	r.room.leave(time.Now())
 }
 
+// release ends a request on a backend server. failed reports a failure of the server.
+func release(f *fleet.Fleet, b *fleet.Backend, complete, failed bool) {
+	if complete || failed {
+		f.Release(b, failed)
+		return
+	}
+	f.Abandon(b)
+}
+
 // send tries backend servers until one runs the request, and returns its response. Without one it returns the final
 // error.
 func (x *exchange) send(ctx context.Context, body []byte, preferred string) (*backendResponse, error) {
@@ -129,7 +138,7 @@
 	if err != nil {
 		var ue *upstream.Error
 		if !errors.As(err, &ue) {
-			x.fleet.Release(b, ctx.Err() == nil)
+			release(x.fleet, b, false, ctx.Err() == nil)
 			return nil, err
 		}
 		var refused *verdict.Error
@@ -137,7 +146,7 @@
 			x.fleet.Cancel(b)
 			return nil, refused
 		}
-		x.fleet.Release(b, ctx.Err() == nil && !ue.PathLost)
+		release(x.fleet, b, false, ctx.Err() == nil && !ue.PathLost)
 		if ue.Verdict != verdict.NotRun {
 			x.sends++
 			x.backend, x.mayHaveRun = b.ID, true
@@ -162,7 +171,8 @@
 		return backendResp, nil
 	}
 	status := resp.Status
-	backendResp.close(discard(resp), false)
+	resp.Close(discard(resp))
+	x.fleet.Abandon(b)
 	return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryAfterTransient,
 		"backend server %s did not run the request: status %d", b.ID, status)
 }
