loadshare: send sums to instances that don't take part within the budget

Cause: a request without a revision got the sums at once, as a new instance is to have them. An instance of an older build, or with load sharing turned off, never has a revision: each of its requests for tokens, up to a hundred a second, got all sums, past the budget of bytes. Ruled out: a field that tells whether an instance takes part; older builds have none. Before: TestInstanceThatReportsNoLoadsGetsSumsNoMoreOftenThanOthers fails (sums came with more than 7 of 100 requests in a second); after: it passes. Conclusion: only requests with loads and without a revision are answered at once.

--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -121,8 +121,10 @@
 	round, revision := x.sums.Round(now)
 	n, interval := Budget(len(round), x.sums.Instances())
 	resp.LoadsRevision = revision
-	// Reports come at intervals of their own, so that half of one counts as due.
-	if r.LoadsRevision != 0 && (revision == r.LoadsRevision || now.Sub(x.sent[r.Instance]) < interval-reportInterval/2) {
+	// Reports come at intervals of their own, so that half of one counts as due. An instance that has no sums of this holder
+	// gets them at once; one that doesn't take part sends neither a revision nor loads.
+	isNew := r.LoadsRevision == 0 && len(r.Loads) > 0
+	if !isNew && (revision == r.LoadsRevision || now.Sub(x.sent[r.Instance]) < interval-reportInterval/2) {
 		resp.LoadsRevision = r.LoadsRevision
 		return
 	}
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -166,6 +166,25 @@
 	is.Equal(f.learned, 1)
 }
 
+// An instance of an older build, or without the part, asks for tokens up to a hundred times a second.
+func TestInstanceThatReportsNoLoadsGetsSumsNoMoreOftenThanOthers(t *testing.T) {
+	is := is.New(t)
+	now := start
+	holder := NewExchange(&fakeFleet{}, func() time.Time { return now }, NewMetrics(prometheus.NewRegistry()))
+	sums := 0
+	for range 100 {
+		holder.Serve(&turnv1.TakeRequest{Instance: "new", Loads: encode([]Load{load("s", 2)})}, &turnv1.TakeResponse{})
+		resp := &turnv1.TakeResponse{}
+		holder.Serve(&turnv1.TakeRequest{Instance: "old"}, resp)
+		if len(resp.Loads) > 0 {
+			sums++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	is.True(sums > 0)
+	is.True(sums <= int(time.Second/(minSendInterval-reportInterval/2))+1)
+}
+
 func TestInstanceLeavesItsOwnPartOutOfTheSums(t *testing.T) {
 	is := is.New(t)
 	others := without([]Load{load("a", 5), load("b", 1)}, []Load{load("a", 2), load("b", 3)})
