fleet: bound the prompt to read to the memory of a server

Cause: clients state the size of their prompts, up to 16 M tokens are believed. One such request made its server seem busy with reading for more than a minute, at this instance and, bounded to a minute, at all others, and taught the instance that reading costs next to nothing. Ruled out: a bound for each part in the gateway, as a prompt has many parts. Without a stated memory nothing changes. Conclusion: a server reads no more than it holds.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -338,7 +338,8 @@
 		best = p
 	}
 	return best, Decision{
-		Reason: ReasonLeastLoaded, Read: c.Work.PromptTokens(), Requests: f.requestsAt(best, now), SharedAge: f.sharedAge(now),
+		Reason: ReasonLeastLoaded, Read: readable(c.Work.PromptTokens(), c.CacheTokens),
+		Requests: f.requestsAt(best, now), SharedAge: f.sharedAge(now),
 	}
 }
 
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -192,7 +192,7 @@
 			kept = max(kept, assumedPrefix(c.Work.Prompt, total))
 		}
 		d := Decision{
-			Reason: set.reasons[i], Read: total - kept, Kept: kept, Generate: estimate.Generate, Requests: f.requestsAt(b, now),
+			Reason: set.reasons[i], Read: readable(total-kept, c.CacheTokens), Kept: kept, Generate: estimate.Generate, Requests: f.requestsAt(b, now),
 			SharedAge: f.sharedAge(now), Candidates: set.n,
 		}
 		load := f.loadAt(b, now)
@@ -207,6 +207,14 @@
 	return best, chosen
 }
 
+// readable bounds the tokens to read to the memory of a server, if it is known: clients state the size of their prompts.
+func readable(tokens, capacity int64) int64 {
+	if capacity <= 0 {
+		return tokens
+	}
+	return min(tokens, capacity)
+}
+
 // assumedPrefix is what the server of the previous turn is expected to keep of a prompt that another instance sent there.
 func assumedPrefix(prompt []placement.Part, total int64) int64 {
 	last := placement.Work{Prompt: prompt[len(prompt)-1:]}.PromptTokens()
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -359,6 +359,17 @@
 	is.Equal(f.Outlook(conversation(1)).Service.Round(time.Millisecond), 100*time.Millisecond)
 }
 
+// Load pattern: a client that states prompts of a size that no server holds.
+func TestPromptOfAbsurdSizeCountsNoMoreThanAServersMemory(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(1)
+	c := conversation(1)
+	c.Work.Prompt[1].Tokens = 1 << 40
+	b := f.Acquire(c)
+	is.Equal(b.Decision().Read, int64(modelCache))
+	is.True(f.byID[b.ID].reading <= f.placementOf("llm").costs.ReadTime(modelCache))
+}
+
 func TestOutlookTellsTheWaitAndTheTimeOfAService(t *testing.T) {
 	is := is.New(t)
 	f := placementFleet(2)
