placement: one constant for the cost of a failure, wording

Cause: the cost of a failed request was stated in two packages with the same value; the memory of a server was recorded with each request and never read; a comment was longer than the line. Ruled out: nothing. Before and after: no change of behaviour. Conclusion: placement.FailureCost serves both.

--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -19,8 +19,6 @@
 	minFailures = 1.0
 	// maxAvoidedShare is the share of a service's servers that are avoided for their failures at once.
 	maxAvoidedShare = 1.0 / 3
-	// failureCost is what a failed request costs, as a multiple of the mean time of a request.
-	failureCost = 8.0
 	// sharedGain is how much of the difference of a server's load from the mean of its service counts. All instances answer
 	// to a difference at once, and learn of the answer late; with the whole difference they all take the same servers by
 	// turns.
@@ -250,5 +248,5 @@
 // sharedLoad is the load of a server as a fraction of its slots, in time of an average server, with what its failures cost.
 func (f *Fleet) sharedLoad(b *server, now time.Time) float64 {
 	l := f.loadAt(b, now)
-	return l.Requests/float64(max(l.Slots, 1))*l.Slowness + failureCost*l.Failing
+	return l.Requests/float64(max(l.Slots, 1))*l.Slowness + placement.FailureCost*l.Failing
 }
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -66,7 +66,6 @@
 	// known is set if something is known about the request's cost.
 	known    bool
 	work     placement.Work
-	capacity int64
 	decision Decision
 	// reading is the part of the server's reading that is this request's; zero once its first event has come.
 	reading, left    time.Duration
@@ -237,7 +236,7 @@
 	if len(c.Work.Prompt) == 0 {
 		d.Generate = p.costs.Estimate(c.Work).Generate
 	}
-	r := request{known: true, work: c.Work, capacity: c.CacheTokens, decision: d, sent: now, reading: p.costs.ReadTime(d.Read)}
+	r := request{known: true, work: c.Work, decision: d, sent: now, reading: p.costs.ReadTime(d.Read)}
 	r.left, r.ahead = r.reading+d.Generate, b.reading+r.reading
 	b.reading += r.reading
 	b.left += r.left
--- a/internal/placement/homes.go
+++ b/internal/placement/homes.go
@@ -55,8 +55,8 @@
 // NewHomes returns homes without observations.
 func NewHomes() *Homes { return &Homes{parts: map[string]*popularity{}, ranks: map[rankKey][]string{}} }
 
-// Observe counts one request whose prompt begins with a part. first tells that its conversation is new here. capacity is the memory of a server in tokens, zero if
-// unknown.
+// Observe counts one request whose prompt begins with a part. first tells that its conversation is new here. capacity is the
+// memory of a server in tokens, zero if unknown.
 func (h *Homes) Observe(p Part, first bool, capacity int64, now time.Time) {
 	h.decay(now)
 	e := h.parts[p.ID]
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -9,8 +9,8 @@
 	// RemoteFraction is what a server in another data centre costs in addition, as a fraction: its traffic is billed, and
 	// what it runs breaks off when the data centres lose each other.
 	RemoteFraction = 0.25
-	// failureCost is what a failed request costs, as a multiple of the mean time of a request.
-	failureCost = 8.0
+	// FailureCost is what a failed request costs, as a multiple of the mean time of a request.
+	FailureCost = 8.0
 	// maxExpected bounds what a request is expected to cost or to wait.
 	maxExpected = time.Hour
 )
@@ -51,7 +51,7 @@
 	// Reading delays every request that the server runs.
 	reading := float64(read) * (1 + running)
 	t := (float64(Wait(l, service)) + own + reading) * max(l.Slowness, 0.1)
-	t += failureCost * l.Failing * float64(service)
+	t += FailureCost * l.Failing * float64(service)
 	if remote {
 		t *= 1 + RemoteFraction
 	}
