loadshare: weigh the slowness of a server by the requests it rests on

Cause: the mean ratio of the compared requests counted with the weight of all completed ones. Calls of a route with few calls here, and streams of one event, are completed but not compared, so that one slow request among a hundred made its server seem slow to all instances; the eight requests at the mean that are assumed against just that had no effect. A report between Completed and Release lost its observation. Ruled out: to dilute the ratio with ones, since streams compare with a nominal time that differs from the mean of the service. The weight travels in a field of its own (BackendLoad.compared); without it all completed requests count, as older builds do. With a stream's nominal time an instance needs no mean of its own, so streams are compared from the first one. Tests: TestEvidenceAddsUpAndFades states the weight in its reports, with the same assertions. Conclusion: Slowness is weighed by Compared.

--- a/internal/fleet/loads.go
+++ b/internal/fleet/loads.go
@@ -36,6 +36,13 @@
 	compared int
 }
 
+// compare records the ratio of the time of a request to what all instances compare with. The mean of this instance won't do:
+// one that uses slow servers mostly finds them as fast as that.
+func (s *seen) compare(ratio float64) {
+	s.slow += ratio
+	s.compared++
+}
+
 // shared is what other instances have in progress at a server, and what all have seen there.
 type shared struct {
 	loadshare.Load
@@ -63,7 +70,7 @@
 			Failed: float64(s.seen.failed),
 		}
 		if s.seen.compared > 0 {
-			l.Slowness = s.seen.slow / float64(s.seen.compared)
+			l.Compared, l.Slowness = float64(s.seen.compared), s.seen.slow/float64(s.seen.compared)
 		}
 		s.seen = seen{}
 		out = append(out, l)
@@ -83,8 +90,8 @@
 		s.seen.completed += int(l.Completed)
 		s.seen.failed += int(l.Failed)
 		if l.Slowness > 0 {
-			s.seen.compared += int(l.Completed)
-			s.seen.slow += l.Completed * l.Slowness
+			s.seen.compared += int(l.Compared)
+			s.seen.slow += l.Compared * l.Slowness
 		}
 	}
 }
@@ -205,7 +212,7 @@
 // slowness is the evidence of all instances, or this instance's own while there is none.
 func (f *Fleet) slowness(b *server, now time.Time) float64 {
 	if f.sharedWeight(now) > 0 && b.shared.Slowness > 0 {
-		return placement.Slowness(b.shared.Completed*b.shared.Slowness, b.shared.Completed)
+		return placement.Slowness(b.shared.Compared*b.shared.Slowness, b.shared.Compared)
 	}
 	return b.speed.Slowness(now)
 }
--- a/internal/fleet/loads_test.go
+++ b/internal/fleet/loads_test.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/loadshare"
 )
@@ -207,3 +209,25 @@
 	is.Equal(f.requestsAt(f.byID["c"], now), f.requestsAt(f.byID["a"], now))
 	is.Equal(f.readingAt(f.byID["c"], now), f.readingAt(f.byID["a"], now))
 }
+
+// Load pattern: many requests whose time can't be compared, as their route is new here or their streams have one event.
+func TestFewComparedRequestsMakeNoServerSlow(t *testing.T) {
+	is := is.New(t)
+	f := New("dc-0", time.Second)
+	now := time.Unix(1000, 0)
+	f.now = func() time.Time { return now }
+	holder := loadshare.NewExchange(f, f.now, loadshare.NewMetrics(prometheus.NewRegistry()))
+	x := loadshare.NewExchange(f, f.now, loadshare.NewMetrics(prometheus.NewRegistry()))
+	for _, id := range []string{"a", "b"} {
+		f.Upsert(Entry{ID: id, Service: "llm", DataCentre: "dc-0", Slots: 16})
+		f.byID[id].seen.completed = 100
+	}
+	f.byID["a"].seen.slow, f.byID["a"].seen.compared = 9, 1
+	f.byID["b"].seen.slow, f.byID["b"].seen.compared = 1, 1
+	r, resp := &turnv1.TakeRequest{Instance: "i"}, &turnv1.TakeResponse{}
+	x.Report("h", r)
+	holder.Serve(r, resp)
+	x.Learn(resp)
+	is.True(f.sharedWeight(now) > 0)
+	is.True(f.slowness(f.byID["a"], now) < 1.2)
+}
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -321,7 +321,8 @@
 	costs.ObserveService(now.Sub(r.sent))
 	if len(r.work.Prompt) == 0 {
 		if ratio, ok := costs.CallRatio(r.work, now.Sub(r.sent)); ok {
-			b.server.observeSpeed(ratio, ratio, now)
+			b.server.speed.Observe(ratio, now)
+			b.server.seen.compare(ratio)
 		}
 		costs.ObserveCall(r.work, now.Sub(r.sent), now)
 		return
@@ -330,22 +331,17 @@
 		return
 	}
 	after, took := tokens-r.firstTokens, now.Sub(r.firstEvent)
+	if after > 0 {
+		b.server.seen.compare(placement.NominalPace(after, took))
+	}
 	if ratio, ok := costs.Pace(after, took); ok {
-		b.server.observeSpeed(ratio, placement.NominalPace(after, took), now)
+		b.server.speed.Observe(ratio, now)
 	}
 	busy := r.decision.Requests / float64(max(b.Slots, 1))
 	costs.ObserveOutput(r.work, tokens, after, took, busy, now)
 	b.server.kept.Grow(r.work.Prompt[len(r.work.Prompt)-1].ID, tokens)
 }
 
-// observeSpeed records the ratio of the time of a request to this instance's mean, and to what all instances compare with: one
-// that uses slow servers mostly finds them as fast as its mean.
-func (s *server) observeSpeed(toOwnMean, toNominal float64, now time.Time) {
-	s.speed.Observe(toOwnMean, now)
-	s.seen.slow += toNominal
-	s.seen.compared++
-}
-
 // end removes what the request had left to do.
 func (s *server) end(r *request) {
 	s.reading = max(s.reading-r.reading, 0)
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -155,7 +155,7 @@
 		m.MeanRequests = float32(l.Requests)
 		m.Requests, m.WorkUs, m.ReadingUs = int32(l.Requests+0.5), l.Left.Microseconds(), l.Reading.Microseconds()
 		m.Completed, m.Failed = int32(l.Completed+0.5), int32(l.Failed+0.5)
-		if m.Completed > 0 {
+		if m.Compared = int32(l.Compared + 0.5); m.Compared > 0 {
 			m.Slowness = l.Slowness
 		}
 		out[i] = m
@@ -170,12 +170,21 @@
 		out = append(out, Load{
 			Server:   backendlimit.Server{ID: m.GetId(), Incarnation: m.GetIncarnation()},
 			Requests: float64(m.GetMeanRequests()), Reading: microseconds(m.GetReadingUs()), Left: microseconds(m.GetWorkUs()),
-			Completed: float64(m.GetCompleted()), Failed: float64(m.GetFailed()), Slowness: m.GetSlowness(),
+			Completed: float64(m.GetCompleted()), Failed: float64(m.GetFailed()),
+			Compared: float64(compared(m)), Slowness: m.GetSlowness(),
 		}.bounded())
 	}
 	return out
 }
 
+// compared is the weight of the slowness; builds that don't tell it count all completed requests.
+func compared(m *turnv1.BackendLoad) int32 {
+	if m.GetCompared() == 0 && m.GetSlowness() > 0 {
+		return m.GetCompleted()
+	}
+	return m.GetCompared()
+}
+
 func microseconds(n int64) time.Duration {
 	return time.Duration(min(max(n, 0), maxWork.Microseconds())) * time.Microsecond
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -50,7 +50,7 @@
 	s := NewSums()
 	for i := range 20 {
 		l := load("s", 1)
-		l.Completed, l.Failed, l.Slowness = 1, 1, 2
+		l.Completed, l.Failed, l.Compared, l.Slowness = 1, 1, 1, 2
 		s.Report(fmt.Sprint(i), []Load{l}, start)
 	}
 	round, _ := s.Round(start)
@@ -212,7 +212,8 @@
 				r := &turnv1.TakeRequest{Instance: fmt.Sprint("10.0.0.", i)}
 				for j := range 8 {
 					l := load(fmt.Sprintf("i-%010d", (i*8+j)%(74*max(instances/87, 1))), 1)
-					l.Server.Incarnation, l.Left, l.Completed, l.Slowness = 1_700_000_000_000, 200*time.Millisecond, 3, 1.1
+					l.Server.Incarnation, l.Left = 1_700_000_000_000, 200*time.Millisecond
+					l.Completed, l.Compared, l.Slowness = 3, 3, 1.1
 					r.Loads = append(r.Loads, encode([]Load{l})...)
 				}
 				return r
--- a/internal/loadshare/sums.go
+++ b/internal/loadshare/sums.go
@@ -47,15 +47,16 @@
 	// yet, Left the time for all that is left of them.
 	Requests      float64
 	Reading, Left time.Duration
-	// Completed and Failed count requests that ended; Slowness is the mean ratio of the time that the completed ones took to
-	// one that is the same for all servers of the service, zero if unknown.
-	Completed, Failed, Slowness float64
+	// Completed and Failed count requests that ended; Slowness is the mean ratio of the time that Compared of the completed ones
+	// took to one that is the same for all servers of the service, zero if unknown.
+	Completed, Failed, Compared, Slowness float64
 }
 
 func (l Load) bounded() Load {
 	l.Requests = bound(l.Requests, 0, maxRequests)
 	l.Reading, l.Left = min(max(l.Reading, 0), maxWork), min(max(l.Left, 0), maxWork)
 	l.Completed, l.Failed = bound(l.Completed, 0, maxCount), bound(l.Failed, 0, maxCount)
+	l.Compared = bound(l.Compared, 0, maxCount)
 	if l.Slowness = bound(l.Slowness, 0, maxSlowness); l.Slowness > 0 {
 		l.Slowness = max(l.Slowness, minSlowness)
 	}
@@ -110,13 +111,13 @@
 	for i := range loads {
 		loads[i] = loads[i].bounded()
 		l := loads[i]
-		if l.Completed == 0 && l.Failed == 0 {
+		if l.Completed == 0 && l.Failed == 0 && l.Compared == 0 {
 			continue
 		}
 		if e := s.server(l.Server); e != nil {
 			e.completed, e.failed = e.completed+l.Completed, e.failed+l.Failed
 			if l.Slowness > 0 {
-				e.slow, e.compared = e.slow+l.Completed*l.Slowness, e.compared+l.Completed
+				e.slow, e.compared = e.slow+l.Compared*l.Slowness, e.compared+l.Compared
 			}
 		}
 	}
@@ -207,7 +208,7 @@
 	l := e.smooth
 	l.Completed, l.Failed = e.completed, e.failed
 	if e.compared > 0 {
-		l.Slowness = e.slow / e.compared
+		l.Slowness, l.Compared = e.slow/e.compared, e.compared
 	}
 	return l
 }
