--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -136,6 +136,9 @@
 		f.removeLocked(e.ID)
 	}
 	b = &server{Entry: e}
+	if others := f.byService[e.Service]; len(others) > 0 {
+		b.shared.mean = others[0].shared.mean
+	}
 	if a, ok := f.announced[e.ID]; ok {
 		if a.appliesTo(e) {
 			b.leavingSince, b.limit = a.leavingSince, a.limit
@@ -335,7 +338,8 @@
 		best = p
 	}
 	return best, Decision{
-		Reason: ReasonLeastLoaded, Read: c.Work.PromptTokens(), Requests: f.requestsAt(best, now), SharedAge: f.sharedAge(now),
+		Reason: ReasonLeastLoaded, Read: readable(c.Work.PromptTokens(), c.CacheTokens),
+		Requests: f.requestsAt(best, now), SharedAge: f.sharedAge(now),
 	}
 }
 
@@ -392,12 +396,23 @@
 	defer f.mu.Unlock()
 	b.server.inFlight--
 	b.server.end(&b.request)
+	f.unsend(b)
 	if b.server.limit.sent > 0 {
 		b.server.limit.sent--
 	}
 }
 
-// Release ends a request on a server. failed reports a failure that indicates a problem with the server.
+// Abandon ends a request that got no whole response for a reason that says nothing of the server, such as its deadline.
+func (f *Fleet) Abandon(b *Backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.server.inFlight--
+	b.server.end(&b.request)
+	b.server.failures = 0
+}
+
+// Release ends a request on a server. failed reports a failure that indicates a problem with the server; otherwise the
+// response was whole.
 func (f *Fleet) Release(b *Backend, failed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/place.go
+++ b/internal/fleet/place.go
@@ -66,7 +66,6 @@
 	// known is set if something is known about the request's cost.
 	known    bool
 	work     placement.Work
-	capacity int64
 	decision Decision
 	// reading is the part of the server's reading that is this request's; zero once its first event has come.
 	reading, left    time.Duration
@@ -74,6 +73,10 @@
 	// ahead is the expected time until the first event.
 	ahead       time.Duration
 	firstTokens int64
+	// keptParts is how many parts at the start of the prompt the server had before, and previous the id of the server that the
+	// conversation was last sent to.
+	keptParts int
+	previous  string
 }
 
 func (f *Fleet) placementOf(service string) *servicePlacement {
@@ -188,7 +191,7 @@
 			kept = max(kept, assumedPrefix(c.Work.Prompt, total))
 		}
 		d := Decision{
-			Reason: set.reasons[i], Read: total - kept, Kept: kept, Generate: estimate.Generate, Requests: f.requestsAt(b, now),
+			Reason: set.reasons[i], Read: readable(total-kept, c.CacheTokens), Kept: kept, Generate: estimate.Generate, Requests: f.requestsAt(b, now),
 			SharedAge: f.sharedAge(now), Candidates: set.n,
 		}
 		load := f.loadAt(b, now)
@@ -203,6 +206,14 @@
 	return best, chosen
 }
 
+// readable bounds the tokens to read to the memory of a server, if it is known: clients state the size of their prompts.
+func readable(tokens, capacity int64) int64 {
+	if capacity <= 0 {
+		return tokens
+	}
+	return min(tokens, capacity)
+}
+
 // assumedPrefix is what the server of the previous turn is expected to keep of a prompt that another instance sent there.
 func assumedPrefix(prompt []placement.Part, total int64) int64 {
 	last := placement.Work{Prompt: prompt[len(prompt)-1:]}.PromptTokens()
@@ -225,7 +236,7 @@
 	if len(c.Work.Prompt) == 0 {
 		d.Generate = p.costs.Estimate(c.Work).Generate
 	}
-	r := request{known: true, work: c.Work, capacity: c.CacheTokens, decision: d, sent: now, reading: p.costs.ReadTime(d.Read)}
+	r := request{known: true, work: c.Work, decision: d, sent: now, reading: p.costs.ReadTime(d.Read)}
 	r.left, r.ahead = r.reading+d.Generate, b.reading+r.reading
 	b.reading += r.reading
 	b.left += r.left
@@ -233,15 +244,31 @@
 		return r
 	}
 	last := len(c.Work.Prompt) - 1
+	r.keptParts, r.previous = b.kept.Leading(c.Work.Prompt), p.sessions.Get(c.Work.Prompt[last].ID)
 	if last > 0 {
-		first := p.sessions.Get(c.Work.Prompt[last].ID) == ""
-		p.homes.Observe(c.Work.Prompt[0], first, c.CacheTokens, now)
+		p.homes.Observe(c.Work.Prompt[0], r.previous == "", c.CacheTokens, now)
 	}
 	b.kept.Use(c.Work.Prompt, c.CacheTokens, len(f.byService[c.Service]))
 	p.sessions.Put(c.Work.Prompt[last].ID, b.ID)
 	return r
 }
 
+// unsend takes back what send recorded of the prompt, as the request was not sent. f.mu must be held.
+func (f *Fleet) unsend(b *Backend) {
+	r := &b.request
+	if !r.known || len(r.work.Prompt) == 0 {
+		return
+	}
+	b.server.kept.Drop(r.work.Prompt[r.keptParts:])
+	p, conversation := f.placementOf(b.Service), r.work.Prompt[len(r.work.Prompt)-1].ID
+	if len(r.work.Prompt) > 1 {
+		p.homes.TakeBack(r.work.Prompt[0], r.previous == "")
+	}
+	if p.sessions.Get(conversation) == b.ID {
+		p.sessions.Put(conversation, r.previous)
+	}
+}
+
 // Decision returns how the server was picked.
 func (b *Backend) Decision() Decision {
 	if !b.request.known {
@@ -250,6 +277,13 @@
 	return b.request.decision
 }
 
+// Sent records that the request is sent only now: it had to wait for a token of the server.
+func (f *Fleet) Sent(b *Backend) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b.request.sent = f.now()
+}
+
 // FirstEvent records that a stream has begun, with the given number of tokens in what came at first. It returns by how much
 // it is later than expected, and false if nothing was expected.
 func (f *Fleet) FirstEvent(b *Backend, tokens int64) (time.Duration, bool) {
@@ -287,7 +321,8 @@
 	costs.ObserveService(now.Sub(r.sent))
 	if len(r.work.Prompt) == 0 {
 		if ratio, ok := costs.CallRatio(r.work, now.Sub(r.sent)); ok {
-			b.server.observeSpeed(ratio, ratio, now)
+			b.server.speed.Observe(ratio, now)
+			b.server.seen.compare(ratio)
 		}
 		costs.ObserveCall(r.work, now.Sub(r.sent), now)
 		return
@@ -296,22 +331,17 @@
 		return
 	}
 	after, took := tokens-r.firstTokens, now.Sub(r.firstEvent)
+	if after > 0 {
+		b.server.seen.compare(placement.NominalPace(after, took))
+	}
 	if ratio, ok := costs.Pace(after, took); ok {
-		b.server.observeSpeed(ratio, placement.NominalPace(after, took), now)
+		b.server.speed.Observe(ratio, now)
 	}
 	busy := r.decision.Requests / float64(max(b.Slots, 1))
 	costs.ObserveOutput(r.work, tokens, after, took, busy, now)
 	b.server.kept.Grow(r.work.Prompt[len(r.work.Prompt)-1].ID, tokens)
 }
 
-// observeSpeed records the ratio of the time of a request to this instance's mean, and to what all instances compare with: one
-// that uses slow servers mostly finds them as fast as its mean.
-func (s *server) observeSpeed(toOwnMean, toNominal float64, now time.Time) {
-	s.speed.Observe(toOwnMean, now)
-	s.seen.slow += toNominal
-	s.seen.compared++
-}
-
 // end removes what the request had left to do.
 func (s *server) end(r *request) {
 	s.reading = max(s.reading-r.reading, 0)
--- a/internal/fleet/place_test.go
+++ b/internal/fleet/place_test.go
@@ -321,6 +321,55 @@
 	}
 }
 
+// A server at its request limit is picked before a token for it is asked for.
+func TestServerThatWasPassedOverIsNotExpectedToKeepThePrompt(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(40)
+	c := conversation(5)
+	first := f.Acquire(c)
+	f.Release(first, false)
+	c.Exclude = []string{first.ID}
+	passed := f.Acquire(c)
+	is.True(passed.ID != first.ID)
+	f.Cancel(passed)
+	is.Equal(f.byID[passed.ID].kept.Prefix(c.Work.Prompt, false), int64(0))
+	again := f.Acquire(conversation(5))
+	is.Equal(again.ID, first.ID)
+	is.Equal(again.Decision().Read, int64(0))
+	f.Cancel(again)
+	// What it had before stays.
+	is.Equal(f.byID[first.ID].kept.Prefix(c.Work.Prompt, false), int64(sharedTokens+turnTokens))
+}
+
+// Load pattern: servers that limit their requests; the wait for a token says nothing of their speed.
+func TestWaitForATokenIsNotTheServersTime(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(1)
+	now := time.Unix(1000, 0)
+	f.now = func() time.Time { return now }
+	for range 10 {
+		b := f.Acquire(conversation(1))
+		now = now.Add(20 * time.Millisecond)
+		f.Sent(b)
+		now = now.Add(100 * time.Millisecond)
+		f.FirstEvent(b, 1)
+		f.Completed(b, 10)
+		f.Release(b, false)
+	}
+	is.Equal(f.Outlook(conversation(1)).Service.Round(time.Millisecond), 100*time.Millisecond)
+}
+
+// Load pattern: a client that states prompts of a size that no server holds.
+func TestPromptOfAbsurdSizeCountsNoMoreThanAServersMemory(t *testing.T) {
+	is := is.New(t)
+	f := placementFleet(1)
+	c := conversation(1)
+	c.Work.Prompt[1].Tokens = 1 << 40
+	b := f.Acquire(c)
+	is.Equal(b.Decision().Read, int64(modelCache))
+	is.True(f.byID[b.ID].reading <= f.placementOf("llm").costs.ReadTime(modelCache))
+}
+
 func TestOutlookTellsTheWaitAndTheTimeOfAService(t *testing.T) {
 	is := is.New(t)
 	f := placementFleet(2)
--- a/internal/loadshare/exchange.go
+++ b/internal/loadshare/exchange.go
@@ -121,8 +121,10 @@
 	round, revision := x.sums.Round(now)
 	n, interval := Budget(len(round), x.sums.Instances())
 	resp.LoadsRevision = revision
-	// Reports come at intervals of their own, so that half of one counts as due.
-	if r.LoadsRevision != 0 && (revision == r.LoadsRevision || now.Sub(x.sent[r.Instance]) < interval-reportInterval/2) {
+	// Reports come at intervals of their own, so that half of one counts as due. An instance that has no sums of this holder
+	// gets them at once; one that doesn't take part sends neither a revision nor loads.
+	isNew := r.LoadsRevision == 0 && len(r.Loads) > 0
+	if !isNew && (revision == r.LoadsRevision || now.Sub(x.sent[r.Instance]) < interval-reportInterval/2) {
 		resp.LoadsRevision = r.LoadsRevision
 		return
 	}
@@ -153,7 +155,7 @@
 		m.MeanRequests = float32(l.Requests)
 		m.Requests, m.WorkUs, m.ReadingUs = int32(l.Requests+0.5), l.Left.Microseconds(), l.Reading.Microseconds()
 		m.Completed, m.Failed = int32(l.Completed+0.5), int32(l.Failed+0.5)
-		if m.Completed > 0 {
+		if m.Compared = int32(l.Compared + 0.5); m.Compared > 0 {
 			m.Slowness = l.Slowness
 		}
 		out[i] = m
@@ -168,12 +170,21 @@
 		out = append(out, Load{
 			Server:   backendlimit.Server{ID: m.GetId(), Incarnation: m.GetIncarnation()},
 			Requests: float64(m.GetMeanRequests()), Reading: microseconds(m.GetReadingUs()), Left: microseconds(m.GetWorkUs()),
-			Completed: float64(m.GetCompleted()), Failed: float64(m.GetFailed()), Slowness: m.GetSlowness(),
+			Completed: float64(m.GetCompleted()), Failed: float64(m.GetFailed()),
+			Compared: float64(compared(m)), Slowness: m.GetSlowness(),
 		}.bounded())
 	}
 	return out
 }
 
+// compared is the weight of the slowness; builds that don't tell it count all completed requests.
+func compared(m *turnv1.BackendLoad) int32 {
+	if m.GetCompared() == 0 && m.GetSlowness() > 0 {
+		return m.GetCompleted()
+	}
+	return m.GetCompared()
+}
+
 func microseconds(n int64) time.Duration {
 	return time.Duration(min(max(n, 0), maxWork.Microseconds())) * time.Microsecond
 }
--- a/internal/loadshare/loadshare_test.go
+++ b/internal/loadshare/loadshare_test.go
@@ -50,7 +50,7 @@
 	s := NewSums()
 	for i := range 20 {
 		l := load("s", 1)
-		l.Completed, l.Failed, l.Slowness = 1, 1, 2
+		l.Completed, l.Failed, l.Compared, l.Slowness = 1, 1, 1, 2
 		s.Report(fmt.Sprint(i), []Load{l}, start)
 	}
 	round, _ := s.Round(start)
@@ -166,6 +166,25 @@
 	is.Equal(f.learned, 1)
 }
 
+// An instance of an older build, or without the part, asks for tokens up to a hundred times a second.
+func TestInstanceThatReportsNoLoadsGetsSumsNoMoreOftenThanOthers(t *testing.T) {
+	is := is.New(t)
+	now := start
+	holder := NewExchange(&fakeFleet{}, func() time.Time { return now }, NewMetrics(prometheus.NewRegistry()))
+	sums := 0
+	for range 100 {
+		holder.Serve(&turnv1.TakeRequest{Instance: "new", Loads: encode([]Load{load("s", 2)})}, &turnv1.TakeResponse{})
+		resp := &turnv1.TakeResponse{}
+		holder.Serve(&turnv1.TakeRequest{Instance: "old"}, resp)
+		if len(resp.Loads) > 0 {
+			sums++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	is.True(sums > 0)
+	is.True(sums <= int(time.Second/(minSendInterval-reportInterval/2))+1)
+}
+
 func TestInstanceLeavesItsOwnPartOutOfTheSums(t *testing.T) {
 	is := is.New(t)
 	others := without([]Load{load("a", 5), load("b", 1)}, []Load{load("a", 2), load("b", 3)})
@@ -193,7 +212,8 @@
 				r := &turnv1.TakeRequest{Instance: fmt.Sprint("10.0.0.", i)}
 				for j := range 8 {
 					l := load(fmt.Sprintf("i-%010d", (i*8+j)%(74*max(instances/87, 1))), 1)
-					l.Server.Incarnation, l.Left, l.Completed, l.Slowness = 1_700_000_000_000, 200*time.Millisecond, 3, 1.1
+					l.Server.Incarnation, l.Left = 1_700_000_000_000, 200*time.Millisecond
+					l.Completed, l.Compared, l.Slowness = 3, 3, 1.1
 					r.Loads = append(r.Loads, encode([]Load{l})...)
 				}
 				return r
