gateway: let requests of different home regions wait in queues of their own

Cause: the queue of a service was shared by all of its requests, but each of them sees the servers of its own home regions only, and a review decides on everybody who waits with the outlook of whoever's timer came first. A request that must stay in a full region was sent there for a free place elsewhere, and one that may go anywhere waited behind it, or was refused by its outlook, beside free places. Ruled out: an outlook for each waiter of one queue; the ahead counts and the share would still add up places of different servers. Conclusion: a queue for each service and set of regions. Priorities hold within such a queue. Without homes there is one queue as before.

--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -11,6 +11,7 @@
 
 	"github.com/berylpond/berylpond/internal/admission"
 	"github.com/berylpond/berylpond/internal/feature"
+	"github.com/berylpond/berylpond/internal/homes"
 	"github.com/berylpond/berylpond/internal/placement"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
@@ -24,28 +25,33 @@
 	retrySpread = 0.25
 )
 
-// rooms holds the queues of requests that wait for a place, by service.
+// rooms holds the queues of requests that wait for a place, by the backend servers that they may use: a queue is reviewed
+// with the outlook of any one of its requests.
 type rooms struct {
 	programs *programMemory
 
 	mu     sync.Mutex
-	queues map[string]*roomQueue
+	queues map[roomKey]*roomQueue
 }
 
-func newRooms() *rooms { return &rooms{programs: newProgramMemory(), queues: map[string]*roomQueue{}} }
+// roomKey names the backend servers that a request may use.
+type roomKey struct{ service, homes string }
 
-func (r *rooms) queue(service string) *roomQueue {
+func newRooms() *rooms { return &rooms{programs: newProgramMemory(), queues: map[roomKey]*roomQueue{}} }
+
+func (r *rooms) queue(service string, in homes.Set) *roomQueue {
+	k := roomKey{service, in.String()}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	q := r.queues[service]
+	q := r.queues[k]
 	if q == nil {
 		q = &roomQueue{queue: admission.NewQueue(rand.Float64), decided: map[*admission.Waiter]chan struct{}{}}
-		r.queues[service] = q
+		r.queues[k] = q
 	}
 	return q
 }
 
-// roomQueue is the queue of one service, shared by the requests that wait in it.
+// roomQueue is the queue of one service in one set of regions, shared by the requests that wait in it.
 type roomQueue struct {
 	mu    sync.Mutex
 	queue *admission.Queue
@@ -140,7 +146,7 @@
 	}
 	criteria := x.criteria()
 	outlook := func() placement.Outlook { return x.fleet.Outlook(criteria) }
-	q := x.rooms.queue(x.service)
+	q := x.rooms.queue(x.service, x.homes)
 	r := x.admissionRequest()
 	w, decided := q.offer(x.now(), r, outlook())
 	if err := x.awaitDecision(ctx, q, w, decided, outlook); err != nil {
--- a/internal/homes/homes.go
+++ b/internal/homes/homes.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 )
 
@@ -34,6 +35,14 @@
 // IsRestricted reports whether the set does not allow every region.
 func (s Set) IsRestricted() bool { return s.restricted }
 
+// String returns the regions in order; "any" stands for all of them.
+func (s Set) String() string {
+	if !s.restricted {
+		return "any"
+	}
+	return fmt.Sprintf("%q", slices.Sorted(slices.Values(s.regions)))
+}
+
 // Allows reports whether the set allows the region. An unknown region has no name and is allowed only if every region is.
 func (s Set) Allows(region string) bool {
 	return !s.restricted || region != "" && slices.Contains(s.regions, region)
