gateway: wait for a warm server at its limit behind a cold one

Cause: if the best server was cold and without a token, and the next ones were warm and at the limits that they announce, the request was refused with the delay of cold servers (up to their whole cold period) instead of waiting for a token of a warm one, as it does if the warm one was picked first. Ruled out: that cold servers are never picked first: they count as full, but a warm one may be fuller. Before and after: TestRequestWaitsForAWarmServerBehindAColdOne fails with the first server awaited (run once so, with go test -overlay) and passes now. Conclusion: the best warm server at its limit is awaited, and only a request with none but cold ones is refused at once.

--- a/internal/gateway/limit.go
+++ b/internal/gateway/limit.go
@@ -61,7 +61,7 @@
 	if b := x.fleet.Acquire(c); b != nil {
 		return b, nil
 	}
-	awaited := atLimit[0]
+	awaited := awaitedLimit(atLimit)
 	if awaited.Cold {
 		x.metrics.limited.WithLabelValues("refused_cold").Inc()
 		return nil, x.denyCold()
@@ -78,6 +78,17 @@
 	return x.fleet.Acquire(c), nil
 }
 
+// awaitedLimit returns the server whose token a request waits for: the best warm one, since those of cold servers are not
+// waited for.
+func awaitedLimit(atLimit []ratelimit.ServerLimit) ratelimit.ServerLimit {
+	for _, l := range atLimit {
+		if !l.Cold {
+			return l
+		}
+	}
+	return atLimit[0]
+}
+
 // pickBackend picks the best backend server. If that one limits its requests and this instance holds no token for it, the
 // limit is returned too.
 func (x *exchange) pickBackend(c fleet.Criteria) (b *fleet.Backend, needed *ratelimit.ServerLimit) {
