gateway: send cold servers nothing long after its token was taken

Cause: the bucket of a cold server allows for 150 ms between the token and the arrival of the request, but nothing held a request to that. Opening a connection may take 500 ms, or longer at an instance that stands still, so requests of one second could add to those of a later one. A server that turned cold while the connection was opened was sent the request without a token. Ruled out: a longer time in the bound, which would lower the rate of every cold server for a rare case. Conclusion: checked when the connection is open, like evacuations. The request goes on to another server, its token is lost. Tests of the bucket changed by the new name of the constant only.

--- a/internal/fleet/cold.go
+++ b/internal/fleet/cold.go
@@ -174,6 +174,15 @@
 	return cold
 }
 
+// IsTokenLate reports whether the server is cold and the request no longer has a token for it, given how long ago it took
+// one. Load pattern: servers come back with empty caches, and opening a connection to one takes far longer than usual, or
+// the server turns cold meanwhile. Requests that come late would add to those of a later moment.
+func (f *Fleet) IsTokenLate(b *Backend, age, most time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isCold(b.server, f.now()) && (!b.pickedCold || age > most)
+}
+
 // updateCold records a report of a server and returns whether the followers of this instance must learn of it. f.mu must
 // be held.
 func (f *Fleet) updateCold(s *server, next coldState) bool {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,8 @@
 	server *server
 	// request is guarded by the fleet's lock, except for what was decided.
 	request request
+	// pickedCold is set if the server was cold when it was picked, so that the request has a token for it.
+	pickedCold bool
 }
 
 // server is a backend server with the load and the failures that this instance has observed. The fleet's lock guards
@@ -286,7 +288,9 @@
 	if best.limit.Announced {
 		best.limit.sent++
 	}
-	return &Backend{Entry: best.Entry, server: best, request: f.send(best, c, decision, now)}
+	return &Backend{
+		Entry: best.Entry, server: best, request: f.send(best, c, decision, now), pickedCold: f.isCold(best, now),
+	}
 }
 
 // pick returns the best server among the usable ones that permit a request, or nil. A server with a limit is asked for
--- a/internal/gateway/evacuation.go
+++ b/internal/gateway/evacuation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/berylpond/berylpond/internal/fleet"
+	"github.com/berylpond/berylpond/internal/ratelimit"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -41,14 +42,17 @@
 		"this instance has yet to learn which data centres are evacuated")
 }
 
-// maySend checks again, when a connection is open, whether the server may get the request.
-func (x *exchange) maySend(b *fleet.Backend) error {
+// maySend checks again, when a connection is open, whether the server may get the request that was given it at a time.
+func (x *exchange) maySend(b *fleet.Backend, given time.Time) error {
 	switch {
 	case !x.viewUsable():
 		return x.staleViewError()
 	case x.fleet.IsEvacuated(b):
 		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonEvacuated, retryAfterTransient,
 			"data centre %s was evacuated before the request was sent", b.DataCentre)
+	case x.fleet.IsTokenLate(b, x.now().Sub(given), ratelimit.ColdSendDelay):
+		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryAfterTransient,
+			"cold backend server %s could not be sent the request in time", b.ID)
 	}
 	return nil
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -119,7 +119,7 @@
 	sent := x.now()
 	resp, err := x.servers.Do(ctx, b.Address, upstream.Request{
 		ID: x.ID, Method: x.r.Method, Target: x.target, Host: x.r.Host, Body: body,
-		Check: func() error { return x.maySend(b) },
+		Check: func() error { return x.maySend(b, sent) },
 		Header: func() http.Header {
 			return platform.ForwardHeaders(x.r.Header, platform.ForwardOptions{
 				Backend: b.ID, Account: x.account.Name, Deadline: x.remaining(), LastEventID: x.resumeAfter,
--- a/internal/ratelimit/cold.go
+++ b/internal/ratelimit/cold.go
@@ -10,8 +10,8 @@
 const (
 	// coldWindow is the time over which the platform counts the requests to a cold server.
 	coldWindow = time.Second
-	// coldSendDelay is the time for which a request may be on its way to a cold server after its token was taken.
-	coldSendDelay = 150 * time.Millisecond
+	// ColdSendDelay is the time for which a request may be on its way to a cold server after its token was taken.
+	ColdSendDelay = 150 * time.Millisecond
 	// coldHolders is the number of holders whose full buckets may be emptied within one coldWindow: the one that holds them
 	// and the one that held them before.
 	coldHolders = 2
@@ -21,7 +21,7 @@
 // perSecond*excess+slack requests of all instances. Load pattern: the servers of a data centre come back with empty caches
 // while hundreds of instances have requests waiting for them.
 //
-// The requests of one window took tokens that were granted up to grantTTL and coldSendDelay before it. A holder grants at
+// The requests of one window took tokens that were granted up to grantTTL and ColdSendDelay before it. A holder grants at
 // most a full bucket and what flows in during that time, and the shares of all holders add up to the rate. Both are zero,
 // so that nothing is sent, if the bound has no room for one token of each holder.
 func ColdBucket(perSecond, excess, slack float64) (rate, burst float64) {
@@ -29,7 +29,7 @@
 		excess = 1
 	}
 	bound := perSecond*excess + max(slack, 0)
-	exposure := (coldWindow + grantTTL + coldSendDelay).Seconds()
+	exposure := (coldWindow + grantTTL + ColdSendDelay).Seconds()
 	if perSecond <= 0 || bound <= coldHolders {
 		return 0, 0
 	}
--- a/internal/ratelimit/cold_test.go
+++ b/internal/ratelimit/cold_test.go
@@ -37,7 +37,7 @@
 	return most
 }
 
-// coldTraffic lets each instance try that many requests in a step, which arrive at the server up to coldSendDelay later.
+// coldTraffic lets each instance try that many requests in a step, which arrive at the server up to ColdSendDelay later.
 func (s *simulation) coldTraffic(limit ServerLimit, tries int, step int, arrivals []int) {
 	s.now = s.now.Add(tick)
 	for _, i := range rand.Perm(len(s.limiters)) {
@@ -45,7 +45,7 @@
 		l.exchange(context.Background())
 		for range tries {
 			if !l.isEmpty(limit) && l.askForServer(limit) {
-				arrivals[min(step+rand.IntN(int(coldSendDelay/tick)), len(arrivals)-1)]++
+				arrivals[min(step+rand.IntN(int(ColdSendDelay/tick)), len(arrivals)-1)]++
 			}
 		}
 	}
@@ -185,7 +185,7 @@
 		s.coldTraffic(rule.limit("x"), 2, step, arrivals)
 	}
 	rule.check(t, arrivals)
-	inFlight := int((grantTTL + coldSendDelay) / tick)
+	inFlight := int((grantTTL + ColdSendDelay) / tick)
 	for _, n := range arrivals[lost+inFlight : found] {
 		is.Equal(n, 0) // nobody grants
 	}
