storewatch: serve an invalid configuration for lack of another

Cause (found in review): an instance refuses a configuration that the operator's check calls wrong and keeps the version in force.

Ruled out: to call fewer things errors (the check is asked to name them).

Before: TestAnInvalidConfigurationIsServedForLackOfAnother fails (Current is nil). After: it passes.

Conclusion: a wrong entry holds up its version where there is an older one, and nothing where there is none.

--- a/internal/storewatch/config.go
+++ b/internal/storewatch/config.go
@@ -170,7 +170,8 @@
 	c.Apply(r.Value)
 }
 
-// Apply decodes a published configuration and puts it into force if it is valid and newer than the current one.
+// Apply decodes a published configuration and puts it into force if it is valid and newer than the current one. Without a
+// current one an invalid configuration is put into force too.
 func (c *ConfigWatcher) Apply(raw []byte) {
 	// A reader of the store of an older build may push what this one refuses with each of its responses.
 	if last := c.ignored.Load(); last != nil && bytes.Equal(*last, raw) {
@@ -196,7 +197,7 @@
 	c.hooks.OnChange()
 }
 
-// decode returns the decoded configuration, or nil if it must not be put into force.
+// decode returns the decoded configuration, or nil if it must not take the place of the one in force.
 func (c *ConfigWatcher) decode(raw []byte) *routing.Configuration {
 	next, err := platform.DecodeConfig(raw)
 	if err != nil {
@@ -204,13 +205,19 @@
 		c.hooks.Metrics.ignored(ignoredUndecodable)
 		return nil
 	}
-	if found := configcheck.Errors(next); found.Total > 0 {
-		klog.ErrorS(nil, "ignoring an invalid configuration", "version", next.Version, "in_force", versionOf(c.current.Load()),
-			"errors", found.Total, "path", platform.ConfigPath(found.List[0].Location), "first", found.List[0].Message)
-		c.hooks.Metrics.ignored(ignoredInvalid)
-		return nil
+	found := configcheck.Errors(next)
+	if found.Total == 0 {
+		return next
+	}
+	inForce := c.current.Load()
+	klog.ErrorS(nil, "invalid configuration", "version", next.Version, "in_force", versionOf(inForce), "ignored", inForce != nil,
+		"errors", found.Total, "path", platform.ConfigPath(found.List[0].Location), "first", found.List[0].Message)
+	if inForce == nil {
+		// An instance that has just started has no version to keep, and serves what it can rather than nothing.
+		return next
 	}
-	return next
+	c.hooks.Metrics.ignored(ignoredInvalid)
+	return nil
 }
 
 func versionOf(c *routing.Configuration) int64 {
