turnlog: releases of a partition leave programs what they were granted

Cause: the record of a released partition lowered the charge, but not the grant. The next owner took the difference for grants that a lost owner may have used, forgave it once (`forgiven`) and, at the second takeover, counted the whole of the oldest grant as spent. With grants ahead that is up to half of the budget. So a program that lived through two releases, as in any rolling deployment, got 402 early without the loss of an owner.

Ruled out by reading: grants counted twice while one owner lives (admit compares the budget with what ran and is reserved, never with the grant); reservations of refused or unsent turns (each error path of serveTurn and serveUnstoredTurn settles, a repeated Begin keeps its reservation); first turns taken for later ones. Forgiving again at each release would break the bound: the reader can't tell a release from a loss by the totals alone.

Change: the record is `final`. Nothing begins after it that is not charged, so its charge replaces all earlier grants. Older builds ignore the field and count as before. A program whose grant was forgiven once gets such a record too if anything is granted beyond its charge.

Before: TestReleasesInSuccessionCostAProgramNothing failed; turns got 500, 300 and 200 of 1000 tokens after 2, 3 and 6 releases. After: it passes, and so does TestNoSequenceOfLossesExceedsTheBudgetByMoreThanOneTurn with -rapid.checks=20000.

Conclusion: releases cost nothing beside turns in progress.

--- a/internal/turnlog/advance.go
+++ b/internal/turnlog/advance.go
@@ -17,14 +17,18 @@
 
 // unused returns the records that give back what programs were granted ahead and did not use. The owner must admit no turn after
 // that. Turns in progress stay charged with their maximum.
+//
+// Load pattern: instances are added, drained and replaced one after the other, so that a program's partition is released again and
+// again. The records are final: from the second takeover on the whole of an older grant would count as spent.
 func (s *state) unused() []*turnv1.Record {
 	var out []*turnv1.Record
 	for id, p := range s.programs {
-		if p.charged() >= p.recordedCharge {
+		charged := p.charged()
+		if charged >= p.recordedCharge && (p.forgiven == 0 || charged >= p.granted) {
 			continue
 		}
 		out = append(out, &turnv1.Record{Change: &turnv1.Record_Granted{Granted: &turnv1.Granted{
-			Program: id, Account: p.account, Granted: p.granted, Charged: p.charged(), Forgiven: p.forgiven,
+			Program: id, Account: p.account, Granted: p.granted, Charged: charged, Forgiven: p.forgiven, Final: true,
 			KeepMs: p.keep.Milliseconds(), AtUnixMs: p.lastUse.UnixMilli(),
 		}}})
 	}
--- a/internal/turnlog/loss_test.go
+++ b/internal/turnlog/loss_test.go
@@ -199,6 +199,26 @@
 	}
 }
 
+// Load pattern: instances are added, drained and replaced one after the other, so that partitions are released again and again
+// within the life of a program. No owner is lost, so no program may be ended for what was granted ahead.
+func TestReleasesInSuccessionCostAProgramNothing(t *testing.T) {
+	const turns = 2 * (lossBudget/lossReservation - 1)
+	for _, releases := range []int{1, 2, 3, 6} {
+		t.Run(fmt.Sprint(releases), func(t *testing.T) {
+			p := newLossyProgram(true)
+			for i := range turns {
+				if i > 0 && i <= releases {
+					p.release(p.current(), turns)
+				}
+				p.turn(p.current(), true, true)
+			}
+			if n := p.mayHaveGenerated(); n != turns*lossReservation/2 {
+				t.Errorf("the program ended after %d of %d tokens", n, lossBudget)
+			}
+		})
+	}
+}
+
 // turn runs a turn of half of its maximum. durable says whether the store takes the owner's records.
 func (p *lossyProgram) turn(o *lossyOwner, durable, reported bool) {
 	if o.dead {
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -62,7 +62,12 @@
 	case *turnv1.Record_Granted:
 		g := c.Granted
 		p := s.program(g.Program, g.Account)
-		p.setTotals(g.Granted, g.Charged, g.Forgiven)
+		granted := g.Granted
+		if g.Final {
+			// Nothing has begun under the grants before that is not charged.
+			p.granted, p.recordedCharge, granted = g.Charged, g.Charged, g.Charged
+		}
+		p.setTotals(granted, g.Charged, g.Forgiven)
 		p.touch(g.AtUnixMs, g.KeepMs)
 	case *turnv1.Record_Completed:
 		s.complete(c.Completed)
