memory: don't refuse a request for which the caches have just made room

Cause: Hold shrank the caches twice at most and did not look again after the second time. If another request had taken what the first shrink freed, the request was refused although the second one had freed enough.

Ruled out by reading: leaks (the release is deferred, and holds as many bytes as were added, also after an error of ReadBody and when the handler aborts) and deadlocks (the cache's lock is taken before the account's, and shrink is called without the latter).

Before: TestRequestsThatCompeteForCachedBytesAreNotRefused failed with one competitor. After: it passes with up to three.

Conclusion: such a refusal says now that the caches have not enough, or that the request lost the race maxShrinks times.

--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -15,6 +15,8 @@
 	// minRetryAfter and maxRetryAfter bound the estimate of when there is room again.
 	minRetryAfter = 100 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
+	// maxShrinks bounds how often the caches are shrunk for one request, while others take what they free.
+	maxShrinks = 16
 )
 
 // Account counts held bytes against a limit. Caches yield before a request is refused. It is safe for concurrent use.
@@ -38,14 +40,13 @@
 // Hold adds n bytes for a request if there is room for them, taking it from the caches if need be. It reports whether they
 // were added.
 func (a *Account) Hold(n int64) bool {
-	// The caches free their bytes without the account's lock, so another request may take them. One more attempt is enough:
-	// if that fails too, the caches are empty or many requests compete.
-	for range 2 {
+	// The caches free their bytes without the account's lock, so another request may take them.
+	for shrinks := 0; ; shrinks++ {
 		excess := a.tryHold(n)
 		if excess <= 0 {
 			return true
 		}
-		if !a.makeRoom(excess) {
+		if shrinks == maxShrinks || !a.makeRoom(excess) {
 			break
 		}
 	}
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -28,6 +28,26 @@
 	is.Equal(a.Usage().Held, int64(0))
 }
 
+// Load pattern: many requests compete for what the caches free. None is refused while the caches hold what it needs, or have
+// just freed it.
+func TestRequestsThatCompeteForCachedBytesAreNotRefused(t *testing.T) {
+	for competitors := range 4 {
+		is := is.New(t)
+		var a *Account
+		left := competitors
+		a = New(100, func(n int64) {
+			a.Uncache(n)
+			if left > 0 {
+				left--
+				a.Add(n)
+			}
+		})
+		is.True(a.Cache(100))
+		is.True(a.Hold(10))
+		is.Equal(a.Usage().Refused, int64(0))
+	}
+}
+
 func TestRetryAfterFollowsTheRateOfReleases(t *testing.T) {
 	is := is.New(t)
 	now := time.Unix(1000, 0)
