ledger: reflow a comment

Cause: one line of the comment on CollectHeld had over 200 characters. Ruled out: any change of meaning. Before and after: the same words. Conclusion: none.

--- a/internal/ledger/collect.go
+++ b/internal/ledger/collect.go
@@ -14,9 +14,10 @@
 )
 
 // CollectHeld collects the events of a shard from a majority of the cell, including this instance, and passes them to
-// apply: first those that a slot has read from the log, which this instance may not have read yet, then the held ones. Of two conflicting events the one with the newer term wins: a committed event is recorded again under each
-// later term, so the event with the older term was never accepted by a majority. The collected events that are part of
-// the state, applied now or before, are recorded again under the new term.
+// apply: first those that a slot has read from the log, which this instance may not have read yet, then the held ones.
+// Of two conflicting events the one with the newer term wins: a committed event is recorded again under each later term,
+// so the event with the older term was never accepted by a majority. The collected events that are part of the state,
+// applied now or before, are recorded again under the new term.
 func (l *Ledger) CollectHeld(ctx context.Context, shard int, term uint64,
 	apply func(*programv1.Event) ApplyResult) error {
 	local, err := l.Promise(shard, term)
