--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -319,9 +319,14 @@
 	path := suspectingPath{suspected: make(chan string, 10)}
 	p := NewPool(path)
 	slow := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
-		id, _ := readRequest(br)
-		time.Sleep(suspiciousSilence * 3 / 2)
-		fmt.Fprint(c, okResponse(id, "late"))
+		for {
+			id, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			time.Sleep(suspiciousSilence * 3 / 2)
+			fmt.Fprint(c, okResponse(id, "late"))
+		}
 	})
 	body, err := get(t, p, slow, "r1")
 	is.NoErr(err) // it is not ended by the suspicion
