--- /dev/null
+++ b/review/fulllog/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
