--- a/review/longhistory/main.go
+++ b/review/longhistory/main.go
@@ -146,8 +146,7 @@
 		id, program, v.last, a.Status, len(a.Body), a.Whole, a.Err, ok, ran.Bytes, ran.Ended)
 	if done(a) {
 		v.last = id
-		// A turn adds its input and the data of its 18 events, each followed by a line feed.
-		v.bytes += bytes + 18*101
+		v.bytes += bytes + site.OutputBytes
 	}
 	return a, id
 }
--- a/review/site/runner.go
+++ b/review/site/runner.go
@@ -9,6 +9,15 @@
 	"time"
 )
 
+// Events and EventBytes are the number of events of a turn, and the bytes of data of each.
+const Events, EventBytes = 10, 100
+
+// plainWork is how long a plain service works on a request, eventInterval the time between two events of a turn.
+const plainWork, eventInterval = 50 * time.Millisecond, 10 * time.Millisecond
+
+// OutputBytes is what a turn adds to a history beside its input: the data of its events, each followed by a line feed.
+const OutputBytes = Events * (EventBytes + 1)
+
 // Runner is a sound runner: a model server that streams events, or a plain service.
 type Runner struct {
 	ID, service string
@@ -20,6 +29,8 @@
 // Run is a request that the runner ran.
 type Run struct {
 	Bytes int
+	// At is when the request had arrived.
+	At time.Time
 	// Ended is set once the whole answer was written.
 	Ended bool
 }
@@ -54,26 +65,29 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	r.note(id, Run{Bytes: len(body)})
+	run := Run{Bytes: len(body), At: time.Now()}
+	r.note(id, run)
+	ended := run
+	ended.Ended = true
 	w.Header().Set("Request-Id", id)
 	w.Header().Set("Response-Stamp", r.ID+"."+id)
 	if r.service != "llm" {
-		time.Sleep(10 * time.Millisecond)
+		time.Sleep(plainWork)
 		fmt.Fprintf(w, "%s answers %s", r.ID, id)
-		r.note(id, Run{Bytes: len(body), Ended: true})
+		r.note(id, ended)
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range 18 {
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("o", 100))
+	for i := range Events {
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("o", EventBytes))
 		_ = http.NewResponseController(w).Flush()
 		select {
-		case <-time.After(10 * time.Millisecond):
+		case <-time.After(eventInterval):
 		case <-req.Context().Done():
 			return
 		}
 	}
-	r.note(id, Run{Bytes: len(body), Ended: true})
+	r.note(id, ended)
 }
 
 // Ran returns the run of a request at any runner.
--- a/review/site/site.go
+++ b/review/site/site.go
@@ -120,14 +120,14 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Site{Store: metastore.New(12), dir: dir, start: time.Now(), record: record, procs: map[string]*process{}}
+	s := &Site{Store: metastore.New(parts), dir: dir, start: time.Now(), record: record, procs: map[string]*process{}}
 	s.stop = append(s.stop, func() { os.RemoveAll(dir) })
 	// The process id keeps runs on one machine apart.
 	prefix := fmt.Sprintf("127.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255)
 	for i := range machines {
 		s.IPs = append(s.IPs, fmt.Sprintf("%s.%d", prefix, i+1))
 	}
-	var h http.Handler = s.Store
+	h := (&groups{groups: map[string]*group{}}).wrap(pages(s.Store))
 	if wrap != nil {
 		h = wrap(h)
 	}
@@ -242,6 +242,16 @@
 	s.Logf("machine %s is killed", ip)
 }
 
+// Pid returns the process id of the daemon of a machine.
+func (s *Site) Pid(ip string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.procs[ip]; p != nil {
+		return p.cmd.Process.Pid
+	}
+	return 0
+}
+
 // AwaitReady waits until a machine reports that it is ready.
 func (s *Site) AwaitReady(ip string, limit time.Duration) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
