--- a/review/survivor/main.go
+++ b/review/survivor/main.go
@@ -19,12 +19,16 @@
 )
 
 const (
-	// usual is the number of programs that begin in a second on the sheet. A burst multiplies that for burstTime, and another
-	// one begins burstPause after its end, until the loss.
-	usual      = 32.4
-	burst      = 1.8
-	burstTime  = 6 * time.Second
-	burstPause = time.Second
+	// usual is the number of programs that begin in a second on the sheet, of which a share of disputes is customer-dispute. A
+	// burst multiplies all traffic for burstTime, and one of customer-dispute multiplies that for disputeTime meanwhile. The
+	// next ones begin burstPause after the end, until the loss.
+	usual        = 32.4
+	disputes     = 11.2 / 32.4
+	burst        = 1.8
+	disputeBurst = 2.1
+	burstTime    = 6 * time.Second
+	disputeTime  = 4 * time.Second
+	burstPause   = time.Second
 	// lossAt is when lost of the machines are lost, length how long the script sends.
 	lossAt = 88 * time.Second
 	length = 104 * time.Second
@@ -79,7 +83,11 @@
 	for n := 0; time.Since(began) < length; n++ {
 		rate := usual
 		if at := time.Since(began); at < lossAt {
-			if at%(burstTime+burstPause) < burstTime {
+			at %= burstTime + burstPause
+			if at < disputeTime {
+				rate *= 1 + disputes*(disputeBurst-1)
+			}
+			if at < burstTime {
 				rate *= burst
 			}
 		} else if trouble && !down {
