--- a/review/fulllog/main.go
+++ b/review/fulllog/main.go
@@ -126,8 +126,8 @@
 		default:
 			c.failed.Add(1)
 		}
+		s.Logf("turn %s to %s: status %d, %d bytes, error %v; ran %v, run ended %v", id, ip, a.Status, len(a.Body), a.Err, ok, ran.Ended)
 		if a.Status != 200 || !a.Whole {
-			s.Logf("turn %s to %s: status %d, %d bytes, error %v; ran %v, run ended %v", id, ip, a.Status, len(a.Body), a.Err, ok, ran.Ended)
 			return
 		}
 		last, bytes = id, bytes+input+site.OutputBytes
--- a/review/site/site.go
+++ b/review/site/site.go
@@ -267,7 +267,7 @@
 	return false
 }
 
-// Close ends all processes. With keepLogs it prints where the daemons' logs are.
+// Close ends all processes. The variable KEEP_LOGS names a folder to which the daemons' logs are copied.
 func (s *Site) Close() {
 	for _, ip := range s.IPs {
 		s.Kill(ip)
--- a/review/survivor/main.go
+++ b/review/survivor/main.go
@@ -129,9 +129,7 @@
 		id := fmt.Sprintf("%s-%d", name, n)
 		a := client.Send("GET", "/read/x", map[string]string{"Request-Id": id}, nil, 1200*time.Millisecond)
 		_, ran := s.Ran(id)
-		if a.Err != nil {
-			s.Logf("call %s to %s: error %v, connection kept %v; ran %v", id, ip, a.Err, kept, ran)
-		}
+		s.Logf("call %s to %s: status %d, error %v, connection kept %v; ran %v", id, ip, a.Status, a.Err, kept, ran)
 		if kept && ran && a.Err != nil && !errors.Is(a.Err, context.DeadlineExceeded) {
 			cut.Add(1)
 		}
@@ -161,8 +159,8 @@
 		}
 		a := client.Send("POST", "/chat/x", h, strings.NewReader(strings.Repeat("i", input)), deadline)
 		ran, ok := s.Ran(id)
+		s.Logf("turn %s to %s: status %d, %d bytes, error %v; ran %v, run ended %v", id, ip, a.Status, len(a.Body), a.Err, ok, ran.Ended)
 		if a.Status != 200 || !a.Whole {
-			s.Logf("turn %s to %s: status %d, %d bytes, error %v; ran %v, run ended %v", id, ip, a.Status, len(a.Body), a.Err, ok, ran.Ended)
 			other.Add(1)
 			return
 		}
