turnlog: store records over the store's limit in parts

Cause: a turn is one record, whose size grows with the input and with the history that is copied into it; the store takes 262,144 bytes. The owner looked at the limit after the turn had run and answered "unavailable", which the entry instance repeats until the deadline. The limit was also compared without the writer's name, so that a record of about the maximum size was rejected by the store, and the owner dropped the partition of all its programs.

Ruled out: history lost over the restart (servers received 289,710 bytes), a slow store (short turns on the same partitions were recorded meanwhile).

Now such a record is stored in parts, which follow one another in the partition; it takes effect with the last one. Partitions have one writer at a time, fenced by conditional appends, so that parts of two records can't mix: whatever comes between voids the incomplete record.

The fake of the store now has the limits of records, appends and pages.

--- a/internal/fakes/metastore/metastore.go
+++ b/internal/fakes/metastore/metastore.go
@@ -40,6 +40,9 @@
 	Delay time.Duration
 	// Partitions is the number of partitions of a topic.
 	Partitions int
+	// MaxRecordBytes and MaxAppendBytes bound a record and the records of one append; zero means no limit. Appends beyond
+	// them are rejected as a whole.
+	MaxRecordBytes, MaxAppendBytes int
 
 	mu         sync.Mutex
 	partitions map[string]*partition
@@ -209,6 +212,10 @@
 		records = append(records, body[4:4+n])
 		body = body[4+n:]
 	}
+	if s.isTooLarge(records) {
+		reply(w, http.StatusRequestEntityTooLarge, map[string]any{})
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.partition(topic, number)
@@ -222,6 +229,25 @@
 	reply(w, http.StatusOK, map[string]any{"offset": offset, "end": p.end()})
 }
 
+// pageBytes is the size of the page that a read asks for. A page has one record at least.
+func pageBytes(r *http.Request) int {
+	kb, err := strconv.Atoi(r.URL.Query().Get("maxKb"))
+	if err != nil || kb <= 0 {
+		kb = 1 << 10
+	}
+	return kb << 10
+}
+
+func (s *Store) isTooLarge(records [][]byte) bool {
+	total := 0
+	for _, r := range records {
+		if total += len(r); s.MaxRecordBytes > 0 && len(r) > s.MaxRecordBytes {
+			return true
+		}
+	}
+	return s.MaxAppendBytes > 0 && total > s.MaxAppendBytes
+}
+
 func (s *Store) read(w http.ResponseWriter, r *http.Request) {
 	topic, number := partitionParams(r)
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
@@ -239,7 +265,10 @@
 		if from < p.end() || wait == 0 {
 			b := binary.BigEndian.AppendUint64(nil, uint64(p.end()))
 			b = binary.BigEndian.AppendUint64(b, uint64(p.first))
-			for _, rec := range p.records[min(from-p.first, int64(len(p.records))):] {
+			for i, rec := range p.records[min(from-p.first, int64(len(p.records))):] {
+				if i > 0 && len(b)+len(rec) > pageBytes(r) {
+					break
+				}
 				b = binary.BigEndian.AppendUint32(b, uint32(len(rec)))
 				b = append(b, rec...)
 			}
--- a/internal/turnlog/appends.go
+++ b/internal/turnlog/appends.go
@@ -61,9 +61,13 @@
 // response is lost, the writer can tell its record in the log from those of other processes.
 func (p *partition) encode(r *turnv1.Record) []byte {
 	r.Writer, r.Sequence = p.writer, p.sequence
+	return encode(r)
+}
+
+func encode(r *turnv1.Record) []byte {
 	b, err := proto.Marshal(r)
 	if err != nil {
-		klog.ErrorS(err, "record cannot be encoded", "partition", p.number)
+		klog.ErrorS(err, "record cannot be encoded")
 	}
 	return b
 }
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
@@ -105,7 +104,8 @@
 	ctx, cancel := context.WithCancel(o.background)
 	p := &partition{
 		number: number, name: platform.Partition{Topic: Topic, Number: number}, store: o.store, writer: o.writer,
-		maxAppendBytes: o.settings.MaxAppendBytes, advanceGrants: o.AdvanceGrants, now: o.now, metrics: o.metrics, state: newState(inlineAfter),
+		sizes:         newRecordSizes(o.settings.MaxRecordBytes, o.settings.MaxAppendBytes, o.writer),
+		advanceGrants: o.AdvanceGrants, now: o.now, metrics: o.metrics, state: newState(inlineAfter),
 		wake: make(chan struct{}, 1), cancel: cancel, closed: make(chan struct{}),
 	}
 	go p.run(ctx)
@@ -337,11 +337,6 @@
 	}
 	record := o.completedRecord(p, r)
 	p.mu.Unlock()
-	if proto.Size(record) > o.settings.MaxRecordBytes {
-		klog.InfoS("turn exceeds the maximum record size", "request", r.Turn, "program", r.Program,
-			"bytes", proto.Size(record))
-		return turnv1.Outcome_OUTCOME_UNAVAILABLE
-	}
 	outcome := outcomeOf(p.submit(ctx, record))
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -18,6 +18,9 @@
 	"github.com/berylpond/berylpond/platform"
 )
 
+// maxRecordBytes and maxAppendBytes are the limits of the fake store.
+const maxRecordBytes, maxAppendBytes = 1 << 18, 1 << 21
+
 // fixture is a fake store that any number of owners can use.
 type fixture struct {
 	t     *testing.T
@@ -28,6 +31,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	s := metastore.New(1)
+	s.MaxRecordBytes, s.MaxAppendBytes = maxRecordBytes, maxAppendBytes
 	srv := httptest.NewServer(s)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(func() { cancel(); srv.CloseClientConnections(); srv.Close() })
@@ -47,7 +51,7 @@
 
 func (s *fixture) owner(name string, f Finder) *Owner {
 	o := NewOwner(s.ctx, platform.NewStore(platform.NewHTTPTransport(s.url, nil)),
-		platform.StoreSettings{Partitions: 1, MaxRecordBytes: 1 << 18, MaxAppendBytes: 1 << 21}, name, f,
+		platform.StoreSettings{Partitions: 1, MaxRecordBytes: maxRecordBytes, MaxAppendBytes: maxAppendBytes}, name, f,
 		NewMetrics(prometheus.NewRegistry()))
 	o.Assign([]int{0})
 	for deadline := time.Now().Add(5 * time.Second); !owns(o); time.Sleep(time.Millisecond) {
@@ -376,7 +380,7 @@
 	is := is.New(t)
 	s := newFixture(t)
 	o := NewOwner(s.ctx, platform.NewStore(platform.NewHTTPTransport(s.url, nil)),
-		platform.StoreSettings{Partitions: 1, MaxRecordBytes: 1 << 18, MaxAppendBytes: 1 << 21}, "one", stubFinder{},
+		platform.StoreSettings{Partitions: 1, MaxRecordBytes: maxRecordBytes, MaxAppendBytes: maxAppendBytes}, "one", stubFinder{},
 		NewMetrics(prometheus.NewRegistry()))
 	o.AdvanceGrants = true
 	o.Assign([]int{0})
--- a/internal/turnlog/partition.go
+++ b/internal/turnlog/partition.go
@@ -22,8 +22,6 @@
 	// is the interval between checks for their completion.
 	releaseTimeout      = 400 * time.Millisecond
 	releasePollInterval = 2 * time.Millisecond
-	// frameBytes is the framing overhead of each record of an append.
-	frameBytes = 4
 )
 
 // errNotOwner means that another process owns the partition, or that this one has stopped writing to it.
@@ -40,14 +38,14 @@
 // partition owns one partition of the programs topic. Ownership rests on conditional appends: the process that appended
 // the newest records has read all preceding ones, and its next append fails if another process has appended since.
 type partition struct {
-	number         int
-	name           platform.Partition
-	store          *platform.Store
-	writer         string
-	maxAppendBytes int
-	advanceGrants  bool
-	now            func() time.Time
-	metrics        *Metrics
+	number        int
+	name          platform.Partition
+	store         *platform.Store
+	writer        string
+	sizes         recordSizes
+	advanceGrants bool
+	now           func() time.Time
+	metrics       *Metrics
 
 	mu    sync.Mutex
 	state *state
@@ -122,15 +120,16 @@
 	}
 }
 
-// nextBatch removes the entries of the next append from the queue. Entries whose context has ended are dropped.
+// nextBatch removes the entries of the next append from the queue. Entries whose context has ended are dropped. An entry
+// that needs more than one append is returned alone, so that no other is in the log if it fails half-way.
 func (p *partition) nextBatch() []*entry {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var batch []*entry
 	size, consumed := 0, 0
 	for _, e := range p.queue {
-		recordSize := proto.Size(e.record) + len(p.writer) + 32 + frameBytes
-		if len(batch) > 0 && size+recordSize > p.maxAppendBytes {
+		recordSize := p.sizes.stored(proto.Size(e.record))
+		if len(batch) > 0 && size+recordSize > p.sizes.append {
 			break
 		}
 		consumed++
@@ -148,14 +147,9 @@
 
 func (p *partition) commit(ctx context.Context, batch []*entry) bool {
 	start := p.now()
-	sequence := p.sequence
-	records := make([][]byte, len(batch))
-	for i, e := range batch {
-		records[i] = p.encode(e.record)
-	}
-	end, err := p.append(ctx, p.end, records, sequence)
+	end, err := p.appendBatch(ctx, batch)
 	if err != nil {
-		klog.ErrorS(err, "append failed", "partition", p.number, "at", p.end, "records", len(records),
+		klog.ErrorS(err, "append failed", "partition", p.number, "at", end, "records", len(batch),
 			"took_ms", p.now().Sub(start).Milliseconds())
 		for _, e := range batch {
 			e.done <- err
@@ -176,6 +170,24 @@
 	return true
 }
 
+// appendBatch appends the records of a batch at the end of the partition and returns the new end.
+func (p *partition) appendBatch(ctx context.Context, batch []*entry) (end int64, err error) {
+	end = p.end
+	for _, records := range p.sizes.appends(batch) {
+		sequence := p.sequence
+		encoded := make([][]byte, len(records))
+		for i, r := range records {
+			encoded[i] = p.encode(r)
+		}
+		next, err := p.append(ctx, end, encoded, sequence)
+		if err != nil {
+			return end, err
+		}
+		end = next
+	}
+	return end, nil
+}
+
 // submit queues a record and waits until it is durable. It returns errNotOwner if the record never will be, or the
 // context's error if the context ended first, in which case the record may still be appended.
 func (p *partition) submit(ctx context.Context, r *turnv1.Record) error {
--- /dev/null
+++ b/internal/turnlog/parts.go
@@ -0,0 +1,110 @@
+package turnlog
+
+import (
+	"google.golang.org/protobuf/proto"
+	"k8s.io/klog/v2"
+
+	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
+)
+
+// envelopeBytes is the maximum size of what a stored record has beside its writer's name and its change: the framing, the
+// sequence number, and the tags and lengths of the fields, those of a part included.
+const envelopeBytes = 64
+
+// recordSizes are the store's limits, without what each record of a writer has beside its change.
+type recordSizes struct {
+	// envelope is what each record has beside its change, change the maximum size of a change.
+	envelope, change int
+	// append is the maximum size of the records of one append.
+	append int
+}
+
+func newRecordSizes(maxRecordBytes, maxAppendBytes int, writer string) recordSizes {
+	envelope := len(writer) + envelopeBytes
+	return recordSizes{envelope: envelope, change: max(maxRecordBytes-envelope, 1), append: maxAppendBytes}
+}
+
+// parts is the number of records that a record of the given size is stored in.
+func (s recordSizes) parts(size int) int { return max((size+s.change-1)/s.change, 1) }
+
+// stored is the size of a record in an append, over all its parts.
+func (s recordSizes) stored(size int) int { return size + s.parts(size)*s.envelope }
+
+// split returns the record itself if the store takes it, or its parts.
+func (s recordSizes) split(r *turnv1.Record) []*turnv1.Record {
+	count := s.parts(proto.Size(r))
+	if count == 1 {
+		return []*turnv1.Record{r}
+	}
+	b := encode(r)
+	out := make([]*turnv1.Record, count)
+	for i := range out {
+		n := min(s.change, len(b))
+		out[i] = &turnv1.Record{Change: &turnv1.Record_Part{Part: &turnv1.Part{Index: int32(i), Count: int32(count), Data: b[:n]}}}
+		b = b[n:]
+	}
+	return out
+}
+
+// appends distributes the records of a batch, in order, over as few appends as the store's limit allows.
+func (s recordSizes) appends(batch []*entry) [][]*turnv1.Record {
+	var out [][]*turnv1.Record
+	size := 0
+	for _, e := range batch {
+		for _, r := range s.split(e.record) {
+			n := proto.Size(r) + s.envelope
+			if len(out) == 0 || size+n > s.append {
+				out, size = append(out, nil), 0
+			}
+			out[len(out)-1] = append(out[len(out)-1], r)
+			size += n
+		}
+	}
+	return out
+}
+
+// assembler puts records together that are stored in parts, while the records of a partition are read in order.
+type assembler struct {
+	writer string
+	count  int32
+	next   int32
+	data   []byte
+}
+
+// add returns the record that takes effect with a stored record, or nil if that is a part and others are missing.
+func (a *assembler) add(r *turnv1.Record) *turnv1.Record {
+	part := r.GetPart()
+	if part == nil {
+		a.drop()
+		return r
+	}
+	if part.Index == 0 {
+		a.drop()
+		a.writer, a.count = r.Writer, part.Count
+	}
+	if part.Index != a.next || part.Count != a.count || r.Writer != a.writer {
+		// The first parts have expired.
+		a.drop()
+		return nil
+	}
+	a.data = append(a.data, part.Data...)
+	if a.next++; a.next < a.count {
+		return nil
+	}
+	whole := &turnv1.Record{}
+	err := proto.Unmarshal(a.data, whole)
+	*a = assembler{}
+	if err != nil {
+		klog.ErrorS(err, "skipped a record in parts that cannot be decoded", "writer", r.Writer)
+		return nil
+	}
+	return whole
+}
+
+// drop forgets the parts of a record that was not completed: its writer lost the partition in between.
+func (a *assembler) drop() {
+	if a.next > 0 {
+		klog.InfoS("dropped an incomplete record", "writer", a.writer, "parts", a.next, "of", a.count, "bytes", len(a.data))
+	}
+	*a = assembler{}
+}
