turnlog: let two tests count the store's faults without a race

TestLostResponsesDelayTurnsLittle counts in the same way. Both use atomic variables now; nothing else changed, the checks are the same.

Ruled out: the product. The detector's two stacks are both in the test's function.

--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -163,17 +164,17 @@
 			s.store.Delay = 300 * time.Millisecond
 			o := s.owner("one", stubFinder{})
 			mustBegin(t, o, begin("t1", "", 1000, 100))
-			failed := false
+			// The fake calls the function from the goroutine of each connection.
+			var failed atomic.Bool
 			s.store.SetFault(func(r *http.Request) metastore.Mode {
-				if r.URL.Path == "/api/log-append" && !failed {
-					failed = true
+				if r.URL.Path == "/api/log-append" && failed.CompareAndSwap(false, true) {
 					return mode
 				}
 				return metastore.Serve
 			})
 			mustEnd(t, o, end("t1", "", "in", "out\n", 10))
 			time.Sleep(2 * s.store.Delay)
-			is.True(failed)
+			is.True(failed.Load())
 			completed := 0
 			for i, b := range s.store.Records(Topic, 0) {
 				p := partition{}
@@ -192,13 +193,13 @@
 	is := is.New(t)
 	s := newFixture(t)
 	o := s.owner("one", stubFinder{})
-	appends, lost := 0, 0
+	var appends, lost atomic.Int32
 	s.store.SetFault(func(r *http.Request) metastore.Mode {
 		if r.URL.Path != "/api/log-append" {
 			return metastore.Serve
 		}
-		if appends++; appends%2 == 0 {
-			lost++
+		if appends.Add(1)%2 == 0 {
+			lost.Add(1)
 			return metastore.Lose
 		}
 		return metastore.Serve
@@ -210,8 +211,8 @@
 		mustEnd(t, o, end(turn, "", "in", "out\n", 10))
 	}
 	took := time.Since(start)
-	is.True(lost >= 2)
-	is.True(took < time.Duration(lost)*appendTimeout/2)
+	is.True(lost.Load() >= 2)
+	is.True(took < time.Duration(lost.Load())*appendTimeout/2)
 }
 
 func TestBudgetHoldsAcrossATakeover(t *testing.T) {
