gateway: bound what instances keep of what backend servers send

Operators' report: a faulty server sent bytes that were no answer, without end, in a head or in a body; the instance that had called it ran out of memory.

Cause: a head was bounded by 256 KB, but not in lines, and a decoded line takes 100 bytes or more; the output of a stream was added to the account of memory without a limit (4 MB each), and kept on routes that store nothing; an event (1 MB) and a buffered response (1 MB) were not in the account at all.

Now a head has 512 lines and 64 KB. Events, buffered responses and outputs over 64 KB need room in the account; a stream without room is ended. A response without room, or over 1 MB, is relayed as it arrives.

The start of daemons as processes moves from test/upgrade into test/daemon.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,15 +10,20 @@
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/berylpond/berylpond/internal/memory"
 	"github.com/berylpond/berylpond/internal/routing"
 	"github.com/berylpond/berylpond/internal/verdict"
 	"github.com/berylpond/berylpond/platform"
 )
 
 // maxBufferedBytes bounds a response that is buffered. Responses are buffered before they are relayed, so that a
-// truncated one can still be retried or reported as a failure. Longer ones are relayed as they arrive.
+// truncated one can still be retried or reported as a failure. Longer ones, and those for which there is no memory, are
+// relayed as they arrive.
 const maxBufferedBytes = 1 << 20
 
+// errNotBuffered means that a response is too long to be buffered.
+var errNotBuffered = errors.New("the answer can't be buffered")
+
 // serveCall serves a request on a route without stored history: a plain call, or a stream.
 func (x *exchange) serveCall(ctx context.Context) error {
 	if x.route.Kind == routing.Streaming {
@@ -33,12 +39,12 @@
 		if err != nil {
 			return err
 		}
-		if resp.Length > maxBufferedBytes {
-			return x.relayLong(ctx, resp)
-		}
 		body, err := x.readResponse(ctx, resp)
-		if err == nil {
+		switch {
+		case err == nil:
 			return x.writeResponse(resp, body)
+		case errors.Is(err, errNotBuffered):
+			return x.relayUnbuffered(ctx, resp, body)
 		}
 		if ctx.Err() != nil || x.route.Kind != routing.Idempotent || x.sends >= x.route.MaxAttempts {
 			return x.finalError(err)
@@ -50,9 +56,15 @@
 	}
 }
 
-// readResponse reads the whole body and releases the backend server.
+// readResponse reads the whole body and releases the backend server. If it returns errNotBuffered, it has read the beginning
+// only and the response stays open.
 func (x *exchange) readResponse(ctx context.Context, resp *backendResponse) ([]byte, error) {
-	body, err := readAll(resp.Body, resp.Length, maxBufferedBytes)
+	body, held, err := memory.ReadBody(x.memory, resp.Body, resp.Length, maxBufferedBytes)
+	x.held += held
+	var long *http.MaxBytesError
+	if errors.Is(err, memory.ErrFull) || errors.As(err, &long) {
+		return body, errNotBuffered
+	}
 	if err == nil && resp.Status < http.StatusInternalServerError {
 		x.fleet.Completed(resp.backend, 0)
 	}
@@ -72,17 +84,19 @@
 	}
 }
 
-// relayLong relays a response of known length without buffering it. A truncated one ends the client's connection before
-// the announced length.
-func (x *exchange) relayLong(ctx context.Context, resp *backendResponse) error {
+// relayUnbuffered relays a response as it arrives, after the part of its body that was read. A truncated one ends the client's
+// connection before the announced length or the last chunk.
+func (x *exchange) relayUnbuffered(ctx context.Context, resp *backendResponse, read []byte) error {
 	h := x.w.Header()
 	platform.CopyResponseHeaders(h, resp.Header)
 	x.setConnectionClose(h)
-	h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	if resp.Length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
+	}
 	x.headersSent = true
 	x.w.WriteHeader(resp.Status)
 	body := &readErrorRecorder{Reader: resp.Body}
-	_, err := io.Copy(x.w, body)
+	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(read), body))
 	resp.close(err == nil, false)
 	if body.err != nil && ctx.Err() == nil {
 		x.brokenOff(resp.backend, resp.sent, body.err)
@@ -136,11 +150,11 @@
 
 // relayBuffered relays a response that is not an event stream, such as an error response on a streaming route.
 func (x *exchange) relayBuffered(ctx context.Context, resp *backendResponse) error {
-	if resp.Length > maxBufferedBytes {
-		return x.relayLong(ctx, resp)
-	}
 	body, err := x.readResponse(ctx, resp)
-	if err != nil {
+	switch {
+	case errors.Is(err, errNotBuffered):
+		return x.relayUnbuffered(ctx, resp, body)
+	case err != nil:
 		return x.finalError(err)
 	}
 	return x.writeResponse(resp, body)
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -25,8 +25,13 @@
 		"the instance has no memory for %d more bytes", n)
 }
 
-// holdOutput adds the output of a stream that is kept until its turn is recorded.
-func (x *exchange) holdOutput(n int) {
-	x.memory.Add(int64(n))
-	x.held += int64(n)
+// holdOutput adds the bytes by which the buffer for the output of a stream has grown, which is kept until its turn is recorded.
+// It reports whether there is memory for them.
+func (x *exchange) holdOutput(out *relayedStream, grown int) bool {
+	if len(out.output) > assuredOutputBytes {
+		return x.hold(int64(grown)) == nil
+	}
+	x.memory.Add(int64(grown))
+	x.held += int64(grown)
+	return true
 }
--- a/internal/gateway/release_test.go
+++ b/internal/gateway/release_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/berylpond/berylpond/internal/fleet"
+	"github.com/berylpond/berylpond/internal/memory"
 	"github.com/berylpond/berylpond/internal/routing"
 	"github.com/berylpond/berylpond/internal/upstream"
 )
@@ -50,7 +51,7 @@
 		ID: "1", Method: http.MethodGet, Target: "/", Host: "h", Header: func() http.Header { return http.Header{"Request-Id": {"1"}} },
 	})
 	is.NoErr(err)
-	x := &exchange{Gateway: &Gateway{}, route: &routing.Route{}}
+	x := &exchange{Gateway: &Gateway{memory: memory.New(1<<20, func(int64) {})}, route: &routing.Route{}}
 	x.fleet = f
 	read(x, ctx, &backendResponse{Response: resp, backend: b, fleet: f, sent: time.Now()}, cancel)
 	for _, l := range f.ReportLoads() {
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,13 +23,17 @@
 	// maxStreamBytes bounds the output of one stream, which is held until the turn is recorded. It is far above what a model
 	// generates in one turn.
 	maxStreamBytes = 4 << 20
+	// assuredOutputBytes is the output that a stream may hold even if the instance has no memory for it: streams of usual
+	// length are not broken off.
+	assuredOutputBytes = 64 << 10
 )
 
 // relayedStream records what was relayed to the client, over all runs of the request.
 type relayedStream struct {
 	events int
-	// output holds the data of each event, each followed by a line feed.
-	output []byte
+	// output holds the data of each event, each followed by a line feed, if it is kept.
+	output     []byte
+	keepOutput bool
 	// complete is set once the client has the whole stream.
 	complete bool
 	position resume.Position
@@ -40,17 +44,18 @@
 	resumed bool
 }
 
-// errStreamTruncated marks truncated streams, errStreamTooLong those that this instance ends.
+// errStreamTruncated marks truncated streams, errStreamTooLong and errStreamNoMemory those that this instance ends.
 var (
 	errStreamTruncated = errors.New("the stream broke off")
 	errStreamTooLong   = errors.Wrap(errStreamTruncated, "the stream is too long")
+	errStreamNoMemory  = errors.New("the instance has no memory for a stream of this length")
 )
 
 // relayStream relays the events of a response as they arrive. The body is that of the request, with which a broken stream
 // is resumed. A nil error means that the backend server's response was complete; the client sees the end of the stream
 // only once the handler returns.
 func (x *exchange) relayStream(ctx context.Context, resp *backendResponse, body []byte) (relayedStream, error) {
-	out := relayedStream{lastRelayed: x.started}
+	out := relayedStream{lastRelayed: x.started, keepOutput: x.route.StoresHistory}
 	for {
 		if resp.Status != http.StatusOK {
 			return out, x.relayNoStream(ctx, resp)
@@ -111,6 +116,9 @@
 // streamError converts the error that ended a stream to the one that is reported.
 func (x *exchange) streamError(ctx context.Context, err error, out relayedStream) error {
 	reason, status := verdict.ReasonTruncated, http.StatusBadGateway
+	if errors.Is(err, errStreamNoMemory) {
+		reason = verdict.ReasonMemoryFull
+	}
 	if ctx.Err() != nil {
 		reason, status = verdict.ReasonDeadline, http.StatusGatewayTimeout
 		if x.r.Context().Err() != nil {
@@ -142,9 +150,17 @@
 // headers are sent with the first event, so that until then the request may be sent again for another whole response.
 func (x *exchange) relayEvents(resp *backendResponse, out *relayedStream) error {
 	var pending []byte
+	// assured is the number of bytes of an event for which there is memory.
+	assured := int64(streamBufferBytes)
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
+		if grown := int64(len(pending) + n); grown > assured {
+			if x.hold(grown) != nil {
+				return errStreamNoMemory
+			}
+			assured += grown
+		}
 		pending = append(pending, buf[:n]...)
 		if complete := lastEventEnd(pending); complete > 0 {
 			if rerr := x.relayComplete(resp, out, pending[:complete]); rerr != nil {
@@ -179,10 +195,12 @@
 		x.metrics.observeFirstEvent(x, now.Sub(x.started))
 		out.firstEvent = now.Sub(resp.sent)
 	}
-	before, outputBefore := out.events, len(out.output)
+	before, capacity := out.events, cap(out.output)
 	out.add(events)
 	out.lastRelayed = now
-	x.holdOutput(len(out.output) - outputBefore)
+	if !x.holdOutput(out, cap(out.output)-capacity) {
+		return errStreamNoMemory
+	}
 	if off, ok := x.fleet.FirstEvent(resp.backend, int64(out.events-before)*x.eventTokens()); ok {
 		x.metrics.observePlacementError(off)
 	}
@@ -236,7 +254,7 @@
 	}
 }
 
-// add counts complete events and appends their data to the output.
+// add counts complete events and appends their data to the output, if that is kept.
 func (o *relayedStream) add(events []byte) {
 	for e := range streamEvents(events) {
 		if !e.hasData {
@@ -244,6 +262,9 @@
 		}
 		o.events++
 		o.position.Advance(e.id)
+		if !o.keepOutput {
+			continue
+		}
 		for line := range bytes.Lines(e.raw) {
 			if data, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), []byte("data:")); ok {
 				o.output = append(o.output, bytes.TrimPrefix(data, []byte(" "))...)
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -349,6 +349,78 @@
 	is.True(s.do(n, call{path: "/pay/x"}).broken)
 }
 
+// unframed sends a response with neither a length nor chunks, which ends with its connection, in order or by a reset.
+func unframed(t *testing.T, w http.ResponseWriter, r *http.Request, contentType, body string, reset bool) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer conn.Close()
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nResponse-Stamp: s\r\nContent-Type: %s\r\n\r\n%s",
+		r.Header.Get("Request-Id"), contentType, body)
+	if reset {
+		time.Sleep(50 * time.Millisecond) // what was sent arrives before the reset
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+}
+
+// Guards against long responses without a length being taken for broken ones, and broken ones for whole ones.
+func TestResponseThatEndsWithItsConnectionIsRelayedWholeOrVisiblyTruncated(t *testing.T) {
+	s := newSite(t)
+	n := s.start()
+	for _, length := range []int{10, 1 << 20, 1<<20 + 1, 3 << 20} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprint(length, " reset ", reset), func(t *testing.T) {
+				is := is.New(t)
+				body := strings.Repeat("0123456789", length/10+1)[:length]
+				for _, b := range s.tools {
+					b.Handler = func(w http.ResponseWriter, r *http.Request, _ string) bool {
+						unframed(t, w, r, "text/plain", body, reset)
+						return true
+					}
+				}
+				a := s.do(n, call{path: "/pay/x"})
+				if reset {
+					is.True(a.broken || a.status == http.StatusBadGateway)
+					return
+				}
+				is.Equal(a.status, 200)
+				is.True(!a.broken)
+				is.True(a.body == body)
+			})
+		}
+	}
+}
+
+func TestStreamThatEndsWithItsConnectionIsRelayed(t *testing.T) {
+	s := newSite(t)
+	n := s.start()
+	const whole, half = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "id: 3\ndata: c\n"
+	for _, c := range []struct {
+		name, body    string
+		reset, broken bool
+	}{
+		{"whole", whole, false, false}, {"inside an event", whole + half, false, true}, {"reset", whole, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s.llm.Handler = func(w http.ResponseWriter, r *http.Request, _ string) bool {
+				unframed(t, w, r, "text/event-stream", c.body, c.reset)
+				return true
+			}
+			id := "t-" + strings.ReplaceAll(c.name, " ", "-")
+			a := s.do(n, call{id: id, path: "/chat/x", program: id, budget: 900})
+			is.Equal(a.status, 200)
+			is.Equal(a.broken, c.broken)
+			is.Equal(a.body, whole)
+			s.llm.Handler = nil
+			next := s.do(n, call{path: "/chat/x", program: id, previous: id, budget: 900})
+			is.Equal(next.status, map[bool]int{false: 200, true: 404}[c.broken])
+		})
+	}
+}
+
 // A server announces in any response that it is leaving: a failure, a stream, or a refusal. The instance then uses the
 // others, although the registry still lists the server as ready and is no longer read.
 func TestServerThatAnnouncesItsShutdownGetsNoNewRequests(t *testing.T) {
--- a/internal/memory/body.go
+++ b/internal/memory/body.go
@@ -15,7 +15,8 @@
 var ErrFull = errors.New("the instance has no memory for the body")
 
 // ReadBody reads a body of at most limit bytes into memory that is held in the account; a length of -1 means unknown. The
-// caller releases as many bytes as held says, also after an error.
+// caller releases as many bytes as held says, also after an error. With ErrFull and *http.MaxBytesError the body is all that was
+// read, so that the caller may go on from there.
 func ReadBody(a *Account, r io.Reader, length, limit int64) (body []byte, held int64, err error) {
 	if length == 0 {
 		return nil, 0, nil
@@ -40,7 +41,8 @@
 		case errors.Is(err, io.EOF):
 			return b, held, io.ErrUnexpectedEOF
 		case err == nil && len(b) == cap(b) && int64(len(b)) >= most:
-			return b, held, atEnd(r, limit)
+			b, err = readEnd(r, b, limit)
+			return b, held, err
 		case err == nil && len(b) == cap(b):
 			b, held, err = grow(a, b, held, min(most, 2*int64(cap(b))))
 		}
@@ -59,15 +61,15 @@
 	return next, capacity, nil
 }
 
-// atEnd returns an error unless the reader is at its end.
-func atEnd(r io.Reader, limit int64) error {
+// readEnd returns an error unless the reader is at its end. A byte that it reads is appended to b.
+func readEnd(r io.Reader, b []byte, limit int64) ([]byte, error) {
 	var rest [1]byte
 	switch n, err := io.ReadFull(r, rest[:]); {
 	case n > 0:
-		return &http.MaxBytesError{Limit: limit}
+		return append(b, rest[0]), &http.MaxBytesError{Limit: limit}
 	case errors.Is(err, io.EOF):
-		return nil
+		return b, nil
 	default:
-		return err
+		return b, err
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -32,30 +33,43 @@
 	readBufferBytes = 4 << 10
 )
 
-// maxHeadBytes bounds the status line and the headers of a response, those of interim responses included. It is far above
-// what servers send.
-const maxHeadBytes = 256 << 10
+// maxHeadBytes and maxHeadLines bound the status line and the headers of a response, those of interim responses included.
+// They are far above what servers send. A decoded line takes more than a hundred bytes, however short it is.
+const (
+	maxHeadBytes = 64 << 10
+	maxHeadLines = 512
+)
 
-// ErrHeadTooLong means that a server has sent more than maxHeadBytes without reaching the end of a response's head.
+// ErrHeadTooLong means that a server has sent more than maxHeadBytes or maxHeadLines without reaching the end of a response's
+// head.
 var ErrHeadTooLong = errors.New("the head of the answer is too long")
 
 // headLimiter ends a read with ErrHeadTooLong once a response's head is too long. Bytes without end would otherwise fill the
 // memory until the request's deadline.
 type headLimiter struct {
 	io.Reader
-	// left is the number of bytes that may still be read; negative while no head is being read.
-	left int64
+	// left and lines are the numbers of bytes and lines that may still be read; left is negative while no head is being read.
+	left  int64
+	lines int
 }
 
+// start begins a head.
+func (l *headLimiter) start() { l.left, l.lines = maxHeadBytes, maxHeadLines }
+
+// end ends it: what follows is not limited.
+func (l *headLimiter) end() { l.left = -1 }
+
 func (l *headLimiter) Read(b []byte) (int, error) {
 	if l.left < 0 {
 		return l.Reader.Read(b)
 	}
-	if l.left == 0 {
+	if l.left == 0 || l.lines < 0 {
 		return 0, ErrHeadTooLong
 	}
 	n, err := l.Reader.Read(b[:min(int64(len(b)), l.left)])
 	l.left -= int64(n)
+	// The lines of a body that follows in the same read count as well, but nothing is read for the head after them.
+	l.lines -= bytes.Count(b[:n], []byte{'\n'})
 	return n, err
 }
 
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -215,8 +215,8 @@
 
 // readHead reads the status and the headers of the next final response.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	c.head.left = maxHeadBytes
-	defer func() { c.head.left = -1 }()
+	c.head.start()
+	defer c.head.end()
 	for {
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
--- a/test/upgrade/site_test.go
+++ b/test/upgrade/site_test.go
@@ -3,13 +3,11 @@
 
 import (
 	"fmt"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"testing"
 	"time"
 
@@ -17,7 +15,7 @@
 
 	"github.com/berylpond/berylpond/internal/fakes/metastore"
 	"github.com/berylpond/berylpond/internal/fakes/runner"
-	"github.com/berylpond/berylpond/platform"
+	"github.com/berylpond/berylpond/test/daemon"
 )
 
 const configuration = `{"version":1,"routes":[
@@ -28,36 +26,6 @@
 	"tenants":[{"name":"acme","apiKeys":["key-a"],"ratePerS":1000,"burstSize":1000}],
 	"limits":{"bodyBytes":100000,"headerBytes":16384,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
-const settings = `node = "%[1]s"
-zone = "a"
-ip = "%[1]s"
-portRange = [18082,18090]
-seedAddrs = []
-beatMs = 1200
-[zones]
-a = "r"
-[listen]
-front = "%[1]s:18080"
-ready = "%[1]s:18081"
-[limits]
-cpuShare = 1.0
-cpuCores = 1
-memoryMb = 512
-maxFds = 8200
-[ruleParams]
-graceS = 8
-drainMs = 2000
-quotaWindowS = 5
-[platform]
-addr = "%[2]s"
-form = "log"
-parts = 4
-recordBytes = 262144
-callBytes = 2097152
-ttlMinMs = 1000
-retainS = 300
-`
-
 // builds returns daemons of the build in production and of this one. The test is skipped where the history lacks the first.
 func builds(t *testing.T) (production, current string) {
 	t.Helper()
@@ -83,8 +51,8 @@
 	run(t, root, "git", "clone", "--quiet", "--shared", "--no-checkout", root, source)
 	run(t, source, "git", "checkout", "--quiet", deploy.Production)
 	production, current = filepath.Join(dir, "berylpondd-production"), filepath.Join(dir, "berylpondd-current")
-	run(t, source, "go", "build", "-o", production, "./cmd/berylpondd")
-	run(t, root, "go", "build", "-o", current, "./cmd/berylpondd")
+	daemon.Build(t, source, production)
+	daemon.Build(t, root, current)
 	return production, current
 }
 
@@ -110,9 +78,8 @@
 
 // slot is the place of an instance, whose address outlives its processes.
 type slot struct {
-	ip     string
-	cmd    *exec.Cmd
-	exited chan error
+	ip      string
+	process *daemon.Process
 }
 
 func newSite(t *testing.T, instances int) *site {
@@ -126,16 +93,13 @@
 		s.servers = append(s.servers, b)
 		s.store.PutKeyed("keyed.servers", b.ID, b.Registration("ready"))
 	}
-	pid := os.Getpid()
 	for i := range instances {
-		// The process id keeps test runs on one machine apart.
-		s.slots = append(s.slots, &slot{ip: fmt.Sprintf("127.%d.%d.%d", 128+pid>>8&63, pid&255, i+1)})
+		s.slots = append(s.slots, &slot{ip: daemon.Address(i)})
 	}
 	t.Cleanup(func() {
 		for _, l := range s.slots {
-			if l.cmd != nil {
-				_ = l.cmd.Process.Kill()
-				<-l.exited
+			if l.process != nil {
+				l.process.Kill()
 			}
 		}
 		srv.CloseClientConnections()
@@ -151,54 +115,20 @@
 // start starts a daemon at a slot and waits until it is ready.
 func (s *site) start(l *slot, binary string) {
 	s.t.Helper()
-	path := filepath.Join(s.t.TempDir(), "settings.toml")
-	if err := os.WriteFile(path, fmt.Appendf(nil, settings, l.ip, s.url), 0o600); err != nil {
-		s.t.Fatal(err)
-	}
-	log, err := os.Create(filepath.Join(s.t.TempDir(), "log"))
-	if err != nil {
-		s.t.Fatal(err)
-	}
-	l.cmd = exec.Command(binary, "platform")
-	l.cmd.Env = append(os.Environ(), platform.SettingsEnv+"="+path)
-	l.cmd.Stdout, l.cmd.Stderr = log, log
-	if err := l.cmd.Start(); err != nil {
-		s.t.Fatal(err)
-	}
-	l.exited = make(chan error, 1)
-	go func(c *exec.Cmd, exited chan error) { exited <- c.Wait() }(l.cmd, l.exited)
-	for deadline := time.Now().Add(15 * time.Second); ; time.Sleep(20 * time.Millisecond) {
-		resp, err := http.Get("http://" + l.ip + ":18081" + platform.ReadyPath)
-		if err == nil {
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				return
-			}
-		}
-		if time.Now().After(deadline) {
-			b, _ := os.ReadFile(log.Name())
-			s.t.Fatalf("%s at %s is not ready\n%s", filepath.Base(binary), l.ip, b)
-		}
-	}
+	l.process = daemon.Start(s.t, binary, l.ip, s.url, daemon.DefaultLimits)
 }
 
 // replace stops the daemon of a slot as planned and starts another.
 func (s *site) replace(l *slot, binary string) {
 	s.t.Helper()
-	if err := l.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		s.t.Fatal(err)
-	}
-	if err := <-l.exited; err != nil {
-		s.t.Errorf("the daemon at %s ended with %v", l.ip, err)
-	}
+	l.process.Stop(s.t)
 	s.start(l, binary)
 }
 
 // kill ends the daemon of a slot without notice and starts another.
 func (s *site) kill(l *slot, binary string) {
 	s.t.Helper()
-	_ = l.cmd.Process.Kill()
-	<-l.exited
+	l.process.Kill()
 	s.start(l, binary)
 }
 
