gateway: take no request late in a planned stop that can't end in time

Operators' report: requests that came late in the grace of a planned stop were taken, passed on, and cut off without an answer. It can happen here where a timeout is above the grace period less 3 s: with a grace period of 5 s, timeouts of 3 s and a server that takes 2.4 s, both requests whose rest came 2.25 s after the signal ran and were cut off (TestLateRequestsOfAPlannedStopAreAnsweredOrNotRun, failing before, passing after, one run each).

Cause: nothing compared the timeout of a new request with the time that the process has left.

Now a request that may not be repeated is refused as not run if its whole timeout doesn't fit; one that may be repeated gets the time that is left; requests without any response 0.7 s before the end get a failure as their answer. The decision is a function of the moment, the deadline and the end (TestPlannedStopTakesWhatEndsInTime).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -93,8 +93,7 @@
 	if resp.Length >= 0 {
 		h.Set("Content-Length", strconv.FormatInt(resp.Length, 10))
 	}
-	x.headersSent = true
-	x.w.WriteHeader(resp.Status)
+	x.beginResponse(resp.Status)
 	body := &readErrorRecorder{Reader: resp.Body}
 	_, err := io.Copy(x.w, io.MultiReader(bytes.NewReader(read), body))
 	resp.close(err == nil, false)
@@ -132,14 +131,20 @@
 	} else {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
 	}
-	x.headersSent = true
-	x.w.WriteHeader(resp.Status)
+	x.beginResponse(resp.Status)
 	if _, err := x.w.Write(body); err != nil {
 		return verdict.Fail(http.StatusBadGateway, verdict.ReasonCancelled, "the answer was not delivered: %v", err)
 	}
 	return nil
 }
 
+// beginResponse writes the status and the headers to the client.
+func (x *exchange) beginResponse(status int) {
+	x.headersSent = true
+	x.outliveStop()
+	x.w.WriteHeader(status)
+}
+
 // setConnectionClose closes the client's connection after this response if the instance is draining or isolated, so
 // that the client's next request can reach another instance.
 func (x *exchange) setConnectionClose(h http.Header) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -101,6 +101,7 @@
 	// draining reports whether the instance closes client connections after their next response, isolated whether it
 	// reaches neither the store nor a peer that does.
 	draining, isolated func() bool
+	stop               *stopState
 	features           feature.Set
 	// viewUsable reports whether this instance knows which data centres are evacuated, recently enough to send requests.
 	viewUsable func() bool
@@ -136,7 +137,7 @@
 	g := &Gateway{
 		configuration: o.Configuration, fleet: o.Fleet, servers: o.Upstream, turnClient: o.TurnClient,
 		rateLimiter: o.RateLimiter, quarantine: o.Quarantine, rooms: newRooms(), metrics: o.Metrics, now: time.Now,
-		draining: o.Draining, isolated: o.Isolated, features: o.Features,
+		draining: o.Draining, isolated: o.Isolated, features: o.Features, stop: newStopState(),
 		viewUsable: o.ViewUsable, evacuationPeriod: o.EvacuationPeriod, regionOf: o.RegionOf,
 	}
 	limit := o.HeldBytes
@@ -193,6 +194,8 @@
 	held int64
 	// headersSent is set once a status was written to the client.
 	headersSent bool
+	// outliveStop lets the request go on after the end of a planned stop.
+	outliveStop func() bool
 	// service and backend name the service and the backend server of the last attempt.
 	service, backend string
 	// via is the peer address of the instance through which the last response came; empty if it came directly.
@@ -209,6 +212,8 @@
 	if err == nil {
 		ctx, cancel := context.WithDeadline(homes.NewContext(r.Context(), x.homes), x.respondBy)
 		defer cancel()
+		ctx, cancel = x.untilStopped(ctx)
+		defer cancel()
 		switch {
 		case x.route.StoresHistory:
 			err = x.serveTurn(ctx)
@@ -252,6 +257,9 @@
 	if err := x.readBody(); err != nil {
 		return err
 	}
+	if err := x.admitWhileStopping(); err != nil {
+		return err
+	}
 	x.identity = quarantine.IdentityOf(x.account.Name, x.r.Method, x.r.Host, x.target, x.body)
 	if err := x.checkQuarantine(); err != nil {
 		return err
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -136,8 +136,7 @@
 	h := x.w.Header()
 	platform.CopyResponseHeaders(h, resp.Header)
 	x.setConnectionClose(h)
-	x.headersSent = true
-	x.w.WriteHeader(resp.Status)
+	x.beginResponse(resp.Status)
 	x.flush()
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -60,6 +60,8 @@
 	readinessDrainDelay = 2500 * time.Millisecond
 	// shutdownMargin is the time between the deadline for requests in progress and the platform's kill.
 	shutdownMargin = 500 * time.Millisecond
+	// finalAnswerMargin is the time before that deadline at which requests without a response get a failure as their answer.
+	finalAnswerMargin = 200 * time.Millisecond
 	// defaultIdleTimeout applies to idle client connections until the first configuration is loaded.
 	defaultIdleTimeout = 20 * time.Second
 	// idleTimeoutMargin is added to the configured idle timeout, so that a client that observes that timeout never
@@ -299,12 +301,14 @@
 // stop hands over the partitions and waits for requests in progress, up to the grace period.
 func (i *Instance) stop(clients *http.Server) {
 	start := time.Now()
+	deadline := start.Add(i.settings.GracePeriod - shutdownMargin)
+	i.gateway.BeginStop(deadline.Add(-finalAnswerMargin))
 	i.closing.Store(true)
 	klog.InfoS("stop", "grace_ms", i.settings.GracePeriod.Milliseconds(), "partitions", i.owner.OwnedPartitions())
 	i.group.Leave(context.Background())
 	if clients != nil {
 		time.Sleep(readinessDrainDelay - time.Since(start))
-		ctx, cancel := context.WithDeadline(context.Background(), start.Add(i.settings.GracePeriod-shutdownMargin))
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		defer cancel()
 		if err := clients.Shutdown(ctx); err != nil {
 			klog.InfoS("requests still in progress at the end of the grace period", "cause", err.Error())
