engine: bound the head and the message of a response

Heads of up to 10 MB were taken, net/http's default, and the message of a stream was held without a limit. TestEndlessResponsesAreGivenUp failed before: a head of 20,000 lines and 12 MB of events were read whole. Now a head has 64 KB and all events of a response 4 MB; plain services had a limit already (MaxResponseBytes).

Ruled out: single events, which had a limit of 1 MB.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -27,6 +27,10 @@
 	streamTerminator = "[DONE]"
 	// maxEventBytes bounds the size of one event of a stream.
 	maxEventBytes = 1 << 20
+	// maxMessageBytes bounds all events of a response, whose message is held until its end.
+	maxMessageBytes = 4 << 20
+	// maxHeadBytes bounds the status line and the headers of a response, far above what servers send.
+	maxHeadBytes = 64 << 10
 	// maxIdlePerBackend bounds the idle connections to one backend server.
 	maxIdlePerBackend = 64
 )
@@ -66,6 +70,8 @@
 				MaxIdleConnsPerHost: maxIdlePerBackend,
 				IdleConnTimeout:     time.Minute,
 				DisableCompression:  true,
+				// The default of net/http is 10 MB.
+				MaxResponseHeaderBytes: maxHeadBytes,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
@@ -203,6 +209,8 @@
 	id     string
 	emit   func(*Message) error
 	chunks int
+	// bytes is the size of all events.
+	bytes  int
 	result Result
 	usage  bool
 }
@@ -214,6 +222,9 @@
 			return verdict.Fail(http.StatusBadGateway, verdict.ReasonTruncated, "the answer's stream broke off: %v", rootCause(err))
 		}
 		progress()
+		if s.bytes += len(ev.Data); s.bytes > maxMessageBytes {
+			return verdict.Fail(http.StatusBadGateway, verdict.ReasonTooLarge, "the answer is larger than %d bytes", maxMessageBytes)
+		}
 		if ev.Data == streamTerminator {
 			return s.checkComplete()
 		}
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -128,3 +129,34 @@
 		engine.ServiceRequest{Method: "POST", Path: "/", Timeout: time.Second, MaxResponseBytes: 10, RequestID: "mine"})
 	is.Equal(verdict.From(err).Reason, verdict.ReasonMismatchedResponse)
 }
+
+// Guards against servers that send without end: the message of a response is held until its end.
+func TestEndlessResponsesAreGivenUp(t *testing.T) {
+	for name, c := range map[string]struct {
+		send   func(w http.ResponseWriter)
+		reason verdict.Reason
+	}{
+		"head": {func(w http.ResponseWriter) {
+			for i := range 20_000 {
+				w.Header().Set(fmt.Sprint("X-", i), "v")
+			}
+		}, verdict.ReasonBackendFailed},
+		"events": {func(w http.ResponseWriter) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			for range 200 {
+				fmt.Fprintf(w, `data: {"id":"r1","choices":[{"delta":{"content":"%064000d"}}]}`+"\n\n", 0)
+			}
+		}, verdict.ReasonTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { c.send(w) }))
+			defer srv.Close()
+			_, err := engine.New(engine.DefaultTimeouts, nil).Chat(t.Context(), strings.TrimPrefix(srv.URL, "http://"), request("r1"),
+				func(*engine.Message) error { return nil })
+			is.True(err != nil)
+			is.Equal(verdict.From(err).Reason, c.reason)
+			is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+		})
+	}
+}
