turnlog: acknowledge no turn whose record can't be encoded

Found while looking for records that depend on what callers send. A turn whose id, program or previous turn isn't valid UTF-8, which HTTP headers may hold, was acknowledged, and its record was empty: the encoder's error was logged only, and the empty record appended. The turn was lost with its owner. On another instance's partition the request failed after its timeout, since no message could carry it.

Records are now encoded when they are submitted, and an error is the result of that record alone; the writer and the sequence number are put in front at the append (messages that are concatenated are decoded as one). The gateway refuses such ids with 400.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 	"k8s.io/klog/v2"
@@ -242,8 +243,8 @@
 	if x.route == nil {
 		return verdict.Refuse(http.StatusNotFound, verdict.ReasonUnknownRoute, 0, "no route for %s%s", x.r.Host, path)
 	}
-	if x.ID == "" {
-		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "the request has no id")
+	if err := x.checkIDs(); err != nil {
+		return err
 	}
 	if err := x.authenticate(); err != nil {
 		return err
@@ -271,6 +272,19 @@
 	return nil
 }
 
+// checkIDs refuses requests whose ids can't be sent to other instances or recorded, as messages hold valid UTF-8 only.
+func (x *exchange) checkIDs() error {
+	if x.ID == "" {
+		return verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "the request has no id")
+	}
+	for _, id := range []string{x.ID, x.Program, x.Session, x.PreviousTurn} {
+		if !utf8.ValidString(id) {
+			return verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "the id %.80q is not valid UTF-8", id)
+		}
+	}
+	return nil
+}
+
 // rateError is the refusal of a request that the account's rate has no room for.
 func (x *exchange) rateError(d *ratelimit.Denial) error {
 	if !d.OverRate {
--- a/internal/turnlog/appends.go
+++ b/internal/turnlog/appends.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -57,24 +58,29 @@
 	}
 }
 
-// encode sets the writer and the sequence number of a record and encodes it. The pair identifies the append: if its
+// stamp adds the writer and the sequence number of the next append to encoded changes. The pair identifies the append: if its
 // response is lost, the writer can tell its record in the log from those of other processes.
-func (p *partition) encode(r *turnv1.Record) []byte {
-	r.Writer, r.Sequence = p.writer, p.sequence
-	return encode(r)
-}
-
-func encode(r *turnv1.Record) []byte {
-	b, err := proto.Marshal(r)
+func (p *partition) stamp(changes [][]byte) ([][]byte, error) {
+	// Messages that are concatenated are decoded as one.
+	prefix, err := proto.Marshal(&turnv1.Record{Writer: p.writer, Sequence: p.sequence})
 	if err != nil {
-		klog.ErrorS(err, "record cannot be encoded")
+		return nil, errors.Wrap(err, "encoding the writer")
+	}
+	out := make([][]byte, len(changes))
+	for i, change := range changes {
+		out[i] = slices.Concat(prefix, change)
 	}
-	return b
+	return out, nil
 }
 
-// append adds records at an offset and retries until the outcome is known. It returns errNotOwner if the records are
-// not in the log and never will be.
-func (p *partition) append(ctx context.Context, offset int64, records [][]byte, sequence uint64) (int64, error) {
+// append adds encoded changes as records at an offset and retries until the outcome is known. It returns errNotOwner if the
+// records are not in the log and never will be.
+func (p *partition) append(ctx context.Context, offset int64, changes [][]byte) (int64, error) {
+	records, err := p.stamp(changes)
+	if err != nil {
+		return 0, err
+	}
+	sequence := p.sequence
 	p.sequence++
 	began := p.now()
 	if end, ok := p.tryAppend(ctx, offset, records, sequence); ok {
--- a/internal/turnlog/partition.go
+++ b/internal/turnlog/partition.go
@@ -27,14 +27,24 @@
 // errNotOwner means that another process owns the partition, or that this one has stopped writing to it.
 var errNotOwner = errors.New("another instance owns the partition")
 
-// entry is a record that is queued for an append.
+// entry is a record that is queued for an append, and its encoded form without the writer.
 type entry struct {
 	record *turnv1.Record
+	change []byte
 	// ctx ends when the submitter no longer waits for the entry.
 	ctx  context.Context
 	done chan error
 }
 
+// newEntry encodes a record. It returns an error if that has a string that can't be encoded.
+func newEntry(ctx context.Context, r *turnv1.Record) (*entry, error) {
+	b, err := proto.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding a record")
+	}
+	return &entry{record: r, change: b, ctx: ctx, done: make(chan error, 1)}, nil
+}
+
 // partition owns one partition of the programs topic. Ownership rests on conditional appends: the process that appended
 // the newest records has read all preceding ones, and its next append fails if another process has appended since.
 type partition struct {
@@ -128,7 +138,7 @@
 	var batch []*entry
 	size, consumed := 0, 0
 	for _, e := range p.queue {
-		recordSize := p.sizes.stored(proto.Size(e.record))
+		recordSize := p.sizes.stored(len(e.change))
 		if len(batch) > 0 && size+recordSize > p.sizes.append {
 			break
 		}
@@ -173,13 +183,12 @@
 // appendBatch appends the records of a batch at the end of the partition and returns the new end.
 func (p *partition) appendBatch(ctx context.Context, batch []*entry) (end int64, err error) {
 	end = p.end
-	for _, records := range p.sizes.appends(batch) {
-		sequence := p.sequence
-		encoded := make([][]byte, len(records))
-		for i, r := range records {
-			encoded[i] = p.encode(r)
-		}
-		next, err := p.append(ctx, end, encoded, sequence)
+	appends, err := p.sizes.appends(batch)
+	if err != nil {
+		return end, err
+	}
+	for _, changes := range appends {
+		next, err := p.append(ctx, end, changes)
 		if err != nil {
 			return end, err
 		}
@@ -191,7 +200,11 @@
 // submit queues a record and waits until it is durable. It returns errNotOwner if the record never will be, or the
 // context's error if the context ended first, in which case the record may still be appended.
 func (p *partition) submit(ctx context.Context, r *turnv1.Record) error {
-	e := &entry{record: r, ctx: ctx, done: make(chan error, 1)}
+	e, err := newEntry(ctx, r)
+	if err != nil {
+		klog.ErrorS(err, "record not written", "partition", p.number)
+		return err
+	}
 	p.mu.Lock()
 	if !p.owned {
 		p.mu.Unlock()
@@ -217,7 +230,12 @@
 	p.mu.Lock()
 	if p.owned && p.state.advanceGrants {
 		for _, r := range p.state.unused() {
-			p.queue = append(p.queue, &entry{record: r, ctx: context.Background(), done: make(chan error, 1)})
+			e, err := newEntry(context.Background(), r)
+			if err != nil {
+				klog.ErrorS(err, "unused grant not given back", "partition", p.number)
+				continue
+			}
+			p.queue = append(p.queue, e)
 		}
 	}
 	p.owned = false
--- a/internal/turnlog/parts.go
+++ b/internal/turnlog/parts.go
@@ -1,6 +1,7 @@
 package turnlog
 
 import (
+	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
 
@@ -24,43 +25,50 @@
 	return recordSizes{envelope: envelope, change: max(maxRecordBytes-envelope, 1), append: maxAppendBytes}
 }
 
-// parts is the number of records that a record of the given size is stored in.
+// parts is the number of records that a change of the given size is stored in.
 func (s recordSizes) parts(size int) int { return max((size+s.change-1)/s.change, 1) }
 
-// stored is the size of a record in an append, over all its parts.
+// stored is the size of a change in an append, over all its parts.
 func (s recordSizes) stored(size int) int { return size + s.parts(size)*s.envelope }
 
-// split returns the record itself if the store takes it, or its parts.
-func (s recordSizes) split(r *turnv1.Record) []*turnv1.Record {
-	count := s.parts(proto.Size(r))
+// split returns an encoded change itself if it fits into a record of the store, or its encoded parts.
+func (s recordSizes) split(change []byte) ([][]byte, error) {
+	count := s.parts(len(change))
 	if count == 1 {
-		return []*turnv1.Record{r}
+		return [][]byte{change}, nil
 	}
-	b := encode(r)
-	out := make([]*turnv1.Record, count)
+	out := make([][]byte, count)
 	for i := range out {
-		n := min(s.change, len(b))
-		out[i] = &turnv1.Record{Change: &turnv1.Record_Part{Part: &turnv1.Part{Index: int32(i), Count: int32(count), Data: b[:n]}}}
-		b = b[n:]
+		n := min(s.change, len(change))
+		part := &turnv1.Part{Index: int32(i), Count: int32(count), Data: change[:n]}
+		b, err := proto.Marshal(&turnv1.Record{Change: &turnv1.Record_Part{Part: part}})
+		if err != nil {
+			return nil, errors.Wrap(err, "encoding a part of a record")
+		}
+		out[i], change = b, change[n:]
 	}
-	return out
+	return out, nil
 }
 
-// appends distributes the records of a batch, in order, over as few appends as the store's limit allows.
-func (s recordSizes) appends(batch []*entry) [][]*turnv1.Record {
-	var out [][]*turnv1.Record
+// appends distributes the changes of a batch, in order, over as few appends as the store's limit allows.
+func (s recordSizes) appends(batch []*entry) ([][][]byte, error) {
+	var out [][][]byte
 	size := 0
 	for _, e := range batch {
-		for _, r := range s.split(e.record) {
-			n := proto.Size(r) + s.envelope
+		changes, err := s.split(e.change)
+		if err != nil {
+			return nil, err
+		}
+		for _, b := range changes {
+			n := len(b) + s.envelope
 			if len(out) == 0 || size+n > s.append {
 				out, size = append(out, nil), 0
 			}
-			out[len(out)-1] = append(out[len(out)-1], r)
+			out[len(out)-1] = append(out[len(out)-1], b)
 			size += n
 		}
 	}
-	return out
+	return out, nil
 }
 
 // assembler puts records together that are stored in parts, while the records of a partition are read in order.
--- a/internal/turnlog/parts_test.go
+++ b/internal/turnlog/parts_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/fakes/metastore"
@@ -161,8 +162,17 @@
 	sizes := newRecordSizes(1000, 2000, "w")
 	long := &turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{Input: make([]byte, 5000)}}}
 	short := &turnv1.Record{Change: &turnv1.Record_Acquired{Acquired: &turnv1.Acquired{}}}
-	parts := sizes.split(long)
-	is.True(len(parts) > 4)
+	e, err := newEntry(t.Context(), long)
+	is.NoErr(err)
+	encoded, err := sizes.split(e.change)
+	is.NoErr(err)
+	is.True(len(encoded) > 4)
+	var parts []*turnv1.Record
+	for _, b := range encoded {
+		r := &turnv1.Record{}
+		is.NoErr(proto.Unmarshal(b, r))
+		parts = append(parts, r)
+	}
 	whole := 0
 	for skipped := range parts {
 		var a assembler
@@ -175,3 +185,18 @@
 	}
 	is.Equal(whole, 2*len(parts)+1) // the parts of the first sequence are complete once
 }
+
+// Guards against turns that are acknowledged although their record is empty, since it could not be encoded.
+func TestRecordThatCannotBeEncodedIsNotAcknowledged(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	o := s.owner("one", stubFinder{})
+	mustBegin(t, o, begin("t1", "", 1000, 100))
+	resp, err := o.End(t.Context(), end("t1", "\xff", "in", "out\n", 50))
+	is.NoErr(err)
+	is.True(resp.Outcome != turnv1.Outcome_OUTCOME_OK)
+	// Others are not affected.
+	mustBegin(t, o, begin("t2", "", 1000, 100))
+	mustEnd(t, o, end("t2", "", "in", "out\n", 50))
+	is.True(owns(o))
+}
--- a/internal/turnlog/takeover.go
+++ b/internal/turnlog/takeover.go
@@ -46,8 +46,11 @@
 		if offset < page.End {
 			continue
 		}
-		acquired := p.encode(&turnv1.Record{Change: &turnv1.Record_Acquired{Acquired: &turnv1.Acquired{}}})
-		end, err := p.append(ctx, offset, [][]byte{acquired}, p.sequence)
+		acquired, err := newEntry(ctx, &turnv1.Record{Change: &turnv1.Record_Acquired{Acquired: &turnv1.Acquired{}}})
+		if err != nil {
+			return err
+		}
+		end, err := p.append(ctx, offset, [][]byte{acquired.change})
 		if errors.Is(err, errNotOwner) {
 			continue
 		}
