hostile: crowds of clients that strain an instance, and their bounds

Clients that we don't control: legal requests of very many short header lines, heads without end or over the limit, empty lines, connections without requests, bodies that don't end, long answers that are read slowly.

--- a/test/hostile/site_test.go
+++ b/test/hostile/site_test.go
@@ -26,8 +26,11 @@
 	{"name":"read","host":"h.example","pathPrefix":"/read/","kind":"idempotent","timeoutMs":4000,"service":"tool"},
 	{"name":"pay","host":"h.example","pathPrefix":"/pay/","kind":"non_idempotent","timeoutMs":4000,"service":"tool"},
 	{"name":"faulty-chat","host":"h.example","pathPrefix":"/faulty-chat/","kind":"streaming","timeoutMs":4000,"service":"faulty","retain":true,"retainS":60},
+	{"name":"slow","host":"h.example","pathPrefix":"/slow/","kind":"idempotent","timeoutMs":4000,"service":"slow"},
+	{"name":"long","host":"h.example","pathPrefix":"/long/","kind":"idempotent","timeoutMs":4000,"service":"long"},
+	{"name":"long-chat","host":"h.example","pathPrefix":"/long-chat/","kind":"streaming","timeoutMs":4000,"service":"long-chat","retain":true,"retainS":60},
 	{"name":"faulty-read","host":"h.example","pathPrefix":"/faulty-read/","kind":"idempotent","timeoutMs":4000,"service":"faulty"}],
-	"services":[{"name":"llm","engine":{"chunkTokens":10,"slots":8}},{"name":"tool"},{"name":"faulty"}],
+	"services":[{"name":"llm","engine":{"chunkTokens":10,"slots":8}},{"name":"tool"},{"name":"faulty"},{"name":"slow"},{"name":"long"},{"name":"long-chat"}],
 	"tenants":[{"name":"acme","apiKeys":["key-a"],"ratePerS":10000,"burstSize":10000}],
 	"limits":{"bodyBytes":100000,"headerBytes":16384,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
 
