clientconn: bound what the connections of clients take

Cause: the account of memory began with the body of a request. Heads are decoded by net/http before any handler sees them, four bytes of a line take over a hundred then; connections were not counted; a body could take forever, and so could a client that doesn't read.

clientconn counts the bytes and lines of a head as they arrive, and refuses it before it is decoded if there is no room. When there are too many connections, the one that has waited for its client for longest is closed; when memory is short, those that hold most. A body must arrive within the request's deadline (408), 16 KB of a response be read within 10 s. The decisions are functions of what was observed.

Ruled out: empty lines (400 at the first one), long lines (36 KB a connection). Found on the way: a connection that had no room was closed, where a request gets 503 and Retry-After (TestInstanceWithoutMemoryRefusesUntilThereIsRoom); connections have a share of memory of their own now.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -60,7 +60,7 @@
 // only and the response stays open.
 func (x *exchange) readResponse(ctx context.Context, resp *backendResponse) ([]byte, error) {
 	body, held, err := memory.ReadBody(x.memory, resp.Body, resp.Length, maxBufferedBytes)
-	x.held += held
+	x.addHeld(held)
 	var long *http.MaxBytesError
 	if errors.Is(err, memory.ErrFull) || errors.As(err, &long) {
 		return body, errNotBuffered
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -20,6 +21,7 @@
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/backendlimit"
+	"github.com/berylpond/berylpond/internal/clientconn"
 	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/fleet"
 	"github.com/berylpond/berylpond/internal/homes"
@@ -152,6 +154,9 @@
 	return g
 }
 
+// Memory returns the account of the memory that requests and caches hold.
+func (g *Gateway) Memory() *memory.Account { return g.memory }
+
 // WaitForReports waits until the owners of programs know of the ended turns, for reportTimeout at most. It must be
 // called after the last request has ended.
 func (g *Gateway) WaitForReports() { g.reports.Wait() }
@@ -161,6 +166,8 @@
 	*Gateway
 	w http.ResponseWriter
 	r *http.Request
+	// conn is the client's connection; nil if it is not bounded.
+	conn *clientconn.Conn
 	platform.Request
 	configuration *routing.Configuration
 	route         *routing.Route
@@ -205,7 +212,9 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	x := &exchange{Gateway: g, w: w, r: r, Request: platform.DecodeRequest(r.Header), started: g.now()}
+	x := &exchange{
+		Gateway: g, w: w, r: r, conn: clientconn.FromContext(r.Context()), Request: platform.DecodeRequest(r.Header), started: g.now(),
+	}
 	defer func() { x.memory.Release(x.held) }()
 	x.setConnectionClose(w.Header())
 	defer func() { x.room.leave(x.now()) }()
@@ -363,10 +372,13 @@
 	if err := x.hold(requestBytes); err != nil {
 		return err
 	}
-	body, held, err := memory.ReadBody(x.memory, x.r.Body, x.r.ContentLength, limit)
-	x.body, x.held = body, x.held+held
+	body, held, err := x.receiveBody(limit)
+	x.body = body
+	x.addHeld(held)
 	var long *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return verdict.Refuse(http.StatusRequestTimeout, verdict.ReasonDeadline, 0, "the body did not arrive in time")
 	case errors.Is(err, memory.ErrFull):
 		return x.noMemory(max(x.r.ContentLength, held))
 	case errors.As(err, &long):
@@ -377,6 +389,24 @@
 	return nil
 }
 
+// receiveBody reads the client's body until the time at which the client must have its response.
+func (x *exchange) receiveBody(limit int64) (body []byte, held int64, err error) {
+	if x.r.ContentLength != 0 {
+		defer x.conn.AwaitBody()()
+		connection := http.NewResponseController(x.w)
+		if err := connection.SetReadDeadline(x.respondBy); err != nil {
+			return nil, 0, errors.Wrap(err, "setting a deadline")
+		}
+		// A deadline that passes while the request is in progress would look as if the client had left.
+		defer func() {
+			if err := connection.SetReadDeadline(time.Time{}); err != nil {
+				klog.V(1).InfoS("could not lift the deadline of a body", "request", x.ID, "cause", err.Error())
+			}
+		}()
+	}
+	return memory.ReadBody(x.memory, x.r.Body, x.r.ContentLength, limit)
+}
+
 // readAll reads a body of at most limit bytes; a length of -1 means unknown. For a known length the buffer is allocated
 // once.
 func readAll(r io.Reader, length, limit int64) ([]byte, error) {
--- a/internal/gateway/memory.go
+++ b/internal/gateway/memory.go
@@ -14,10 +14,16 @@
 	if !x.memory.Hold(n) {
 		return x.noMemory(n)
 	}
-	x.held += n
+	x.addHeld(n)
 	return nil
 }
 
+// addHeld notes bytes that were added to the account for the request.
+func (x *exchange) addHeld(n int64) {
+	x.held += n
+	x.conn.SetHeld(x.held)
+}
+
 // noMemory is the refusal of a request that needs n more bytes. Another instance may have them, so the client is told to
 // come back when this one expects to.
 func (x *exchange) noMemory(n int64) error {
@@ -32,6 +38,6 @@
 		return x.hold(int64(grown)) == nil
 	}
 	x.memory.Add(int64(grown))
-	x.held += int64(grown)
+	x.addHeld(int64(grown))
 	return true
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -25,7 +25,7 @@
 	maxStreamBytes = 4 << 20
 	// assuredOutputBytes is the output that a stream may hold even if the instance has no memory for it: streams of usual
 	// length are not broken off.
-	assuredOutputBytes = 64 << 10
+	assuredOutputBytes = 16 << 10
 )
 
 // relayedStream records what was relayed to the client, over all runs of the request.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -20,6 +20,7 @@
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/backendlimit"
 	"github.com/berylpond/berylpond/internal/backendpath"
+	"github.com/berylpond/berylpond/internal/clientconn"
 	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/feed"
 	"github.com/berylpond/berylpond/internal/fleet"
@@ -96,6 +97,8 @@
 	quarantine *quarantine.Quarantine
 	holder     *ratelimit.BucketHolder
 	gateway    *gateway.Gateway
+	// connections bounds those of clients.
+	connections *clientconn.Limiter
 	// feedServer sends snapshots of this instance's view to peers; feedClient requests theirs.
 	feedServer  *feed.Server
 	feedClient  *feed.Client
@@ -188,6 +191,8 @@
 		Features: features, HeldBytes: int64(float64(s.MemoryBytes) * heldMemoryFraction),
 		ViewUsable: i.viewUsable, EvacuationPeriod: s.EvacuationPeriod, RegionOf: s.RegionOf,
 	})
+	i.connections = clientconn.NewLimiter(
+		i.gateway.Memory(), clientconn.MostConnections(s.MemoryBytes, s.MaxFiles), clientconn.NewMetrics(i.metrics))
 	return i
 }
 
@@ -390,9 +395,10 @@
 		Handler: i.gateway, ReadHeaderTimeout: orDefault(limits.HeaderTimeout, defaultHeaderTimeout),
 		IdleTimeout:    orDefault(limits.IdleTimeout, defaultIdleTimeout) + idleTimeoutMargin,
 		MaxHeaderBytes: max(limits.HeaderBytes, defaultHeaderBytes), ErrorLog: discardLog,
+		ConnState: i.connections.StateChanged, ConnContext: clientconn.NewContext,
 	}
 	go func() {
-		if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(i.connections.Listen(l)); !errors.Is(err, http.ErrServerClosed) {
 			failed <- errors.Wrap(err, "serving clients")
 		}
 	}()
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -25,6 +25,8 @@
 	now   func() time.Time
 	// shrink frees up to the given number of cached bytes and calls Uncache for them.
 	shrink func(bytes int64)
+	// full is called with the number of bytes that are missing when a request finds no room; nil for nothing.
+	full func(bytes int64)
 
 	mu           sync.Mutex
 	held, cached int64
@@ -37,9 +39,32 @@
 	return &Account{limit: limit, now: time.Now, shrink: shrink}
 }
 
+// OnFull sets a function that is called with the number of missing bytes when the caches don't hold them. It may release
+// bytes, or see to it that others do. It must be set before the first use of the account.
+func (a *Account) OnFull(f func(bytes int64)) { a.full = f }
+
 // Hold adds n bytes for a request if there is room for them, taking it from the caches if need be. It reports whether they
 // were added.
 func (a *Account) Hold(n int64) bool {
+	if a.holdCached(n) {
+		return true
+	}
+	excess := a.tryHold(n)
+	if excess > 0 && a.full != nil {
+		a.full(excess)
+		excess = a.tryHold(n)
+	}
+	if excess <= 0 {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refused++
+	return false
+}
+
+// holdCached adds n bytes if there is room for them, or if the caches hold enough.
+func (a *Account) holdCached(n int64) bool {
 	// The caches free their bytes without the account's lock, so another request may take them.
 	for shrinks := 0; ; shrinks++ {
 		excess := a.tryHold(n)
@@ -47,13 +72,9 @@
 			return true
 		}
 		if shrinks == maxShrinks || !a.makeRoom(excess) {
-			break
+			return false
 		}
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.refused++
-	return false
 }
 
 // tryHold adds n bytes if there is room for them, and returns how many are missing otherwise.
