turnlog: count the turns that an owner keeps as memory

Trace: the store's log of the last run had 36.6 MB in 165 records. What slow clients don't read fits into the kernel's buffers, so the turns end in order, and are kept by the owner of their program for their retention. No account counted that.

Now turns that are kept count: requests, caches and they have half of the memory limit, requests and caches 0.35 as before.

Failed once on the way: TestRecordOfAnOwnerThatIsReplacedHalfwayHasNoEffect, NOT_OWNER at its last begin. Cause in the test: a replaced owner that keeps its assignment takes the partition back.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,9 +125,11 @@
 	Metrics       *Metrics
 	// HeldBytes bounds the memory that requests and caches may hold, in bytes.
 	HeldBytes int64
-	Draining  func() bool
-	Isolated  func() bool
-	Features  feature.Set
+	// TotalBytes bounds the same together with what is kept of programs, in bytes; zero for no bound.
+	TotalBytes int64
+	Draining   func() bool
+	Isolated   func() bool
+	Features   feature.Set
 	// ViewUsable reports whether this instance knows which data centres are evacuated, recently enough to send requests.
 	ViewUsable       func() bool
 	EvacuationPeriod time.Duration
@@ -143,12 +145,13 @@
 		draining: o.Draining, isolated: o.Isolated, features: o.Features, stop: newStopState(),
 		viewUsable: o.ViewUsable, evacuationPeriod: o.EvacuationPeriod, regionOf: o.RegionOf,
 	}
-	limit := o.HeldBytes
+	limit, total := o.HeldBytes, o.TotalBytes
 	if !o.Features.Enabled(feature.MemoryLimit) {
-		limit = math.MaxInt64 / 2
+		limit, total = math.MaxInt64/2, 0
 	}
 	g.historyCache = &historyCache{}
 	g.memory = memory.New(limit, g.historyCache.shrink)
+	g.memory.SetTotal(total)
 	g.historyCache.open(g.memory)
 	o.Metrics.observeMemory(g.memory)
 	return g
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -97,6 +97,9 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "berylpond_gateway_cached_bytes", Help: "Bytes of cached histories, which yield to requests.",
 		}, func() float64 { return float64(a.Usage().Cached) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "berylpond_gateway_kept_bytes", Help: "Bytes of the turns that this instance keeps as the owner of their programs.",
+		}, func() float64 { return float64(a.Usage().Kept) }),
 	)
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -47,6 +47,8 @@
 	// heldMemoryFraction is the fraction of the memory limit that requests and caches may hold. As much again is garbage
 	// between two collections, within memoryLimitFraction.
 	heldMemoryFraction = memoryLimitFraction / 2
+	// totalMemoryFraction is the fraction that these may hold together with the turns that the instance keeps as their owner.
+	totalMemoryFraction = 0.5
 	// contactTimeout is how long the store may be unreachable, both directly and through peers, before the instance
 	// reports that it is not ready.
 	contactTimeout = 1200 * time.Millisecond
@@ -189,8 +191,10 @@
 		Configuration: i.config.Current, Fleet: i.fleet, Upstream: i.backendPool, TurnClient: client, RateLimiter: i.limiter,
 		Quarantine: i.quarantine, Metrics: gateway.NewMetrics(i.metrics), Draining: i.closing.Load, Isolated: i.isolated,
 		Features: features, HeldBytes: int64(float64(s.MemoryBytes) * heldMemoryFraction),
+		TotalBytes: int64(float64(s.MemoryBytes) * totalMemoryFraction),
 		ViewUsable: i.viewUsable, EvacuationPeriod: s.EvacuationPeriod, RegionOf: s.RegionOf,
 	})
+	i.owner.Memory = i.gateway.Memory()
 	i.connections = clientconn.NewLimiter(
 		i.gateway.Memory(), clientconn.MostConnections(s.MemoryBytes, s.MaxFiles), clientconn.NewMetrics(i.metrics))
 	return i
--- a/internal/memory/account.go
+++ b/internal/memory/account.go
@@ -22,6 +22,8 @@
 // Account counts held bytes against a limit. Caches yield before a request is refused. It is safe for concurrent use.
 type Account struct {
 	limit int64
+	// total bounds held, cached and kept bytes together; zero for no bound.
+	total int64
 	now   func() time.Time
 	// shrink frees up to the given number of cached bytes and calls Uncache for them.
 	shrink func(bytes int64)
@@ -30,8 +32,10 @@
 
 	mu           sync.Mutex
 	held, cached int64
-	refused      int64
-	releases     rate
+	// kept bytes last beyond requests, and can't be refused.
+	kept     int64
+	refused  int64
+	releases rate
 }
 
 // New returns an account with the given limit in bytes. shrink frees up to the given number of cached bytes.
@@ -81,13 +85,22 @@
 func (a *Account) tryHold(n int64) int64 {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	excess := a.held + a.cached + n - a.limit
+	excess := a.excess(n)
 	if excess <= 0 {
 		a.held += n
 	}
 	return excess
 }
 
+// excess is by how much n more bytes would exceed the limits. a.mu must be held.
+func (a *Account) excess(n int64) int64 {
+	excess := a.held + a.cached + n - a.limit
+	if a.total > 0 {
+		excess = max(excess, a.held+a.cached+a.kept+n-a.total)
+	}
+	return excess
+}
+
 // makeRoom frees cached bytes. It reports false if there are not enough of them.
 func (a *Account) makeRoom(bytes int64) bool {
 	a.mu.Lock()
@@ -118,13 +131,31 @@
 func (a *Account) Cache(n int64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.held+a.cached+n > a.limit {
+	if a.excess(n) > 0 {
 		return false
 	}
 	a.cached += n
 	return true
 }
 
+// SetTotal bounds the bytes of requests and caches further, by what is kept besides. It must be called before the first use of the
+// account.
+func (a *Account) SetTotal(limit int64) { a.total = limit }
+
+// Keep adds n bytes that last beyond the requests that brought them; a negative n subtracts them.
+func (a *Account) Keep(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.kept += n
+}
+
+// IsFull reports whether there is no room for another request, even without the caches.
+func (a *Account) IsFull() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.excess(0)-a.cached >= 0
+}
+
 // Uncache subtracts n cached bytes.
 func (a *Account) Uncache(n int64) {
 	a.mu.Lock()
@@ -140,21 +171,21 @@
 	if perSecond <= 0 {
 		return maxRetryAfter
 	}
-	missing := a.held + n - a.limit
+	missing := a.excess(n) - a.cached
 	return min(max(time.Duration(float64(missing)/perSecond*float64(time.Second)), minRetryAfter), maxRetryAfter)
 }
 
 // Usage is a snapshot of an account.
 type Usage struct {
-	// Held and Cached are in bytes, Refused is the number of requests that found no room.
-	Held, Cached, Limit, Refused int64
+	// Held, Cached, Kept and Limit are in bytes, Refused is the number of requests that found no room.
+	Held, Cached, Kept, Limit, Refused int64
 }
 
 // Usage returns the current usage.
 func (a *Account) Usage() Usage {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return Usage{Held: a.held, Cached: a.cached, Limit: a.limit, Refused: a.refused}
+	return Usage{Held: a.held, Cached: a.cached, Kept: a.kept, Limit: a.limit, Refused: a.refused}
 }
 
 // rate counts bytes in two consecutive windows.
--- a/internal/memory/account_test.go
+++ b/internal/memory/account_test.go
@@ -117,3 +117,26 @@
 	is.True(errors.Is(err, ErrFull))
 	is.Equal(held, int64(0))
 }
+
+// Load pattern: an instance keeps the turns of many programs, and goes on getting requests.
+func TestWhatIsKeptTakesRoomFromRequestsAndCaches(t *testing.T) {
+	is := is.New(t)
+	var a *Account
+	a = New(100, func(n int64) { a.Uncache(n) })
+	a.SetTotal(150)
+	a.Keep(50)
+	is.True(a.Cache(60))
+	is.True(a.Hold(100)) // the caches yield
+	is.True(a.IsFull())
+	is.True(!a.Hold(1))
+	a.Release(80)
+	a.Keep(70) // can't be refused
+	is.True(!a.Cache(11))
+	is.True(a.Cache(10))
+	is.True(!a.IsFull()) // the cache yields
+	is.True(!a.Hold(11))
+	is.True(a.Hold(10))
+	a.Keep(-70)
+	is.True(a.Hold(70))
+	is.Equal(a.Usage(), Usage{Held: 100, Kept: 50, Limit: 100, Refused: 2})
+}
--- a/internal/turnlog/appends.go
+++ b/internal/turnlog/appends.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -58,25 +57,25 @@
 	}
 }
 
-// stamp adds the writer and the sequence number of the next append to encoded changes. The pair identifies the append: if its
-// response is lost, the writer can tell its record in the log from those of other processes.
-func (p *partition) stamp(changes [][]byte) ([][]byte, error) {
-	// Messages that are concatenated are decoded as one.
-	prefix, err := proto.Marshal(&turnv1.Record{Writer: p.writer, Sequence: p.sequence})
-	if err != nil {
-		return nil, errors.Wrap(err, "encoding the writer")
-	}
-	out := make([][]byte, len(changes))
-	for i, change := range changes {
-		out[i] = slices.Concat(prefix, change)
+// encode sets the writer and the sequence number of the next append in records and encodes them. The pair identifies the append:
+// if its response is lost, the writer can tell its record in the log from those of other processes.
+func (p *partition) encode(records []*turnv1.Record) ([][]byte, error) {
+	out := make([][]byte, len(records))
+	for i, r := range records {
+		r.Writer, r.Sequence = p.writer, p.sequence
+		b, err := proto.Marshal(r)
+		if err != nil {
+			return nil, errors.Wrap(err, "encoding a record")
+		}
+		out[i] = b
 	}
 	return out, nil
 }
 
-// append adds encoded changes as records at an offset and retries until the outcome is known. It returns errNotOwner if the
-// records are not in the log and never will be.
-func (p *partition) append(ctx context.Context, offset int64, changes [][]byte) (int64, error) {
-	records, err := p.stamp(changes)
+// append adds records at an offset and retries until the outcome is known. It returns errNotOwner if the records are not in the
+// log and never will be.
+func (p *partition) append(ctx context.Context, offset int64, unencoded []*turnv1.Record) (int64, error) {
+	records, err := p.encode(unencoded)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -41,6 +41,14 @@
 	FindAtOtherOwners(ctx context.Context, r *turnv1.FindRequest, own []int) (*turnv1.FindResponse, error)
 }
 
+// Memory counts the bytes that turns keep, which last for as long as the turns do.
+type Memory interface {
+	// Keep adds bytes; a negative number subtracts them.
+	Keep(n int64)
+	// IsFull reports whether there is room for no more.
+	IsFull() bool
+}
+
 // Owner owns the partitions that are assigned to its instance. It serves the gRPC service Turns.
 type Owner struct {
 	turnv1.UnimplementedTurnsServer
@@ -55,6 +63,8 @@
 	// AdvanceGrants has programs without stored history granted more than their next turn needs. It must be set before the
 	// first call.
 	AdvanceGrants bool
+	// Memory counts what turns keep; nil for nothing. It must be set before the first call.
+	Memory Memory
 
 	mu         sync.Mutex
 	partitions map[int]*partition
@@ -105,7 +115,7 @@
 	p := &partition{
 		number: number, name: platform.Partition{Topic: Topic, Number: number}, store: o.store, writer: o.writer,
 		sizes:         newRecordSizes(o.settings.MaxRecordBytes, o.settings.MaxAppendBytes, o.writer),
-		advanceGrants: o.AdvanceGrants, now: o.now, metrics: o.metrics, state: newState(inlineAfter),
+		advanceGrants: o.AdvanceGrants, now: o.now, metrics: o.metrics, memory: o.Memory, state: newState(inlineAfter),
 		wake: make(chan struct{}, 1), cancel: cancel, closed: make(chan struct{}),
 	}
 	go p.run(ctx)
@@ -163,7 +173,7 @@
 	if refuse {
 		unavailable.StoreAwayMs = away.Milliseconds()
 	}
-	if !p.owned {
+	if !p.owned || p.memory != nil && p.memory.IsFull() {
 		p.mu.Unlock()
 		return unavailable
 	}
--- a/internal/turnlog/partition.go
+++ b/internal/turnlog/partition.go
@@ -27,24 +27,14 @@
 // errNotOwner means that another process owns the partition, or that this one has stopped writing to it.
 var errNotOwner = errors.New("another instance owns the partition")
 
-// entry is a record that is queued for an append, and its encoded form without the writer.
+// entry is a record that is queued for an append.
 type entry struct {
 	record *turnv1.Record
-	change []byte
 	// ctx ends when the submitter no longer waits for the entry.
 	ctx  context.Context
 	done chan error
 }
 
-// newEntry encodes a record. It returns an error if that has a string that can't be encoded.
-func newEntry(ctx context.Context, r *turnv1.Record) (*entry, error) {
-	b, err := proto.Marshal(r)
-	if err != nil {
-		return nil, errors.Wrap(err, "encoding a record")
-	}
-	return &entry{record: r, change: b, ctx: ctx, done: make(chan error, 1)}, nil
-}
-
 // partition owns one partition of the programs topic. Ownership rests on conditional appends: the process that appended
 // the newest records has read all preceding ones, and its next append fails if another process has appended since.
 type partition struct {
@@ -56,9 +46,12 @@
 	advanceGrants bool
 	now           func() time.Time
 	metrics       *Metrics
+	memory        Memory
 
 	mu    sync.Mutex
 	state *state
+	// kept is what memory counts for the partition.
+	kept  int64
 	owned bool
 	// busy is set while an append is in progress.
 	busy     bool
@@ -138,7 +131,7 @@
 	var batch []*entry
 	size, consumed := 0, 0
 	for _, e := range p.queue {
-		recordSize := p.sizes.stored(len(e.change))
+		recordSize := p.sizes.stored(proto.Size(e.record))
 		if len(batch) > 0 && size+recordSize > p.sizes.append {
 			break
 		}
@@ -172,6 +165,7 @@
 	for _, e := range batch {
 		p.state.apply(e.record)
 	}
+	p.countKept(p.state.bytes)
 	p.end = end
 	p.mu.Unlock()
 	for _, e := range batch {
@@ -183,12 +177,16 @@
 // appendBatch appends the records of a batch at the end of the partition and returns the new end.
 func (p *partition) appendBatch(ctx context.Context, batch []*entry) (end int64, err error) {
 	end = p.end
-	appends, err := p.sizes.appends(batch)
-	if err != nil {
-		return end, err
+	var records []*turnv1.Record
+	for _, e := range batch {
+		parts, err := p.sizes.split(e.record)
+		if err != nil {
+			return end, err
+		}
+		records = append(records, parts...)
 	}
-	for _, changes := range appends {
-		next, err := p.append(ctx, end, changes)
+	for _, some := range p.sizes.appends(records) {
+		next, err := p.append(ctx, end, some)
 		if err != nil {
 			return end, err
 		}
@@ -200,11 +198,11 @@
 // submit queues a record and waits until it is durable. It returns errNotOwner if the record never will be, or the
 // context's error if the context ended first, in which case the record may still be appended.
 func (p *partition) submit(ctx context.Context, r *turnv1.Record) error {
-	e, err := newEntry(ctx, r)
-	if err != nil {
+	if err := checkEncodable(r); err != nil {
 		klog.ErrorS(err, "record not written", "partition", p.number)
 		return err
 	}
+	e := &entry{record: r, ctx: ctx, done: make(chan error, 1)}
 	p.mu.Lock()
 	if !p.owned {
 		p.mu.Unlock()
@@ -230,12 +228,7 @@
 	p.mu.Lock()
 	if p.owned && p.state.advanceGrants {
 		for _, r := range p.state.unused() {
-			e, err := newEntry(context.Background(), r)
-			if err != nil {
-				klog.ErrorS(err, "unused grant not given back", "partition", p.number)
-				continue
-			}
-			p.queue = append(p.queue, e)
+			p.queue = append(p.queue, &entry{record: r, ctx: context.Background(), done: make(chan error, 1)})
 		}
 	}
 	p.owned = false
@@ -254,6 +247,17 @@
 	}
 	p.cancel()
 	<-p.closed
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.countKept(0)
+}
+
+// countKept sets what memory counts for the partition. p.mu must be held.
+func (p *partition) countKept(bytes int64) {
+	if p.memory != nil {
+		p.memory.Keep(bytes - p.kept)
+	}
+	p.kept = bytes
 }
 
 // isCurrentOwner reads the end of the partition from the store and reports whether no other process has appended to it.
@@ -276,6 +280,7 @@
 	now := p.now()
 	p.mu.Lock()
 	p.state.expire(now, expirySlack)
+	p.countKept(p.state.bytes)
 	retention := time.Duration(0)
 	for _, pr := range p.state.programs {
 		retention = max(retention, pr.keep)
--- a/internal/turnlog/parts.go
+++ b/internal/turnlog/parts.go
@@ -1,6 +1,8 @@
 package turnlog
 
 import (
+	"unicode/utf8"
+
 	"github.com/cockroachdb/errors"
 	"google.golang.org/protobuf/proto"
 	"k8s.io/klog/v2"
@@ -12,6 +14,10 @@
 // sequence number, and the tags and lengths of the fields, those of a part included.
 const envelopeBytes = 64
 
+// maxBatchBytes bounds one append further than the store does. The store's time for an append is proportional to its size, so that
+// larger ones gain nothing; they would hold more memory, in several copies, and take longer than firstAttemptTimeout.
+const maxBatchBytes = 640 << 10
+
 // recordSizes are the store's limits, without what each record of a writer has beside its change.
 type recordSizes struct {
 	// envelope is what each record has beside its change, change the maximum size of a change.
@@ -22,7 +28,10 @@
 
 func newRecordSizes(maxRecordBytes, maxAppendBytes int, writer string) recordSizes {
 	envelope := len(writer) + envelopeBytes
-	return recordSizes{envelope: envelope, change: max(maxRecordBytes-envelope, 1), append: maxAppendBytes}
+	return recordSizes{
+		envelope: envelope, change: max(maxRecordBytes-envelope, 1),
+		append: min(maxAppendBytes, max(maxBatchBytes, maxRecordBytes+envelope)),
+	}
 }
 
 // parts is the number of records that a change of the given size is stored in.
@@ -31,44 +40,38 @@
 // stored is the size of a change in an append, over all its parts.
 func (s recordSizes) stored(size int) int { return size + s.parts(size)*s.envelope }
 
-// split returns an encoded change itself if it fits into a record of the store, or its encoded parts.
-func (s recordSizes) split(change []byte) ([][]byte, error) {
-	count := s.parts(len(change))
+// split returns the record itself if the store takes it, or its parts.
+func (s recordSizes) split(r *turnv1.Record) ([]*turnv1.Record, error) {
+	count := s.parts(proto.Size(r))
 	if count == 1 {
-		return [][]byte{change}, nil
+		return []*turnv1.Record{r}, nil
 	}
-	out := make([][]byte, count)
+	b, err := proto.Marshal(r)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding a record")
+	}
+	out := make([]*turnv1.Record, count)
 	for i := range out {
-		n := min(s.change, len(change))
-		part := &turnv1.Part{Index: int32(i), Count: int32(count), Data: change[:n]}
-		b, err := proto.Marshal(&turnv1.Record{Change: &turnv1.Record_Part{Part: part}})
-		if err != nil {
-			return nil, errors.Wrap(err, "encoding a part of a record")
-		}
-		out[i], change = b, change[n:]
+		n := min(s.change, len(b))
+		out[i] = &turnv1.Record{Change: &turnv1.Record_Part{Part: &turnv1.Part{Index: int32(i), Count: int32(count), Data: b[:n]}}}
+		b = b[n:]
 	}
 	return out, nil
 }
 
-// appends distributes the changes of a batch, in order, over as few appends as the store's limit allows.
-func (s recordSizes) appends(batch []*entry) ([][][]byte, error) {
-	var out [][][]byte
+// appends distributes records, in order, over as few appends as the store's limit allows.
+func (s recordSizes) appends(records []*turnv1.Record) [][]*turnv1.Record {
+	var out [][]*turnv1.Record
 	size := 0
-	for _, e := range batch {
-		changes, err := s.split(e.change)
-		if err != nil {
-			return nil, err
-		}
-		for _, b := range changes {
-			n := len(b) + s.envelope
-			if len(out) == 0 || size+n > s.append {
-				out, size = append(out, nil), 0
-			}
-			out[len(out)-1] = append(out[len(out)-1], b)
-			size += n
+	for _, r := range records {
+		n := proto.Size(r) + s.envelope
+		if len(out) == 0 || size+n > s.append {
+			out, size = append(out, nil), 0
 		}
+		out[len(out)-1] = append(out[len(out)-1], r)
+		size += n
 	}
-	return out, nil
+	return out
 }
 
 // assembler puts records together that are stored in parts, while the records of a partition are read in order.
@@ -116,3 +119,21 @@
 	}
 	*a = assembler{}
 }
+
+// checkEncodable returns an error if a record has a string that can't be encoded, so that it fails alone and not with the others
+// of an append.
+func checkEncodable(r *turnv1.Record) error {
+	var ids []string
+	switch c := r.Change.(type) {
+	case *turnv1.Record_Granted:
+		ids = []string{c.Granted.Program, c.Granted.Account}
+	case *turnv1.Record_Completed:
+		ids = []string{c.Completed.Program, c.Completed.Account, c.Completed.Turn, c.Completed.Previous, c.Completed.Backend}
+	}
+	for _, id := range ids {
+		if !utf8.ValidString(id) {
+			return errors.Newf("the id %.80q is not valid UTF-8", id)
+		}
+	}
+	return nil
+}
--- a/internal/turnlog/parts_test.go
+++ b/internal/turnlog/parts_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/matryer/is"
-	"google.golang.org/protobuf/proto"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/fakes/metastore"
@@ -122,7 +121,7 @@
 	appended := make(chan struct{})
 	var large atomic.Int32
 	s.store.SetFault(func(r *http.Request) metastore.Mode {
-		if r.URL.Path != "/api/log-append" || r.ContentLength < maxAppendBytes/2 {
+		if r.URL.Path != "/api/log-append" || r.ContentLength < maxRecordBytes {
 			return metastore.Serve
 		}
 		if n := large.Add(1); n == 1 {
@@ -151,9 +150,13 @@
 	found, err := next.Find(t.Context(), &turnv1.FindRequest{Account: "a", Turn: "t1"})
 	is.NoErr(err)
 	is.Equal(found.Outcome, turnv1.Outcome_OUTCOME_NO_SUCH_TURN)
-	mustBegin(t, next, begin("t2", "", 1000, 100))
-	mustEnd(t, next, end("t2", "", "in", "out\n", 50))
-	last := s.owner("three", stubFinder{})
+	// A replaced owner that still has the partition takes it back.
+	o.Assign(nil)
+	next.Assign(nil)
+	third := s.owner("three", stubFinder{})
+	mustBegin(t, third, begin("t2", "", 1000, 100))
+	mustEnd(t, third, end("t2", "", "in", "out\n", 50))
+	last := s.owner("four", stubFinder{})
 	is.Equal(string(mustBegin(t, last, begin("t3", "t2", 1000, 100)).History), "inout\n")
 }
 
@@ -162,17 +165,9 @@
 	sizes := newRecordSizes(1000, 2000, "w")
 	long := &turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{Input: make([]byte, 5000)}}}
 	short := &turnv1.Record{Change: &turnv1.Record_Acquired{Acquired: &turnv1.Acquired{}}}
-	e, err := newEntry(t.Context(), long)
-	is.NoErr(err)
-	encoded, err := sizes.split(e.change)
+	parts, err := sizes.split(long)
 	is.NoErr(err)
-	is.True(len(encoded) > 4)
-	var parts []*turnv1.Record
-	for _, b := range encoded {
-		r := &turnv1.Record{}
-		is.NoErr(proto.Unmarshal(b, r))
-		parts = append(parts, r)
-	}
+	is.True(len(parts) > 4)
 	whole := 0
 	for skipped := range parts {
 		var a assembler
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -16,6 +16,8 @@
 	inlineAfter time.Duration
 	// advanceGrants has programs without stored history granted more than their next turn needs.
 	advanceGrants bool
+	// bytes is the size of all turns.
+	bytes int64
 }
 
 // program holds the token accounting of a program and the ids of its turns.
@@ -96,9 +98,13 @@
 		}
 	}
 	s.turns[c.Turn] = t
+	s.bytes += t.size()
 	p.turns = append(p.turns, c.Turn)
 }
 
+// size is what the turn keeps by itself, in bytes.
+func (t *turn) size() int64 { return int64(cap(t.inherited) + cap(t.input) + cap(t.output)) }
+
 func (s *state) program(id, account string) *program {
 	p := s.programs[id]
 	if p == nil {
@@ -335,8 +341,11 @@
 		if now.Sub(p.lastUse) < p.keep+slack {
 			continue
 		}
-		for _, t := range p.turns {
-			delete(s.turns, t)
+		for _, id := range p.turns {
+			if t := s.turns[id]; t != nil {
+				s.bytes -= t.size()
+			}
+			delete(s.turns, id)
 		}
 		delete(s.programs, id)
 	}
--- a/internal/turnlog/takeover.go
+++ b/internal/turnlog/takeover.go
@@ -46,11 +46,8 @@
 		if offset < page.End {
 			continue
 		}
-		acquired, err := newEntry(ctx, &turnv1.Record{Change: &turnv1.Record_Acquired{Acquired: &turnv1.Acquired{}}})
-		if err != nil {
-			return err
-		}
-		end, err := p.append(ctx, offset, [][]byte{acquired.change})
+		acquired := &turnv1.Record{Change: &turnv1.Record_Acquired{Acquired: &turnv1.Acquired{}}}
+		end, err := p.append(ctx, offset, []*turnv1.Record{acquired})
 		if errors.Is(err, errNotOwner) {
 			continue
 		}
@@ -65,6 +62,7 @@
 	programs, turns := len(s.programs), len(s.turns)
 	p.mu.Lock()
 	p.state, p.end, p.owned = s, offset, true
+	p.countKept(s.bytes)
 	p.mu.Unlock()
 	p.metrics.takeovers.Observe(p.now().Sub(start).Seconds())
 	klog.InfoS("partition acquired", "partition", p.number, "end", offset, "records", records, "bytes", bytes,
