clientconn, gateway: clearer names, and what remains of long records

Lists of waiting connections by the question that they answer, in place of a flag; the memory of a growing event named for what it is. No change of behaviour.

--- a/internal/clientconn/limiter.go
+++ b/internal/clientconn/limiter.go
@@ -113,10 +113,7 @@
 
 // makeRoom reports whether there is room for one more connection, after closing another one if need be.
 func (l *Limiter) makeRoom() bool {
-	l.mu.Lock()
-	full := len(l.conns) >= l.most
-	waits := l.waitsLocked(full)
-	l.mu.Unlock()
+	waits, full := l.waitsIfFull()
 	if !full {
 		return true
 	}
@@ -128,11 +125,29 @@
 	return true
 }
 
-// waitsLocked lists the connections that wait for their clients, if any are wanted. l.mu must be held.
-func (l *Limiter) waitsLocked(wanted bool) []wait {
-	if !wanted {
+// waitsIfFull reports whether there are too many connections for another one, and lists those that wait for their clients then.
+func (l *Limiter) waitsIfFull() (waits []wait, full bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) < l.most {
+		return nil, false
+	}
+	return l.waitsLocked(), true
+}
+
+// waitsIfDue lists the connections that wait for their clients, unless that was done within shedInterval.
+func (l *Limiter) waitsIfDue(now time.Time) []wait {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.lastShed) < shedInterval {
 		return nil
 	}
+	l.lastShed = now
+	return l.waitsLocked()
+}
+
+// waitsLocked lists the connections that wait for their clients. l.mu must be held.
+func (l *Limiter) waitsLocked() []wait {
 	var out []wait
 	for c := range l.conns {
 		if w, ok := c.wait(); ok {
@@ -145,15 +160,8 @@
 // shed closes connections whose clients keep the instance waiting, to free memory. What their requests hold is free once those
 // have ended.
 func (l *Limiter) shed(bytes int64) {
-	l.mu.Lock()
 	now := l.now()
-	due := now.Sub(l.lastShed) >= shedInterval
-	if due {
-		l.lastShed = now
-	}
-	waits := l.waitsLocked(due)
-	l.mu.Unlock()
-	for _, w := range stalled(waits, bytes, now) {
+	for _, w := range stalled(l.waitsIfDue(now), bytes, now) {
 		l.abort(w, reasonMemory)
 	}
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -149,16 +149,16 @@
 // headers are sent with the first event, so that until then the request may be sent again for another whole response.
 func (x *exchange) relayEvents(resp *backendResponse, out *relayedStream) error {
 	var pending []byte
-	// assured is the number of bytes of an event for which there is memory.
-	assured := int64(streamBufferBytes)
+	// covered is the size of an event for which memory is held; it doubles as the event grows.
+	covered := int64(streamBufferBytes)
 	buf := make([]byte, streamBufferBytes)
 	for {
 		n, err := resp.Body.Read(buf)
-		if grown := int64(len(pending) + n); grown > assured {
-			if x.hold(grown) != nil {
+		if size := int64(len(pending) + n); size > covered {
+			if x.hold(size) != nil {
 				return errStreamNoMemory
 			}
-			assured += grown
+			covered += size
 		}
 		pending = append(pending, buf[:n]...)
 		if complete := lastEventEnd(pending); complete > 0 {
