--- a/internal/turnlog/parts.go
+++ b/internal/turnlog/fragments.go
@@ -11,7 +11,7 @@
 )
 
 // envelopeBytes is the maximum size of what a stored record has beside its writer's name and its change: the framing, the
-// sequence number, and the tags and lengths of the fields, those of a part included.
+// sequence number, and the tags and lengths of the fields, those of a fragment included.
 const envelopeBytes = 64
 
 // maxBatchBytes bounds one append further than the store does. The store's time for an append is proportional to its size, so that
@@ -34,15 +34,15 @@
 	}
 }
 
-// parts is the number of records that a change of the given size is stored in.
-func (s recordSizes) parts(size int) int { return max((size+s.change-1)/s.change, 1) }
+// fragments is the number of records that a change of the given size is stored in.
+func (s recordSizes) fragments(size int) int { return max((size+s.change-1)/s.change, 1) }
 
-// stored is the size of a change in an append, over all its parts.
-func (s recordSizes) stored(size int) int { return size + s.parts(size)*s.envelope }
+// stored is the size of a change in an append, over all its fragments.
+func (s recordSizes) stored(size int) int { return size + s.fragments(size)*s.envelope }
 
-// split returns the record itself if the store takes it, or its parts.
+// split returns the record itself if the store takes it, or its fragments.
 func (s recordSizes) split(r *turnv1.Record) ([]*turnv1.Record, error) {
-	count := s.parts(proto.Size(r))
+	count := s.fragments(proto.Size(r))
 	if count == 1 {
 		return []*turnv1.Record{r}, nil
 	}
@@ -53,7 +53,7 @@
 	out := make([]*turnv1.Record, count)
 	for i := range out {
 		n := min(s.change, len(b))
-		out[i] = &turnv1.Record{Change: &turnv1.Record_Part{Part: &turnv1.Part{Index: int32(i), Count: int32(count), Data: b[:n]}}}
+		out[i] = &turnv1.Record{Change: &turnv1.Record_Fragment{Fragment: &turnv1.Fragment{Index: int32(i), Count: int32(count), Data: b[:n]}}}
 		b = b[n:]
 	}
 	return out, nil
@@ -74,7 +74,7 @@
 	return out
 }
 
-// assembler puts records together that are stored in parts, while the records of a partition are read in order.
+// assembler puts records together that are stored in fragments, while the records of a partition are read in order.
 type assembler struct {
 	writer string
 	count  int32
@@ -82,23 +82,23 @@
 	data   []byte
 }
 
-// add returns the record that takes effect with a stored record, or nil if that is a part and others are missing.
+// add returns the record that takes effect with a stored record, or nil if that is a fragment and others are missing.
 func (a *assembler) add(r *turnv1.Record) *turnv1.Record {
-	part := r.GetPart()
-	if part == nil {
+	fragment := r.GetFragment()
+	if fragment == nil {
 		a.drop()
 		return r
 	}
-	if part.Index == 0 {
+	if fragment.Index == 0 {
 		a.drop()
-		a.writer, a.count = r.Writer, part.Count
+		a.writer, a.count = r.Writer, fragment.Count
 	}
-	if part.Index != a.next || part.Count != a.count || r.Writer != a.writer {
-		// The first parts have expired.
+	if fragment.Index != a.next || fragment.Count != a.count || r.Writer != a.writer {
+		// The first fragments have expired.
 		a.drop()
 		return nil
 	}
-	a.data = append(a.data, part.Data...)
+	a.data = append(a.data, fragment.Data...)
 	if a.next++; a.next < a.count {
 		return nil
 	}
@@ -106,16 +106,16 @@
 	err := proto.Unmarshal(a.data, whole)
 	*a = assembler{}
 	if err != nil {
-		klog.ErrorS(err, "skipped a record in parts that cannot be decoded", "writer", r.Writer)
+		klog.ErrorS(err, "skipped a record in fragments that cannot be decoded", "writer", r.Writer)
 		return nil
 	}
 	return whole
 }
 
-// drop forgets the parts of a record that was not completed: its writer lost the partition in between.
+// drop forgets the fragments of a record that was not completed: its writer lost the partition in between.
 func (a *assembler) drop() {
 	if a.next > 0 {
-		klog.InfoS("dropped an incomplete record", "writer", a.writer, "parts", a.next, "of", a.count, "bytes", len(a.data))
+		klog.InfoS("dropped an incomplete record", "writer", a.writer, "fragments", a.next, "of", a.count, "bytes", len(a.data))
 	}
 	*a = assembler{}
 }
--- a/internal/turnlog/parts_test.go
+++ b/internal/turnlog/fragments_test.go
@@ -88,7 +88,7 @@
 	mustBegin(t, o, begin("t3", "t2", 1000, 100))
 	mustEnd(t, o, end("t3", "t2", "in", "out\n", 50))
 
-	s.store.Trim(Topic, 0, int64(len(s.store.Records(Topic, 0))-2)) // all but the two parts of the last record
+	s.store.Trim(Topic, 0, int64(len(s.store.Records(Topic, 0))-2)) // all but the two fragments of the last record
 	next := s.owner("two", stubFinder{})
 	history := mustBegin(t, next, begin("t4", "t3", 1000, 100)).History
 	is.True(string(history) == long+"out\n"+long+"out\ninout\n")
@@ -112,7 +112,7 @@
 	is.Equal(mustBegin(t, next, begin("last", "", 10_000, 100)).Outstanding, int64((turns+1)*100))
 }
 
-// Guards against turns of which only a part of the record is in the log: they did not end, and the next owner must not find them.
+// Guards against turns of which only a fragment of the record is in the log: they did not end, and the next owner must not find them.
 func TestRecordOfAnOwnerThatIsReplacedHalfwayHasNoEffect(t *testing.T) {
 	is := is.New(t)
 	s := newFixture(t)
@@ -160,25 +160,25 @@
 	is.Equal(string(mustBegin(t, last, begin("t3", "t2", 1000, 100)).History), "inout\n")
 }
 
-func TestRecordWhoseFirstPartsHaveExpiredIsSkipped(t *testing.T) {
+func TestRecordWhoseFirstFragmentsHaveExpiredIsSkipped(t *testing.T) {
 	is := is.New(t)
 	sizes := newRecordSizes(1000, 2000, "w")
 	long := &turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{Input: make([]byte, 5000)}}}
 	short := &turnv1.Record{Change: &turnv1.Record_Acquired{Acquired: &turnv1.Acquired{}}}
-	parts, err := sizes.split(long)
+	fragments, err := sizes.split(long)
 	is.NoErr(err)
-	is.True(len(parts) > 4)
+	is.True(len(fragments) > 4)
 	whole := 0
-	for skipped := range parts {
+	for skipped := range fragments {
 		var a assembler
-		for _, r := range slices.Concat(parts[skipped:], []*turnv1.Record{short}, parts, []*turnv1.Record{short}, parts[:skipped], parts) {
+		for _, r := range slices.Concat(fragments[skipped:], []*turnv1.Record{short}, fragments, []*turnv1.Record{short}, fragments[:skipped], fragments) {
 			if got := a.add(r); got.GetCompleted() != nil {
 				is.Equal(len(got.GetCompleted().Input), 5000)
 				whole++
 			}
 		}
 	}
-	is.Equal(whole, 2*len(parts)+1) // the parts of the first sequence are complete once
+	is.Equal(whole, 2*len(fragments)+1) // the fragments of the first sequence are complete once
 }
 
 // Guards against turns that are acknowledged although their record is empty, since it could not be encoded.
--- a/internal/turnlog/partition.go
+++ b/internal/turnlog/partition.go
@@ -179,11 +179,11 @@
 	end = p.end
 	var records []*turnv1.Record
 	for _, e := range batch {
-		parts, err := p.sizes.split(e.record)
+		fragments, err := p.sizes.split(e.record)
 		if err != nil {
 			return end, err
 		}
-		records = append(records, parts...)
+		records = append(records, fragments...)
 	}
 	for _, some := range p.sizes.appends(records) {
 		next, err := p.append(ctx, end, some)
--- a/internal/turnlog/takeover.go
+++ b/internal/turnlog/takeover.go
@@ -20,7 +20,7 @@
 	start := p.now()
 	s := newState(inlineAfter)
 	s.advanceGrants = p.advanceGrants
-	var parts assembler
+	var fragments assembler
 	var offset int64
 	var records, bytes int
 	for {
@@ -36,7 +36,7 @@
 		for _, b := range page.Records {
 			bytes += len(b)
 			if r := p.decode(b, offset); r != nil {
-				if whole := parts.add(r); whole != nil {
+				if whole := fragments.add(r); whole != nil {
 					s.apply(whole)
 				}
 			}
