gateway: refuse a turn whose history can't be sent to its owner before it runs

A turn beyond that ran, was relayed, and would have been cut off at its end; at its begin it was refused only after the wait for the owner.

Messages have 24 MB now, of which 4 MB are left for the output. A turn with more than that is refused with 413 at once, since no repetition can succeed.

--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -11,6 +11,7 @@
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/feature"
 	"github.com/berylpond/berylpond/internal/homes"
+	"github.com/berylpond/berylpond/internal/peer"
 	"github.com/berylpond/berylpond/internal/turnclient"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
@@ -26,6 +27,10 @@
 	isolatedObjectiveShare = 8
 	// reportTimeout bounds a report in the background of the end of a turn.
 	reportTimeout = 2 * time.Second
+	// maxTurnBytes bounds a turn with its history, so that its end fits into a message to the owner with any output.
+	maxTurnBytes = peer.MaxMessageBytes - maxStreamBytes - maxTurnIDBytes
+	// maxTurnIDBytes is more than the ids of a turn take in that message.
+	maxTurnIDBytes = 128 << 10
 	// noBudget is the wire value for programs without a budget.
 	noBudget = -1
 )
@@ -43,6 +48,10 @@
 	if isCached && !begun.Foreign {
 		history = cached
 	}
+	if len(history)+len(x.body) > maxTurnBytes {
+		x.settle(0)
+		return turnTooLong("the history and the input have %d bytes", len(history)+len(x.body))
+	}
 	body := x.body
 	if len(history) > 0 {
 		if err := x.hold(int64(len(history) + len(x.body))); err != nil {
@@ -159,6 +168,9 @@
 	})
 	if err != nil {
 		x.settle(0)
+		if errors.Is(err, turnclient.ErrTooLong) {
+			return nil, turnTooLong("%v", err)
+		}
 		if errors.Is(err, turnclient.ErrNotAHome) {
 			return nil, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoHome, x.retryDelay(), "%v", err)
 		}
@@ -175,6 +187,11 @@
 	return resp, nil
 }
 
+// turnTooLong is the refusal of a turn that can't be recorded, however often it is tried.
+func turnTooLong(format string, args ...any) error {
+	return verdict.Refuse(http.StatusRequestEntityTooLarge, verdict.ReasonTooLarge, 0, format, args...)
+}
+
 // isolatedBeginLimit bounds the wait for the owner at an isolated instance.
 func (x *exchange) isolatedBeginLimit() time.Duration {
 	if x.route.LatencyObjective <= 0 || !x.features.Enabled(feature.EarlyRefusal) {
--- a/internal/peer/pool.go
+++ b/internal/peer/pool.go
@@ -28,8 +28,8 @@
 	minServerPing = time.Second
 	// maxReconnectDelay is the maximum delay between two attempts to connect.
 	maxReconnectDelay = time.Second
-	// maxMessageBytes is the maximum size of one message between instances.
-	maxMessageBytes = 16 << 20
+	// MaxMessageBytes is the maximum size of one message between instances.
+	MaxMessageBytes = 24 << 20
 	// idleTimeout is how long a connection is kept open after its last use.
 	idleTimeout = 5 * time.Minute
 )
@@ -136,7 +136,7 @@
 		grpc.WithDisableRetry(),
 		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect, MinConnectTimeout: time.Second}),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 	}
 }
 
@@ -186,7 +186,7 @@
 	s := grpc.NewServer(
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: minServerPing, PermitWithoutStream: true}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
 	)
 	healthpb.RegisterHealthServer(s, health.NewServer())
 	return s
--- a/internal/turnclient/turnclient.go
+++ b/internal/turnclient/turnclient.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/turnlog"
@@ -44,6 +46,9 @@
 // ErrNotAHome means that the owner is in a region where the contents of the request must not go.
 var ErrNotAHome = errors.New("the owner of the program's partition is in no home region of the request")
 
+// ErrTooLong means that the turn's history exceeds a message between instances.
+var ErrTooLong = errors.New("the history is too long to be sent to another instance")
+
 // OwnerDirectory maps partitions to their owners.
 type OwnerDirectory interface {
 	// OwnerOf returns the peer address of the owner, or "" if it is unknown.
@@ -81,7 +86,7 @@
 }
 
 // Begin asks the owner to begin a turn. The outcome of the response is final: OK, BUDGET_SPENT or NO_SUCH_TURN. An
-// error means that no owner gave a final outcome before the context ended, or at once (*StoreAwayError) that none will.
+// error means that no owner gave a final outcome before the context ended, or at once (*StoreAwayError, ErrTooLong) that none will.
 func (c *Client) Begin(ctx context.Context, r *turnv1.BeginRequest) (*turnv1.BeginResponse, error) {
 	var lastErr error = ErrNoOwner
 	for {
@@ -95,6 +100,8 @@
 		switch {
 		case errors.Is(err, ErrNotAHome):
 			return nil, err
+		case status.Code(errors.UnwrapAll(err)) == codes.ResourceExhausted:
+			return nil, errors.Mark(err, ErrTooLong)
 		case err != nil:
 			lastErr = err
 		case resp.StoreAwayMs > 0 && c.StoreAway != nil && c.StoreAway():
