--- a/internal/clientconn/conn.go
+++ b/internal/clientconn/conn.go
@@ -1,6 +1,7 @@
 package clientconn
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -61,24 +62,23 @@
 
 // add counts what was read while a head is expected.
 func (h *headCount) add(b []byte) {
-	h.tail = 0
-	for _, ch := range b {
-		switch {
-		case h.ended && ch == '\n':
-			h.tail++
-		case h.ended:
-		case ch == '\n':
+	read := 0
+	for read < len(b) && !h.ended {
+		if b[read] == '\n' {
 			h.ended = h.atLineStart
 			h.atLineStart = true
 			h.lines++
-			h.bytes++
-		default:
-			h.atLineStart = h.atLineStart && ch == '\r'
-			h.bytes++
+		} else {
+			h.atLineStart = h.atLineStart && b[read] == '\r'
 		}
+		read++
 	}
+	h.bytes += int64(read)
+	h.tail = countLines(b[read:])
 }
 
+func countLines(b []byte) int64 { return int64(bytes.Count(b, []byte{'\n'})) }
+
 // cost is what the head takes once it is decoded.
 func (h *headCount) cost() int64 { return headGrowth*h.bytes + headLineBytes*h.lines }
 
@@ -122,9 +122,7 @@
 	defer c.mu.Unlock()
 	if c.serving {
 		// All but the last read has been taken by the request.
-		after := headCount{ended: true}
-		after.add(b)
-		c.head.tail = after.tail
+		c.head.tail = countLines(b)
 		return 0
 	}
 	c.head.add(b)
