gateway: bound the events of a stream whether its output is kept or not

Cause: since the output is kept only where it is stored, and the bound of 4 MB was on what is kept. It is on the size of the events again.

--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -20,8 +20,8 @@
 	streamBufferBytes = 8 << 10
 	// maxEventBytes bounds one event of a stream.
 	maxEventBytes = 1 << 20
-	// maxStreamBytes bounds the output of one stream, which is held until the turn is recorded. It is far above what a model
-	// generates in one turn.
+	// maxStreamBytes bounds the events of one stream, whose output may be held until the turn is recorded. It is far above what
+	// a model generates in one turn.
 	maxStreamBytes = 4 << 20
 	// assuredOutputBytes is the output that a stream may hold even if the instance has no memory for it: streams of usual
 	// length are not broken off.
@@ -31,6 +31,8 @@
 // relayedStream records what was relayed to the client, over all runs of the request.
 type relayedStream struct {
 	events int
+	// bytes is the size of these events.
+	bytes int
 	// output holds the data of each event, each followed by a line feed, if it is kept.
 	output     []byte
 	keepOutput bool
@@ -168,7 +170,7 @@
 			pending = append(pending[:0], pending[complete:]...)
 		}
 		switch {
-		case len(pending) > maxEventBytes, len(out.output) > maxStreamBytes:
+		case len(pending) > maxEventBytes, out.bytes > maxStreamBytes:
 			return errStreamTooLong
 		case errors.Is(err, io.EOF) && len(pending) > 0:
 			return errors.Wrap(errStreamTruncated, "the last event has no end")
@@ -260,6 +262,7 @@
 			continue
 		}
 		o.events++
+		o.bytes += len(e.raw)
 		o.position.Advance(e.id)
 		if !o.keepOutput {
 			continue
