--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases 6 to 10. Run it in the root of the repository, after the build of deploy/system.toml.
+set -e
+cd "$(dirname "$0")/.."
+go build -o target/review-2/ ./review/descriptors
