--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,3 +4,4 @@
 cd "$(dirname "$0")/.."
 go build -o target/review-2/ ./review/descriptors
 go build -o target/review-2/ ./review/fullowner
+go build -o target/review-2/ ./review/histories
