--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,3 +5,4 @@
 go build -o target/review-2/ ./review/descriptors
 go build -o target/review-2/ ./review/fullowner
 go build -o target/review-2/ ./review/histories
+go build -o target/review-2/ ./review/unsigned
