--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,3 +6,4 @@
 go build -o target/review-2/ ./review/fullowner
 go build -o target/review-2/ ./review/histories
 go build -o target/review-2/ ./review/unsigned
+go build -o target/review-2/ ./review/leaving
