--- a/review/descriptors/main.go
+++ b/review/descriptors/main.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/berylpond/berylpond/review/lab"
@@ -123,7 +124,14 @@
 
 func main() { lab.Run(partitions, run) }
 
+// ownFiles is how many descriptors this program needs for its clients and runners.
+const ownFiles = 8000
+
 func run(s *lab.Site) (int, error) {
+	var own syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &own); err != nil || own.Cur < ownFiles {
+		return 0, fmt.Errorf("the clients and the runners need %d descriptors, and may have %d (%v)", ownFiles, own.Cur, err)
+	}
 	if err := s.Configure(configuration()); err != nil {
 		return 0, err
 	}
