--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 cd "$(dirname "$0")/.."
 go build -o target/review-2/ ./review/descriptors
 go build -o target/review-2/ ./review/fullowner
+go build -o target/review-2/ ./review/longturn
 go build -o target/review-2/ ./review/histories
 go build -o target/review-2/ ./review/unsigned
-go build -o target/review-2/ ./review/leaving
--- a/review/fullowner/main.go
+++ b/review/fullowner/main.go
@@ -17,7 +17,7 @@
 	partitions = 12
 	machines   = 12
 	// shortKeep and longKeep are the times for which the turns of the two routes are kept.
-	shortKeep, longKeep = 10 * time.Second, 60 * time.Second
+	shortKeep, longKeep = 10 * time.Second, 90 * time.Second
 	// slack is for how much longer than that the memory of a turn may well be in use: the daemon allows for clocks that differ, and
 	// looks for what has expired every 20 s.
 	slack = 26 * time.Second
