--- a/review/descriptors/main.go
+++ b/review/descriptors/main.go
@@ -26,7 +26,7 @@
 	gap      = time.Second
 	drain    = 2500 * time.Millisecond
 	// busy is the time with replacements, calm that without before the last requests.
-	busy, calm = 64 * time.Second, 8 * time.Second
+	busy, calm = 76 * time.Second, 8 * time.Second
 	// wave is the number of requests that a machine has in progress once a second: some at each runner.
 	wave = 2 * perService * 16
 	work = 60 * time.Millisecond
