--- a/review/fullowner/main.go
+++ b/review/fullowner/main.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/berylpond/berylpond/internal/turnlog"
@@ -22,12 +24,12 @@
 	// looks for what has expired every 20 s.
 	slack = 26 * time.Second
 
-	// documents is the number of programs that bring documents, each of documentTurns turns: 352 MB in all, of 400 MB that the store
-	// takes.
-	documents, documentTurns = 22, 4
-	// documentBytes is the input of such a turn, within bodyBytes; usualBytes is that of others.
-	documentBytes, usualBytes = 4_000_000, 17_000
-	bodyBytes                 = 4 << 20
+	// agents is how many sub-agents of the program that loops run at once; it is stopped after so many turns without the disruption.
+	agents, usualTurns = 4, 20
+	// loopBytes is the input of each of its turns, the longest on the sheets; usualBytes is that of others, the mean there.
+	loopBytes, usualBytes = 100_000, 17_000
+	loopBudget            = 100_000
+	bodyBytes             = 4 << 20
 
 	newPrograms = 60
 	// tries is the number of attempts of a turn: two, and twice again from its start. enough of them without a runner are LOST.
@@ -57,6 +59,7 @@
 // program is a client's program of turns that follow one another.
 type program struct {
 	id, session, path string
+	budget            int
 	previous          string
 	// answered is when the previous turn was answered whole.
 	answered time.Time
@@ -71,8 +74,8 @@
 	for n := range most {
 		a := lab.Attempt{
 			ID: lab.NewID(), Method: http.MethodPost, Path: p.path, Deadline: 5 * time.Second, Body: input, Header: map[string]string{
-				"Model": "m", "Program-Id": p.id, "Session-Id": p.session, "Finish-Ms": "60000", "Token-Budget": "4704",
-				"Token-Usage": fmt.Sprintf("%d,56", len(input)/4), "Prompt-Prefix": fmt.Sprintf("%s:%d", p.session, len(input)/4),
+				"Model": "m", "Program-Id": p.id, "Session-Id": p.session, "Finish-Ms": "60000", "Token-Budget": strconv.Itoa(p.budget),
+				"Token-Usage": fmt.Sprintf("%d,56", len(input)), "Prompt-Prefix": fmt.Sprintf("%s:%d", p.session, len(input)),
 			},
 		}
 		if p.previous != "" {
@@ -86,7 +89,8 @@
 			p.turns++
 			return failed, true
 		}
-		if time.Since(p.answered) < longKeep {
+		// An attempt that was refused promises not to run, and the runners tell that it has not.
+		if time.Since(p.answered) < longKeep && !p.ran(a.ID) {
 			failed++
 		}
 		time.Sleep(min(max(got.RetryAfter, 100*time.Millisecond), 1600*time.Millisecond))
@@ -94,8 +98,20 @@
 	return failed, false
 }
 
+// ran reports whether an attempt has run at a runner.
+func (p *program) ran(id string) bool {
+	for _, r := range runners {
+		if r.Ran(id) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+var runners []*lab.Runner
+
 func newProgram(ids *rand.Rand, path string) *program {
-	return &program{id: fmt.Sprintf("%014x", ids.Uint64()>>8), session: fmt.Sprintf("%08x", ids.Uint32()), path: path}
+	return &program{id: fmt.Sprintf("%014x", ids.Uint64()>>8), session: fmt.Sprintf("%08x", ids.Uint32()), path: path, budget: 4704}
 }
 
 func main() { lab.Run(partitions, run) }
@@ -104,7 +120,6 @@
 	if err := s.Configure(configuration()); err != nil {
 		return 0, err
 	}
-	var runners []*lab.Runner
 	for i := range 9 {
 		r := &lab.Runner{
 			ID: fmt.Sprintf("i-%08x", 0x7f3a0000+i), Service: "model-pool", Zone: []string{"giza", "nasr", "shubra"}[i%3], Slots: 64, Events: 4,
@@ -120,7 +135,6 @@
 	}
 	time.Sleep(5 * time.Second) // the partitions have found their owners, and the machines are in touch
 	c := lab.FreshConnections()
-	// The ids of one day: by chance one partition gets 6 of the programs with documents, as on 5 of 39 days that were drawn.
 	ids := rand.New(rand.NewPCG(14, 43))
 
 	var talks []*program
@@ -133,33 +147,28 @@
 	}
 	s.Note("%d conversations have begun", len(talks))
 
-	size := usualBytes
-	if s.Trouble {
-		size = documentBytes
-	}
-	var big []*program
-	for range documents {
-		big = append(big, newProgram(ids, "/lookup/2"))
+	// The program that loops: its first turn, then sub-agents that go on from that one, again and again until it is stopped.
+	parent := newProgram(ids, "/lookup/2")
+	parent.budget = loopBudget
+	if _, ok := parent.turn(s, c, make([]byte, loopBytes), 0, tries); !ok {
+		return 0, fmt.Errorf("the program that loops could not begin")
 	}
 	var wg sync.WaitGroup
-	limit := make(chan struct{}, 6)
-	for i, p := range big {
+	var turns atomic.Int64
+	for agent := range agents {
 		wg.Go(func() {
-			limit <- struct{}{}
-			defer func() { <-limit }()
-			for range documentTurns {
-				if _, ok := p.turn(s, c, make([]byte, size), i, 2); !ok {
+			for n := 0; s.Trouble || n < usualTurns/agents; n++ {
+				p := *parent
+				p.session = fmt.Sprintf("%04x%04x", agent, n)
+				if _, ok := p.turn(s, c, make([]byte, loopBytes), agent+n, tries); !ok {
 					return
 				}
+				turns.Add(1)
 			}
 		})
 	}
 	wg.Wait()
-	served := map[int]int{}
-	for _, p := range big {
-		served[p.partition()] += p.turns
-	}
-	s.Note("turns of %d bytes that were answered whole, by partition: %v", size, served)
+	s.Note("the program that loops, in partition %d, is stopped after %d turns of %d bytes", parent.partition(), turns.Load(), loopBytes)
 	time.Sleep(shortKeep + slack)
 	s.Note("all turns of the route that keeps them for %v have expired", shortKeep)
 
@@ -179,7 +188,6 @@
 			}
 		})
 	}
-	wg.Wait()
 	began := 0
 	for i := range newPrograms {
 		wg.Go(func() {
