connreset: a reset that a write was told of is no orderly end of an answer

Callers saw: a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was being written. The part reached the caller as a whole answer.

Cause: the kernel reports a reset to one call. The upload's write got ECONNRESET, and the read after it a clean end, which ends a body without a length. It needs a write in progress, so short uploads never show it.

Fix: the connections of upstream, of a tunnel's carrier and of the engine client return io.EOF only if the peer has ended its side in order.

Ruled out: answers of the store, of orders and of polls. Their requests are short or have no body, or their answer is a JSON document, which does not decode if it is cut; chats of the engine client end with a marker.

--- /dev/null
+++ b/internal/engine/broken_response_test.go
@@ -0,0 +1,73 @@
+package engine_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/engine"
+	"github.com/berylpond/berylpond/internal/fakes/rawserver"
+	"github.com/berylpond/berylpond/internal/verdict"
+)
+
+func serviceCall(id string, body []byte) engine.ServiceRequest {
+	return engine.ServiceRequest{
+		RequestID: id, Method: http.MethodPost, Path: "/x", Body: body, Timeout: 3 * time.Second, MaxResponseBytes: 1 << 20,
+	}
+}
+
+// Incident: servers answered a long upload at once with a success that had no length, sent part of its body and reset the
+// connection while the upload was still being written.
+func TestServiceResponseThatIsResetDuringAnUploadIsNotWhole(t *testing.T) {
+	const requests = 30
+	address := rawserver.Start(t, func(c *net.TCPConn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n"+strings.Repeat("x", 20_000))
+		time.Sleep(50 * time.Millisecond)
+		c.SetLinger(0)
+	})
+	is := is.New(t)
+	client := engine.New(engine.DefaultTimeouts, nil)
+	whole := 0
+	for range requests {
+		if _, err := client.CallService(t.Context(), address, serviceCall("r", make([]byte, 4<<20))); err == nil {
+			whole++
+		} else {
+			is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+		}
+	}
+	is.Equal(whole, 0)
+}
+
+func TestServiceResponseThatEndsWithItsConnectionIsWhole(t *testing.T) {
+	for name, halfClosed := range map[string]bool{"closed after the upload": false, "half closed before it": true} {
+		t.Run(name, func(t *testing.T) {
+			address := rawserver.Start(t, func(c *net.TCPConn, br *bufio.Reader) {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				if !halfClosed {
+					io.Copy(io.Discard, r.Body)
+				}
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+				if halfClosed {
+					c.CloseWrite()
+					io.Copy(io.Discard, r.Body)
+				}
+			})
+			is := is.New(t)
+			resp, err := engine.New(engine.DefaultTimeouts, nil).CallService(t.Context(), address, serviceCall("r", make([]byte, 2<<20)))
+			is.NoErr(err)
+			is.Equal(string(resp.Body), "whole")
+		})
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/tmaxmax/go-sse"
 
+	"github.com/berylpond/berylpond/internal/connreset"
 	"github.com/berylpond/berylpond/internal/failpoint"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
@@ -66,7 +67,7 @@
 		timeouts: t,
 		http: &http.Client{
 			Transport: &http.Transport{
-				DialContext:         dialer.DialContext,
+				DialContext:         connreset.GuardDial(dialer.DialContext),
 				MaxIdleConnsPerHost: maxIdlePerBackend,
 				IdleConnTimeout:     time.Minute,
 				DisableCompression:  true,
--- /dev/null
+++ b/internal/instance/broken_response_test.go
@@ -0,0 +1,158 @@
+package instance
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/berylpond/berylpond/internal/fakes/rawserver"
+)
+
+// uploadConfiguration has routes to a service of one server, with bodies of several megabytes.
+const uploadConfiguration = `{"version":%d,"routes":[
+	{"name":"read","host":"h.example","pathPrefix":"/raw-read/","kind":"idempotent","timeoutMs":3000,"service":"raw","maxAttempts":2},
+	{"name":"pay","host":"h.example","pathPrefix":"/raw-pay/","kind":"non_idempotent","timeoutMs":3000,"service":"raw","maxAttempts":2},
+	{"name":"quote","host":"h.example","pathPrefix":"/raw-quote/","kind":"streaming","timeoutMs":3000,"maxAttempts":2,"service":"raw","retainS":60}],
+	"services":[{"name":"raw","engine":{"chunkTokens":10,"slots":8}},{"name":"llm"},{"name":"tool"}],
+	"tenants":[{"name":"acme","apiKeys":["key-a"],"ratePerS":10000,"burstSize":10000}],
+	"limits":{"bodyBytes":8000000,"headerBytes":16384,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
+
+// serveRaw registers a server that handles raw connections, and routes to it.
+func (s *site) serveRaw(handle func(c *net.TCPConn, br *bufio.Reader)) {
+	s.t.Helper()
+	address := rawserver.Start(s.t, handle)
+	s.store.PutKeyed("keyed.op", "config", fmt.Appendf(nil, uploadConfiguration, 2))
+	s.store.PutKeyed("keyed.servers", "raw-1", fmt.Appendf(nil,
+		`{"service":"raw","addr":%q,"zone":"a","slots":100,"state":"ready","seq":1,"born":1}`, address))
+}
+
+// awaitRaw waits until every instance knows the server of serveRaw.
+func (s *site) awaitRaw() {
+	s.t.Helper()
+	for _, n := range s.nodes {
+		s.eventually("the server is known", func() bool {
+			a := s.do(n, call{path: "/raw-read/ping"})
+			return !a.broken && a.status == http.StatusOK
+		})
+	}
+}
+
+// headOf returns the head of a successful response to a request, up to its last line.
+func headOf(r *http.Request) string {
+	return "HTTP/1.1 200 OK\r\nRequest-Id: " + r.Header.Get("Request-Id") + "\r\nResponse-Stamp: s\r\n"
+}
+
+// isPing answers a request of awaitRaw.
+func isPing(c net.Conn, r *http.Request) bool {
+	if !strings.HasSuffix(r.URL.Path, "ping") {
+		return false
+	}
+	io.WriteString(c, headOf(r)+"Content-Length: 4\r\n\r\npong")
+	return true
+}
+
+// Incident: servers answered a long upload at once with a success that had no length, sent part of its body and reset the
+// connection while the upload was still being written.
+func TestSuccessWithoutLengthThatIsResetDuringAnUploadIsNotDelivered(t *testing.T) {
+	const partBytes = 20_000
+	resetEarly := func(c *net.TCPConn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil || isPing(c, r) {
+			return
+		}
+		part := strings.Repeat("x", partBytes)
+		if strings.HasPrefix(r.URL.Path, "/raw-quote/") {
+			part = strings.Repeat("id: 1\ndata: x\n\n", partBytes/15)
+		}
+		io.WriteString(c, headOf(r)+"\r\n"+part)
+		if strings.HasSuffix(r.URL.Path, "/late") {
+			time.Sleep(50 * time.Millisecond)
+		}
+		c.SetLinger(0)
+	}
+	for _, throughPeer := range []bool{false, true} {
+		s, p := partitionedSite(t)
+		s.serveRaw(resetEarly)
+		s.awaitRaw()
+		p.refuses.Store(throughPeer)
+		for _, prefix := range []string{"/raw-read/", "/raw-pay/", "/raw-quote/"} {
+			for _, reset := range []struct {
+				when                  string
+				uploadBytes, requests int
+			}{{"at-once", 2 << 20, 30}, {"late", 4 << 20, 10}} {
+				t.Run(fmt.Sprintf("%s%s, through a peer: %v", prefix, reset.when, throughPeer), func(t *testing.T) {
+					is := is.New(t)
+					upload := strings.Repeat("u", reset.uploadBytes)
+					whole := 0
+					for range reset.requests {
+						if a := s.do(s.nodes[0], call{path: prefix + reset.when, body: upload}); a.status == http.StatusOK && !a.broken {
+							whole++
+						}
+					}
+					is.Equal(whole, 0)
+				})
+			}
+		}
+	}
+}
+
+// What servers may do while an upload goes on, with responses whose bodies are whole.
+func TestWholeResponsesToLongUploadsAreDelivered(t *testing.T) {
+	readAll := func(r *http.Request) { io.Copy(io.Discard, r.Body) }
+	respond := map[string]func(c *net.TCPConn, r *http.Request){
+		"ended-by-closing": func(c *net.TCPConn, r *http.Request) {
+			readAll(r)
+			io.WriteString(c, headOf(r)+"\r\nwhole")
+		},
+		"early-with-length": func(c *net.TCPConn, r *http.Request) {
+			io.WriteString(c, headOf(r)+"Content-Length: 5\r\n\r\nwhole")
+			readAll(r)
+		},
+		"early-in-chunks": func(c *net.TCPConn, r *http.Request) {
+			io.WriteString(c, headOf(r)+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+			readAll(r)
+		},
+		"early-half-closed": func(c *net.TCPConn, r *http.Request) {
+			io.WriteString(c, headOf(r)+"\r\nwhole")
+			c.CloseWrite()
+			readAll(r)
+		},
+		"after-interim": func(c *net.TCPConn, r *http.Request) {
+			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
+			readAll(r)
+			io.WriteString(c, headOf(r)+"Content-Length: 5\r\n\r\nwhole")
+		},
+	}
+	s, p := partitionedSite(t)
+	s.serveRaw(func(c *net.TCPConn, br *bufio.Reader) {
+		if r, err := http.ReadRequest(br); err == nil && !isPing(c, r) {
+			respond[path.Base(r.URL.Path)](c, r)
+		}
+	})
+	s.awaitRaw()
+	upload := strings.Repeat("u", 2<<20)
+	for _, throughPeer := range []bool{false, true} {
+		p.refuses.Store(throughPeer)
+		for name := range respond {
+			for _, prefix := range []string{"/raw-read/", "/raw-pay/"} {
+				t.Run(fmt.Sprintf("%s%s, through a peer: %v", prefix, name, throughPeer), func(t *testing.T) {
+					is := is.New(t)
+					for range 10 {
+						a := s.do(s.nodes[0], call{path: prefix + name, body: upload})
+						is.Equal(a.status, http.StatusOK)
+						is.Equal(a.body, "whole")
+						is.True(!a.broken)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -16,6 +16,7 @@
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 	"github.com/berylpond/berylpond/internal/backendpath"
+	"github.com/berylpond/berylpond/internal/connreset"
 )
 
 // chunkBytes is the largest number of bytes in one message.
@@ -104,6 +105,7 @@
 	if err != nil {
 		return status.Error(codes.FailedPrecondition, err.Error())
 	}
+	c = connreset.Guard(c)
 	defer c.Close()
 	if err := stream.Send(&turnv1.TunnelResponse{}); err != nil {
 		return err
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/berylpond/berylpond/internal/connreset"
 )
 
 const (
@@ -98,6 +100,7 @@
 }
 
 func newConn(c net.Conn) *conn {
+	c = connreset.Guard(c)
 	head := &headLimiter{Reader: c, left: -1}
 	return &conn{Conn: c, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -430,3 +431,23 @@
 	wg.Wait()
 	is.Equal(early.Load(), int32(0))
 }
+
+// Incident: a success without a length whose connection was reset while the upload was being written. The write was told of the
+// reset, and the read saw an orderly end.
+func TestResetThatTheUploadWasToldOfIsNoEndOfABody(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err != nil {
+			return
+		}
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n\r\n"+strings.Repeat("x", 20_000))
+		c.(*net.TCPConn).SetLinger(0)
+	})
+	r := request("r1")
+	r.Body = make([]byte, 32<<20)
+	resp, err := NewPool(directPath{}).Do(t.Context(), address, r)
+	is.NoErr(err)
+	is.True(errors.Is(<-resp.written, syscall.ECONNRESET))
+	_, err = io.ReadAll(resp.Body)
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
