httphead: a head with status 000 is no answer

Callers saw: a server in trouble sent an answer with status 000, and the caller got an answer.

Cause: net/http's parser takes any three characters that Atoi reads as a number of zero or more. The connections to backend servers skipped heads below 200 as interim ones, so that the body of such an answer, or what came after it, was read as the next head. The engine client, orders and the client of the log of `berylpondd run` took 000 as the status of an answer.

Fix: httphead.Check, called wherever a head is read: an exchange with a backend server, the engine client, polls, orders, the log's client, the store's. Such a connection is closed; the request may have run.

Ruled out: chats, polls and calls to the store compare the status with those that they know; they call Check all the same.

--- a/internal/engine/broken_response_test.go
+++ b/internal/engine/broken_response_test.go
@@ -71,3 +71,30 @@
 		})
 	}
 }
+
+// malformedHeads are heads of responses that are none in HTTP, though net/http's client takes them.
+var malformedHeads = map[string]string{
+	"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n\r\nbytes",
+	"status 099": "HTTP/1.1 099 Trouble\r\nContent-Length: 5\r\n\r\nbytes",
+}
+
+func TestMalformedHeadIsNoServiceResponse(t *testing.T) {
+	for name, sent := range malformedHeads {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := rawserver.Start(t, func(c *net.TCPConn, br *bufio.Reader) {
+				if _, err := http.ReadRequest(br); err == nil {
+					io.WriteString(c, sent)
+				}
+			})
+			client := engine.New(engine.DefaultTimeouts, nil)
+			resp, err := client.CallService(t.Context(), address, serviceCall("r", nil))
+			t.Logf("%+v, %v", resp, err)
+			is.True(err != nil)
+			is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+			_, err = client.Chat(t.Context(), address, request("r1"), func(*engine.Message) error { return nil })
+			is.True(err != nil)
+			is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+		})
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -17,6 +17,7 @@
 
 	"github.com/berylpond/berylpond/internal/connreset"
 	"github.com/berylpond/berylpond/internal/failpoint"
+	"github.com/berylpond/berylpond/internal/httphead"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -159,10 +160,23 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.do(req)
 	return resp, gotConn.Load(), err
 }
 
+// do sends a request and returns the response if its head is well-formed.
+func (c *Client) do(req *http.Request) (*http.Response, error) {
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := httphead.Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
 func connectionError(err error, sent bool) error {
 	if !sent {
 		return verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend, retryAfterNoBackend,
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return ServiceResponse{}, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "building the request: %v", err)
 	}
-	resp, err := c.http.Do(req)
+	resp, err := c.do(req)
 	if err != nil {
 		return ServiceResponse{}, w.classify(connectionError(err, gotConn.Load()))
 	}
--- a/internal/instance/broken_response_test.go
+++ b/internal/instance/broken_response_test.go
@@ -156,3 +156,40 @@
 		}
 	}
 }
+
+// Incident: servers in trouble sent what is no head of a response, and it reached clients as one.
+func TestMalformedHeadsAreNotDelivered(t *testing.T) {
+	const forged = "HTTP/1.1 200 OK\r\nResponse-Stamp: forged\r\nContent-Length: 6\r\n\r\nforged"
+	heads := map[string]func(r *http.Request) string{
+		"status-000": func(r *http.Request) string {
+			return strings.Replace(headOf(r), "200 OK", "000 Trouble", 1) + "Content-Length: 5\r\n\r\nbytes"
+		},
+		"status-000-before-a-response": func(r *http.Request) string {
+			return strings.Replace(headOf(r), "200 OK", "000 Trouble", 1) + "Content-Length: 0\r\n\r\n" +
+				strings.Replace(forged, "Content", "Request-Id: "+r.Header.Get("Request-Id")+"\r\nContent", 1)
+		},
+	}
+	s, p := partitionedSite(t)
+	s.serveRaw(func(c *net.TCPConn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil || isPing(c, r) {
+			return
+		}
+		io.Copy(io.Discard, r.Body)
+		io.WriteString(c, heads[path.Base(r.URL.Path)](r))
+	})
+	s.awaitRaw()
+	for _, throughPeer := range []bool{false, true} {
+		p.refuses.Store(throughPeer)
+		for name := range heads {
+			for _, prefix := range []string{"/raw-read/", "/raw-pay/", "/raw-quote/"} {
+				t.Run(fmt.Sprintf("%s%s, through a peer: %v", prefix, name, throughPeer), func(t *testing.T) {
+					is := is.New(t)
+					a := s.do(s.nodes[0], call{path: prefix + name, body: "input"})
+					is.Equal(a.status, http.StatusBadGateway)
+					is.Equal(a.header.Get("Response-Stamp"), "")
+				})
+			}
+		}
+	}
+}
--- a/internal/keeper/poll.go
+++ b/internal/keeper/poll.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/berylpond/berylpond/internal/httphead"
 	"github.com/berylpond/berylpond/internal/scheduler"
 	"github.com/berylpond/berylpond/internal/scheduler/framework"
 )
@@ -231,6 +232,9 @@
 		return err
 	}
 	defer response.Body.Close()
+	if err := httphead.Check(response); err != nil {
+		return err
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxPollResponse))
 	if err != nil {
 		return err
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -19,6 +19,7 @@
 	journalv1 "github.com/berylpond/berylpond/api/journal/v1"
 	ordersv1 "github.com/berylpond/berylpond/api/orders/v1"
 	"github.com/berylpond/berylpond/internal/failpoint"
+	"github.com/berylpond/berylpond/internal/httphead"
 	"github.com/berylpond/berylpond/internal/journal"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
@@ -270,7 +271,10 @@
 	if err != nil {
 		return 0, err
 	}
-	resp.Body.Close()
+	defer resp.Body.Close()
+	if err := httphead.Check(resp); err != nil {
+		return 0, err
+	}
 	return resp.StatusCode, nil
 }
 
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -1,8 +1,11 @@
 package orders
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -14,6 +17,7 @@
 
 	journalv1 "github.com/berylpond/berylpond/api/journal/v1"
 	ordersv1 "github.com/berylpond/berylpond/api/orders/v1"
+	"github.com/berylpond/berylpond/internal/fakes/rawserver"
 	"github.com/berylpond/berylpond/internal/journal"
 )
 
@@ -189,3 +193,16 @@
 	_, err := c.Submit(context.Background(), "e1", "paint", "blue", "ops")
 	is.True(err != nil)
 }
+
+// Guards against an order that counts as done because its engine answered with a status that is none.
+func TestOrderWithAMalformedResponseIsNotDone(t *testing.T) {
+	is := is.New(t)
+	address := rawserver.Start(t, func(c *net.TCPConn, br *bufio.Reader) {
+		if _, err := http.ReadRequest(br); err == nil {
+			io.WriteString(c, "HTTP/1.1 000 Trouble\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := New(&singleShard{term: 1}, &stream{}, func(string) bool { return true }, http.DefaultClient)
+	_, err := c.post(t.Context(), OrderState{ID: "a", Engine: address, Kind: KindLoadModel, Name: "m"})
+	is.True(err != nil)
+}
--- a/internal/platformclient/platformclient.go
+++ b/internal/platformclient/platformclient.go
@@ -17,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/berylpond/berylpond/internal/httphead"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -182,6 +183,9 @@
 		return transportError(err)
 	}
 	defer resp.Body.Close()
+	if err := httphead.Check(resp); err != nil {
+		return transportError(err)
+	}
 	return decodeResponse(resp, out)
 }
 
--- a/internal/platformclient/platformclient_test.go
+++ b/internal/platformclient/platformclient_test.go
@@ -1,6 +1,10 @@
 package platformclient
 
 import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -10,6 +14,7 @@
 	"github.com/berylpond/berylpond/internal/fakes/fault"
 	"github.com/berylpond/berylpond/internal/fakes/instances"
 	"github.com/berylpond/berylpond/internal/fakes/logsvc"
+	"github.com/berylpond/berylpond/internal/fakes/rawserver"
 	"github.com/berylpond/berylpond/internal/verdict"
 )
 
@@ -167,3 +172,21 @@
 	is.NoErr(err)
 	is.Equal(len(list), 0)
 }
+
+// Guards against an instance that counts as registered because the platform answered with a status that is none.
+func TestMalformedResponseIsNoSuccess(t *testing.T) {
+	is := is.New(t)
+	address := rawserver.Start(t, func(c *net.TCPConn, br *bufio.Reader) {
+		if r, err := http.ReadRequest(br); err == nil {
+			io.Copy(io.Discard, r.Body)
+			io.WriteString(c, "HTTP/1.1 000 Trouble\r\nContent-Length: 20\r\n\r\n{\"first_offset\":  1}")
+		}
+	})
+	client := New("http://" + address)
+	err := client.DeleteInstance(t.Context(), "x")
+	is.True(err != nil)
+	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+	_, err = client.Append(t.Context(), "s", [][]byte{[]byte("x")})
+	is.True(err != nil)
+	is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+}
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -19,6 +19,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/berylpond/berylpond/internal/backendpath"
+	"github.com/berylpond/berylpond/internal/httphead"
 	"github.com/berylpond/berylpond/internal/verdict"
 	"github.com/berylpond/berylpond/platform"
 )
@@ -222,6 +223,9 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the answer")
 		}
+		if err := httphead.Check(resp); err != nil {
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -451,3 +451,32 @@
 	_, err = io.ReadAll(resp.Body)
 	is.True(errors.Is(err, syscall.ECONNRESET))
 }
+
+// malformedHeads are heads of responses to the request r1 that are none in HTTP. net/http's parser takes them, or skips them.
+var malformedHeads = map[string]string{
+	"status 000":                       "HTTP/1.1 000 Trouble\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\nbytes",
+	"status 000, no body":              "HTTP/1.1 000 Trouble\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n\r\n",
+	"status 000, a response as body":   "HTTP/1.1 000 Trouble\r\nRequest-Id: r1\r\nContent-Length: 79\r\n\r\n" + okResponse("r1", "forged"),
+	"status 099":                       "HTTP/1.1 099 Trouble\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\nbytes",
+	"status +99":                       "HTTP/1.1 +99 Trouble\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\nbytes",
+	"status 000 after an interim head": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Trouble\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n" + okResponse("r1", "forged"),
+}
+
+func TestMalformedHeadIsNoResponse(t *testing.T) {
+	for name, sent := range malformedHeads {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				readRequest(br)
+				io.WriteString(c, sent)
+				c.Read(make([]byte, 1)) // until the other side closes the connection
+			})
+			body, err := get(t, NewPool(directPath{}), address, "r1")
+			t.Logf("%q, %v", body, err)
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Verdict, verdict.MayHaveRun)
+			is.True(!errors.Is(err, context.DeadlineExceeded)) // it is known at once
+		})
+	}
+}
