httphead: a head with a blank in or before a field name is no answer

Callers saw: a server in trouble sent an answer in whose head a field name held a blank. The caller got it as an answer, with a body or a signature that was not the server's.

Cause: net/http's parser keeps "Content-Length : 5" and "Transfer-Encoding : chunked" under names that nothing looks for, so that the body runs to the end of the connection or still has its chunk sizes; it joins a line that begins with a blank to the value before it, here the signature. Names with control bytes it rejects: handled before, kept as cases.

RFC 9112, 5.2, leaves a gateway the choice between a 502 and joining them.

Not changed: the engine client of `berylpondd run` joins folded lines as the RFC allows; it passes on no field but Content-Type.

--- a/internal/engine/broken_response_test.go
+++ b/internal/engine/broken_response_test.go
@@ -74,8 +74,12 @@
 
 // malformedHeads are heads of responses that are none in HTTP, though net/http's client takes them.
 var malformedHeads = map[string]string{
-	"status 000": "HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n\r\nbytes",
-	"status 099": "HTTP/1.1 099 Trouble\r\nContent-Length: 5\r\n\r\nbytes",
+	"status 000":                   "HTTP/1.1 000 Trouble\r\nContent-Length: 5\r\n\r\nbytes",
+	"status 099":                   "HTTP/1.1 099 Trouble\r\nContent-Length: 5\r\n\r\nbytes",
+	"blank before a colon, length": "HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nbytes",
+	"blank before a colon, chunks": "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
+	"blank in a name":              "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX Note: 1\r\n\r\nbytes",
+	"control byte in a name":       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nX-\x01Note: 1\r\n\r\nbytes",
 }
 
 func TestMalformedHeadIsNoServiceResponse(t *testing.T) {
--- a/internal/instance/broken_response_test.go
+++ b/internal/instance/broken_response_test.go
@@ -160,7 +160,17 @@
 // Incident: servers in trouble sent what is no head of a response, and it reached clients as one.
 func TestMalformedHeadsAreNotDelivered(t *testing.T) {
 	const forged = "HTTP/1.1 200 OK\r\nResponse-Stamp: forged\r\nContent-Length: 6\r\n\r\nforged"
+	fields := func(fields string) func(r *http.Request) string {
+		return func(r *http.Request) string { return headOf(r) + fields + "\r\n\r\nbytes" }
+	}
 	heads := map[string]func(r *http.Request) string{
+		"blank-before-a-colon":   fields("Content-Length : 5"),
+		"blank-in-a-name":        fields("X Note: 1\r\nContent-Length: 5"),
+		"blank-before-a-name":    fields(" X-Note: 1\r\nContent-Length: 5"),
+		"control-byte-in-a-name": fields("X-\x01Note: 1\r\nContent-Length: 5"),
+		"chunks-behind-a-blank": func(r *http.Request) string {
+			return headOf(r) + "Transfer-Encoding : chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n"
+		},
 		"status-000": func(r *http.Request) string {
 			return strings.Replace(headOf(r), "200 OK", "000 Trouble", 1) + "Content-Length: 5\r\n\r\nbytes"
 		},
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/berylpond/berylpond/internal/connreset"
+	"github.com/berylpond/berylpond/internal/httphead"
 )
 
 const (
@@ -47,12 +48,13 @@
 var ErrHeadTooLong = errors.New("the head of the answer is too long")
 
 // headLimiter ends a read with ErrHeadTooLong once a response's head is too long. Bytes without end would otherwise fill the
-// memory until the request's deadline.
+// memory until the request's deadline. It also looks for folded lines.
 type headLimiter struct {
 	io.Reader
 	// left and lines are the numbers of bytes and lines that may still be read; left is negative while no head is being read.
 	left  int64
 	lines int
+	folds httphead.FoldScanner
 }
 
 // start begins a head.
@@ -70,6 +72,7 @@
 	}
 	n, err := l.Reader.Read(b[:min(int64(len(b)), l.left)])
 	l.left -= int64(n)
+	l.folds.Scan(b[:n])
 	// The lines of a body that follows in the same read count as well, but nothing is read for the head after them.
 	l.lines -= bytes.Count(b[:n], []byte{'\n'})
 	return n, err
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -219,10 +219,19 @@
 	c.head.start()
 	defer c.head.end()
 	for {
+		buffered, err := c.reader.Peek(c.reader.Buffered())
+		if err != nil {
+			return nil, errors.Wrap(err, "reading the answer")
+		}
+		c.head.folds = httphead.FoldScanner{}
+		c.head.folds.Scan(buffered)
 		resp, err := http.ReadResponse(c.reader, req)
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the answer")
 		}
+		if c.head.folds.Found {
+			return nil, errors.Wrap(httphead.ErrMalformed, "folded line")
+		}
 		if err := httphead.Check(resp); err != nil {
 			return nil, err
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -460,6 +460,19 @@
 	"status 099":                       "HTTP/1.1 099 Trouble\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\nbytes",
 	"status +99":                       "HTTP/1.1 +99 Trouble\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\nbytes",
 	"status 000 after an interim head": "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 Trouble\r\nRequest-Id: r1\r\nContent-Length: 0\r\n\r\n" + okResponse("r1", "forged"),
+	"blank before a colon, length":     "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length : 5\r\n\r\nbytes",
+	"blank before a colon, chunks":     "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nbytes\r\n0\r\n\r\n",
+	"blank in a name":                  "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\nX Note: 1\r\n\r\nbytes",
+	"blank in a name, interim head":    "HTTP/1.1 103 Early Hints\r\nX Note: 1\r\n\r\n" + okResponse("r1", "bytes"),
+	"blank before the first name":      "HTTP/1.1 200 OK\r\n Request-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n\r\nbytes",
+	"blank before a name":              "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\n X-Note: 1\r\n\r\nbytes",
+	"blank before a name, length":      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n Content-Length: 5\r\n\r\nbytes",
+	"blank before a name, late":        "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nX: " + strings.Repeat("x", 2*readBufferBytes) + "\r\n\tX-Note: 1\r\nContent-Length: 5\r\n\r\nbytes",
+	"tab before a colon":               "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length\t: 5\r\n\r\nbytes",
+	"control byte in a name":           "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 5\r\nX-\x01Note: 1\r\n\r\nbytes",
+	"carriage return in a name":        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nX\rContent-Length: 5\r\n\r\nbytes",
+	"zero byte before a name":          "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n\x00Content-Length: 5\r\n\r\nbytes",
+	"no name":                          "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n: 5\r\nContent-Length: 5\r\n\r\nbytes",
 }
 
 func TestMalformedHeadIsNoResponse(t *testing.T) {
