upstream, engine, orders: an earlier refusal sent once more is no answer

Callers saw: a faulty server wrote an earlier refusal once more on a kept connection. Clients were told "not run, try again" for requests that had run, and a second server ran them as well.

Cause: a response without an id was taken for that to the request in progress, also on a connection that had carried other exchanges. With its id the copy was skipped; that was handled before.

Fix: on a connection that has had a response, one without the request's id is skipped, and its own response is read after it. After a response without an id the connection is not kept, and a request without an id gets a new one. The engine client can't skip: it keeps connections only to services that repeat X-Request-Id and fails a response without it on a kept one (may have run). Orders, whose responses bear no id, have a connection each. Skipped responses are logged.

Failed try: skipping alone made servers that put no ids on refusals wait for the deadline (TestRequestNotRunIsRetriedOnAnotherServer); hence the new connections.

That test's second server answered with ids and then refused without one on the same connection, which can't be told from the fault. The server of TestServiceCallIsNotRetriedByTransport repeats the id, so that its connection is still kept, which is what the test is about.

--- a/internal/engine/broken_response_test.go
+++ b/internal/engine/broken_response_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -102,3 +104,62 @@
 		})
 	}
 }
+
+// Incident: a faulty server wrote an earlier refusal once more on a kept connection, and it was taken for the response to the next
+// request.
+func TestEarlierServiceResponseOnAKeptConnectionIsNoResponse(t *testing.T) {
+	const (
+		refusal = "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 4\r\n\r\nbusy"
+		success = "HTTP/1.1 200 OK\r\n%sContent-Length: 3\r\n\r\nran"
+	)
+	idLine := func(id string) string { return "X-Request-Id: " + id + "\r\n" }
+	for _, service := range []struct {
+		name                      string
+		repeatsID, repeatsIDTwice bool
+	}{
+		{"repeats ids", true, true}, {"repeats ids but not in the copy", true, false}, {"repeats no ids", false, false},
+	} {
+		t.Run(service.name, func(t *testing.T) {
+			is := is.New(t)
+			var ran sync.Map
+			// The first request on a connection is refused; when the next one runs, the refusal is sent once more.
+			address := rawserver.Start(t, func(c *net.TCPConn, br *bufio.Reader) {
+				refused := ""
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					id := r.Header.Get("X-Request-Id")
+					line, earlier := "", ""
+					if service.repeatsID {
+						line = idLine(id)
+					}
+					if service.repeatsIDTwice {
+						earlier = idLine(refused)
+					}
+					if refused == "" {
+						refused = id
+						fmt.Fprintf(c, refusal, line)
+						continue
+					}
+					ran.Store(id, true)
+					fmt.Fprintf(c, refusal, earlier)
+					fmt.Fprintf(c, success, line)
+				}
+			})
+			client := engine.New(engine.DefaultTimeouts, nil)
+			for i := range 8 {
+				id := fmt.Sprint("r", i)
+				resp, err := client.CallService(t.Context(), address, serviceCall(id, nil))
+				if err != nil {
+					is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+					continue
+				}
+				_, hasRun := ran.Load(id)
+				is.Equal(resp.Status == http.StatusOK, hasRun)
+			}
+		})
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/tmaxmax/go-sse"
 
 	"github.com/berylpond/berylpond/internal/connreset"
@@ -35,6 +36,8 @@
 	maxHeadBytes = 64 << 10
 	// maxIdlePerBackend bounds the idle connections to one backend server.
 	maxIdlePerBackend = 64
+	// maxServicesNoted bounds the addresses of services that are known to repeat ids.
+	maxServicesNoted = 16 << 10
 )
 
 // errNoProgress is the cancellation cause of a call whose backend server made no progress in time.
@@ -55,6 +58,8 @@
 type Client struct {
 	http     *http.Client
 	timeouts Timeouts
+	// repeatsIDs holds the addresses of services whose last response repeated the id of its request.
+	repeatsIDs *lru.Cache[string, struct{}]
 }
 
 // New returns a client with the given timeouts. Connections use the local address from; with nil the system chooses
@@ -64,8 +69,12 @@
 	if from != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: from}
 	}
+	repeatsIDs, err := lru.New[string, struct{}](maxServicesNoted)
+	if err != nil {
+		panic(err) // the size is above zero
+	}
 	return &Client{
-		timeouts: t,
+		timeouts: t, repeatsIDs: repeatsIDs,
 		http: &http.Client{
 			Transport: &http.Transport{
 				DialContext:         connreset.GuardDial(dialer.DialContext),
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -106,6 +106,7 @@
 			if calls.Add(1) > 1 {
 				panic(http.ErrAbortHandler) // the connection breaks after the request was read
 			}
+			w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id")) // so that the connection is kept
 		}))
 		c := engine.New(shortTimeouts, nil)
 		call := engine.ServiceRequest{Method: method, Path: "/", Timeout: time.Second, MaxResponseBytes: 10, RequestID: "r"}
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -44,19 +44,23 @@
 		return ServiceResponse{}, verdict.Refuse(http.StatusServiceUnavailable, verdict.ReasonNoBackend,
 			retryAfterNoBackend, "%v", err)
 	}
-	var gotConn atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx,
-		&httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { gotConn.Store(true) }})
+	var gotConn, reused atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		gotConn.Store(true)
+		reused.Store(i.Reused)
+	}})
 	req, err := newServiceRequest(ctx, addr, r)
 	if err != nil {
 		return ServiceResponse{}, verdict.Refuse(http.StatusBadRequest, verdict.ReasonMalformed, 0, "building the request: %v", err)
 	}
+	req.Close = !c.repeatsIDs.Contains(addr)
 	resp, err := c.do(req)
 	if err != nil {
 		return ServiceResponse{}, w.classify(connectionError(err, gotConn.Load()))
 	}
 	defer resp.Body.Close()
-	result, err := readServiceResponse(resp, r)
+	c.noteRepeatsID(addr, resp)
+	result, err := readServiceResponse(resp, r, reused.Load())
 	return result, w.classify(err)
 }
 
@@ -79,8 +83,19 @@
 	return req, nil
 }
 
-func readServiceResponse(resp *http.Response, r ServiceRequest) (ServiceResponse, error) {
-	if id := resp.Header.Get(requestIDHeader); id != "" && id != r.RequestID {
+// noteRepeatsID notes whether the service at an address repeats the ids of requests. Connections to one that does not are not kept:
+// an earlier response that it sends once more could not be told from the next one.
+func (c *Client) noteRepeatsID(addr string, resp *http.Response) {
+	if resp.Header.Get(requestIDHeader) == "" {
+		c.repeatsIDs.Remove(addr)
+		return
+	}
+	c.repeatsIDs.Add(addr, struct{}{})
+}
+
+func readServiceResponse(resp *http.Response, r ServiceRequest, reusedConn bool) (ServiceResponse, error) {
+	id := resp.Header.Get(requestIDHeader)
+	if id != r.RequestID && (id != "" || reusedConn) {
 		return ServiceResponse{}, verdict.Fail(http.StatusBadGateway, verdict.ReasonMismatchedResponse, "the answer belongs to another request")
 	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, r.MaxResponseBytes+1))
--- a/internal/instance/broken_response_test.go
+++ b/internal/instance/broken_response_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"path"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -27,10 +28,16 @@
 
 // serveRaw registers a server that handles raw connections, and routes to it.
 func (s *site) serveRaw(handle func(c *net.TCPConn, br *bufio.Reader)) {
+	s.t.Helper()
+	s.serveRawAs("raw-1", handle)
+}
+
+// serveRawAs is serveRaw for one of several servers.
+func (s *site) serveRawAs(id string, handle func(c *net.TCPConn, br *bufio.Reader)) {
 	s.t.Helper()
 	address := rawserver.Start(s.t, handle)
 	s.store.PutKeyed("keyed.op", "config", fmt.Appendf(nil, uploadConfiguration, 2))
-	s.store.PutKeyed("keyed.servers", "raw-1", fmt.Appendf(nil,
+	s.store.PutKeyed("keyed.servers", id, fmt.Appendf(nil,
 		`{"service":"raw","addr":%q,"zone":"a","slots":100,"state":"ready","seq":1,"born":1}`, address))
 }
 
@@ -203,3 +210,65 @@
 		}
 	}
 }
+
+// Incident: a faulty server wrote an earlier refusal once more on a kept connection. Clients were told that requests had not run
+// which had, and other servers ran them as well.
+func TestEarlierRefusalSentOnceMoreMisleadsNoClient(t *testing.T) {
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\n%sNot-Run: 1\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n"
+	for name, repeatsID := range map[string]bool{"with its id": true, "without an id": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newSite(t)
+			n := s.start()
+			var mu sync.Mutex
+			runs := map[string]int{}
+			refuseThenRepeat := func(c *net.TCPConn, br *bufio.Reader) {
+				for refused := ""; ; {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					if isPing(c, r) {
+						continue
+					}
+					requestID := r.Header.Get("Request-Id")
+					if refused == "" {
+						fmt.Fprintf(c, refusal, "Request-Id: "+requestID+"\r\n")
+						refused = requestID
+						continue
+					}
+					mu.Lock()
+					runs[requestID]++
+					mu.Unlock()
+					idLine := ""
+					if repeatsID {
+						idLine = "Request-Id: " + refused + "\r\n"
+					}
+					fmt.Fprintf(c, refusal, idLine)
+					io.WriteString(c, headOf(r)+"Content-Length: 5\r\n\r\nwhole")
+					refused = ""
+				}
+			}
+			s.serveRawAs("raw-1", refuseThenRepeat)
+			s.serveRawAs("raw-2", refuseThenRepeat)
+			s.awaitRaw()
+			served := 0
+			for i := range 50 {
+				requestID := fmt.Sprint("pay-", i)
+				a := s.do(n, call{id: requestID, path: "/raw-pay/x", body: "input"})
+				mu.Lock()
+				ran := runs[requestID]
+				mu.Unlock()
+				is.True(ran <= 1)
+				is.True(a.status == http.StatusOK || ran == 0)
+				if a.status == http.StatusOK {
+					is.Equal(a.body, "whole")
+					is.Equal(a.header.Get("Request-Id"), requestID)
+					served++
+				}
+			}
+			is.True(served > 0)
+		})
+	}
+}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -530,7 +530,11 @@
 	for range 6 {
 		is.Equal(s.do(n, call{path: "/pay/x"}).status, 200)
 	}
-	s.tools[1].Handler = s.tools[0].Handler
+	// On the connections of this server a refusal without an id could be an earlier one.
+	s.tools[1].Handler = func(w http.ResponseWriter, r *http.Request, body string) bool {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
+		return s.tools[0].Handler(w, r, body)
+	}
 	a := s.do(n, call{path: "/pay/x"})
 	is.Equal(a.status, http.StatusServiceUnavailable)
 	is.True(a.header.Get("Retry-After") != "")
--- a/internal/orders/controller.go
+++ b/internal/orders/controller.go
@@ -260,6 +260,8 @@
 		return 0, err
 	}
 	req.Header.Set("Content-Type", "application/json")
+	// Responses have no id, so that on a kept connection an earlier one that is sent once more would count as this one.
+	req.Close = true
 	if err := failpoint.Hit("orders.send.before"); err != nil {
 		return 0, err
 	}
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -206,3 +207,31 @@
 	_, err := c.post(t.Context(), OrderState{ID: "a", Engine: address, Kind: KindLoadModel, Name: "m"})
 	is.True(err != nil)
 }
+
+// Guards against an order whose outcome is an earlier response that a faulty engine sent once more on a kept connection.
+func TestEarlierResponseIsNoOutcomeOfAnOrder(t *testing.T) {
+	is := is.New(t)
+	const superseded, done = "HTTP/1.1 409 Conflict\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 204 No Content\r\n\r\n"
+	var orders atomic.Int32
+	address := rawserver.Start(t, func(c *net.TCPConn, br *bufio.Reader) {
+		for earlier := ""; ; {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			io.Copy(io.Discard, r.Body)
+			response := done
+			if orders.Add(1) == 1 {
+				response = superseded
+			}
+			io.WriteString(c, earlier+response)
+			earlier = response
+		}
+	})
+	c := New(&singleShard{term: 1}, &stream{}, func(string) bool { return true }, http.DefaultClient)
+	for _, want := range []int{http.StatusConflict, http.StatusNoContent} {
+		status, err := c.post(t.Context(), OrderState{ID: "a", Engine: address, Kind: KindLoadModel, Name: "m"})
+		is.NoErr(err)
+		is.Equal(status, want)
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -83,6 +83,8 @@
 	net.Conn
 	reader *bufio.Reader
 	head   *headLimiter
+	// answered is set once a request on the connection has had its response.
+	answered bool
 	// used is when the last response on the idle connection ended. If the direct way to the servers was lost after that, the
 	// connection may be dead.
 	used time.Time
--- a/internal/upstream/upstream.go
+++ b/internal/upstream/upstream.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"k8s.io/klog/v2"
 
 	"github.com/berylpond/berylpond/internal/backendpath"
 	"github.com/berylpond/berylpond/internal/httphead"
@@ -32,6 +33,8 @@
 	inlineBodyBytes = 4 << 10
 	// maxSkippedResponses bounds the responses that one exchange reads; those to other requests are skipped.
 	maxSkippedResponses = 4
+	// maxLoggedIDBytes bounds what is logged of the id of a skipped response.
+	maxLoggedIDBytes = 64
 	// maxSkippedBytes bounds the body of a skipped response.
 	maxSkippedBytes = 1 << 20
 )
@@ -49,7 +52,8 @@
 
 // Request is one request to a backend server.
 type Request struct {
-	// ID is the request's id. A response with another id is skipped.
+	// ID is the request's id. A response with another id is skipped, and on a kept connection one without an id as well. Without
+	// an id the request is sent on a new connection.
 	ID     string
 	Method string
 	// Target is the path and query as the client sent them.
@@ -127,7 +131,11 @@
 // Do sends a request and returns once the headers of the response have arrived. The caller must close the response.
 // When the context ends, the connection is closed, even while the body is being read. An error is an *Error.
 func (p *Pool) Do(ctx context.Context, address string, r Request) (*Response, error) {
-	c, err := p.connect(ctx, address)
+	connect := p.connect
+	if r.ID == "" {
+		connect = p.open
+	}
+	c, err := connect(ctx, address)
 	if err != nil {
 		return nil, &Error{Verdict: verdict.NotRun, PathLost: errors.Is(err, backendpath.ErrLost), Err: err}
 	}
@@ -188,6 +196,7 @@
 		go func() { written <- writeRequest(c, r) }()
 	}
 	req := &http.Request{Method: r.Method}
+	started := time.Now()
 	skippedLeaving := false
 	for range maxSkippedResponses {
 		resp, err := c.readHead(req)
@@ -195,7 +204,9 @@
 			return nil, err
 		}
 		decoded := platform.DecodeResponse(resp.StatusCode, resp.Header)
-		if decoded.RequestID == r.ID || decoded.RequestID == "" && !decoded.Stamped {
+		// Without an id, a response on a kept connection may be an earlier one, sent once more.
+		if decoded.RequestID == r.ID || decoded.RequestID == "" && !decoded.Stamped && !c.answered {
+			c.answered = true
 			decoded.Leaving = decoded.Leaving || skippedLeaving && resp.StatusCode != http.StatusMisdirectedRequest
 			length := resp.ContentLength
 			if r.Method == http.MethodHead {
@@ -206,6 +217,9 @@
 				Via: c.via(), conn: c, resp: resp, written: written,
 			}, nil
 		}
+		klog.InfoS("skipped a response to another request", "request", r.ID,
+			"response_to", decoded.RequestID[:min(len(decoded.RequestID), maxLoggedIDBytes)], "status", resp.StatusCode,
+			"not_run", decoded.NotRun, "address", c.RemoteAddr().String(), "after_ms", time.Since(started).Milliseconds())
 		skippedLeaving = skippedLeaving || decoded.Leaving
 		if err := drain(resp.Body, maxSkippedBytes); err != nil {
 			return nil, errors.Wrap(err, "skipping an answer to another request")
@@ -262,12 +276,13 @@
 }
 
 // Close ends the exchange. The connection is returned to the pool if the response was read to its end and nothing
-// follows it.
+// follows it. A server that puts no ids on its responses gets a new connection for each request, since an earlier response that it
+// sends once more could not be told from the next one.
 func (r *Response) Close(complete bool) {
 	r.closeOnce.Do(func() {
 		// If the context has ended, its AfterFunc has closed the connection.
 		connOpen := r.stop()
-		if !complete || !connOpen || r.resp.Close || r.Length < 0 && !chunked(r.resp) || !r.requestWritten() || r.conn.reader.Buffered() > 0 {
+		if !complete || !connOpen || !r.keepsConn() {
 			r.conn.Close()
 			return
 		}
@@ -275,6 +290,12 @@
 	})
 }
 
+// keepsConn reports whether the connection can carry another request after a response that was read to its end.
+func (r *Response) keepsConn() bool {
+	endsWithConn := r.resp.Close || r.Length < 0 && !chunked(r.resp)
+	return !endsWithConn && r.RequestID != "" && r.requestWritten() && r.conn.reader.Buffered() == 0
+}
+
 // ServerLeaving tells the instance through which the response came, if there is one, that the server is leaving.
 func (r *Response) ServerLeaving(id string, incarnation int64) {
 	if t, ok := r.conn.Conn.(interface {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -493,3 +493,109 @@
 		})
 	}
 }
+
+// refusals are responses with which a server says that it did not run a request; %s stands for the lines of the id.
+var refusals = map[string]string{
+	"503":            "HTTP/1.1 503 Service Unavailable\r\n%sNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	"503, no reason": "HTTP/1.1 503 Service Unavailable\r\n%sContent-Length: 0\r\n\r\n",
+	"429":            "HTTP/1.1 429 Too Many Requests\r\n%sNot-Run: 1\r\nRetry-After: 1\r\nContent-Length: 4\r\n\r\nbusy",
+	"421":            "HTTP/1.1 421 Misdirected Request\r\n%sContent-Length: 0\r\n\r\n",
+}
+
+// Incident: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told that requests had not
+// run which had.
+func TestEarlierRefusalOnAKeptConnectionIsSkipped(t *testing.T) {
+	for name, refusal := range refusals {
+		for _, earlierID := range []string{"Request-Id: r1\r\n", ""} {
+			t.Run(fmt.Sprintf("%s, id %q", name, earlierID), func(t *testing.T) {
+				is := is.New(t)
+				address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
+					readRequest(br)
+					fmt.Fprintf(c, refusal, "Request-Id: r1\r\n")
+					id, more := readRequest(br)
+					if !more {
+						return
+					}
+					fmt.Fprintf(c, refusal, earlierID)
+					io.WriteString(c, okResponse(id, "has run"))
+				})
+				p := NewPool(directPath{})
+				_, err := get(t, p, address, "r1")
+				is.NoErr(err)
+				resp, err := p.Do(t.Context(), address, request("r2"))
+				is.NoErr(err)
+				is.Equal(resp.Status, http.StatusOK)
+				is.True(!resp.NotRun)
+				body, err := io.ReadAll(resp.Body)
+				is.NoErr(err)
+				is.Equal(string(body), "has run")
+			})
+		}
+	}
+}
+
+// A response without an id on a new connection can be to no other request.
+func TestRefusalWithoutAnIDOnANewConnectionIsTheResponse(t *testing.T) {
+	for name, refusal := range refusals {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+				readRequest(br)
+				fmt.Fprintf(c, refusal, "")
+			})
+			resp, err := NewPool(directPath{}).Do(t.Context(), address, request("r1"))
+			is.NoErr(err)
+			is.True(resp.Status != http.StatusOK)
+		})
+	}
+}
+
+// Guards against a server that puts no ids on its refusals and sends one of them once more.
+func TestConnectionIsNotKeptAfterAResponseWithoutAnID(t *testing.T) {
+	for name, refusal := range refusals {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
+				for refused := false; ; refused = true {
+					id, more := readRequest(br)
+					if !more {
+						return
+					}
+					if n == 0 {
+						fmt.Fprintf(c, refusal, "")
+					}
+					if n > 0 || refused {
+						io.WriteString(c, okResponse(id, fmt.Sprint(n)))
+					}
+				}
+			})
+			p := NewPool(directPath{})
+			_, err := get(t, p, address, "r1")
+			is.NoErr(err)
+			for _, id := range []string{"r2", "r3"} {
+				body, err := get(t, p, address, id)
+				is.NoErr(err)
+				is.Equal(body, "1")
+			}
+		})
+	}
+}
+
+// The response to a request without an id can't be told from an earlier one without an id.
+func TestRequestWithoutAnIDIsSentOnANewConnection(t *testing.T) {
+	is := is.New(t)
+	address := startServer(t, func(n int, c net.Conn, br *bufio.Reader) {
+		for {
+			if _, more := readRequest(br); !more {
+				return
+			}
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%d", n)
+		}
+	})
+	p := NewPool(directPath{})
+	for n := range 3 {
+		body, err := get(t, p, address, "")
+		is.NoErr(err)
+		is.Equal(body, fmt.Sprint(n))
+	}
+}
