test: heads of answers that break off reach no client

Reported by other operators: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

Handled before: net/http's parser reports the end in a head. They cut heads with a length, in chunks, without a length, with line feeds, after an interim head and over more than the read buffer at each of their last 200 bytes, close or reset, for short and long requests; six cuts through a whole instance, with a short body and with an upload of 2 MB in progress, on three kinds of routes, directly and through a peer; and a service's answer in the engine client of `berylpondd run`.

--- a/internal/engine/broken_response_test.go
+++ b/internal/engine/broken_response_test.go
@@ -163,3 +163,35 @@
 		})
 	}
 }
+
+// Incident: a server stopped in the middle of its response's head and closed the connection, and clients got a success with an empty
+// or a short body.
+func TestHeadThatBreaksOffIsNoServiceResponse(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 50\r\n\r\n"
+	for _, bodyBytes := range []int{0, 1 << 20} {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("reset: %v, request of %d bytes", reset, bodyBytes), func(t *testing.T) {
+				is := is.New(t)
+				sizes := make(chan int, 1)
+				address := rawserver.Start(t, func(c *net.TCPConn, br *bufio.Reader) {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					io.Copy(io.Discard, r.Body)
+					io.WriteString(c, head[:<-sizes])
+					if reset {
+						c.SetLinger(0)
+					}
+				})
+				client := engine.New(engine.DefaultTimeouts, nil)
+				for size := range len(head) {
+					sizes <- size
+					_, err := client.CallService(t.Context(), address, serviceCall("r", make([]byte, bodyBytes)))
+					is.True(err != nil)
+					is.Equal(verdict.From(err).Verdict, verdict.MayHaveRun)
+				}
+			})
+		}
+	}
+}
--- a/internal/instance/broken_response_test.go
+++ b/internal/instance/broken_response_test.go
@@ -272,3 +272,49 @@
 		})
 	}
 }
+
+// Incident: servers stopped in the middle of a response's head and closed the connection, and clients got a success with an empty or
+// a short body.
+func TestHeadThatBreaksOffIsNotDelivered(t *testing.T) {
+	// What is sent of the head is in the last part of the path, the way of closing before it.
+	cuts := map[string]func(head string) string{
+		"status-line":       func(head string) string { return head[:strings.Index(head, "\r\n")] },
+		"status-line-whole": func(head string) string { return head[:strings.Index(head, "\r\n")+2] },
+		"field-name":        func(head string) string { return head[:strings.LastIndex(head, "Length")] },
+		"field-value":       func(head string) string { return head[:strings.LastIndex(head, "0")] },
+		"field-whole":       func(head string) string { return head },
+		"empty-line":        func(head string) string { return head + "\r" },
+	}
+	s, p := partitionedSite(t)
+	s.serveRaw(func(c *net.TCPConn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil || isPing(c, r) {
+			return
+		}
+		io.WriteString(c, cuts[path.Base(r.URL.Path)](headOf(r)+"Content-Length: 50\r\n"))
+		if strings.Contains(r.URL.Path, "/reset/") {
+			c.SetLinger(0)
+			return
+		}
+		c.CloseWrite()
+		io.Copy(io.Discard, br)
+	})
+	s.awaitRaw()
+	for _, throughPeer := range []bool{false, true} {
+		p.refuses.Store(throughPeer)
+		for cut := range cuts {
+			for _, prefix := range []string{"/raw-read/", "/raw-pay/", "/raw-quote/"} {
+				for _, end := range []string{"close/", "reset/"} {
+					t.Run(fmt.Sprintf("%s%s%s, through a peer: %v", prefix, end, cut, throughPeer), func(t *testing.T) {
+						is := is.New(t)
+						for _, uploadBytes := range []int{5, 2 << 20} {
+							a := s.do(s.nodes[0], call{path: prefix + end + cut, body: strings.Repeat("u", uploadBytes)})
+							is.Equal(a.status, http.StatusBadGateway)
+							is.Equal(a.header.Get("Response-Stamp"), "")
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -599,3 +599,44 @@
 		is.Equal(body, fmt.Sprint(n))
 	}
 }
+
+// Incident: a server stopped in the middle of its response's head and closed the connection, and clients got a success with an empty
+// or a short body.
+func TestHeadThatBreaksOffIsNoResponse(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+	for name, head := range map[string]string{
+		"with its length": "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 50\r\n\r\n",
+		"in chunks":       "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"no length":       "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nRequest-Id: r1\r\nX-Last: \r\n\r\n",
+		"line feeds":      "HTTP/1.1 200 OK\nRequest-Id: r1\nResponse-Stamp: s\nContent-Length: 50\n\n",
+		"after interim":   interim + "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 50\r\n\r\n",
+		"longer than the buffer": "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", readBufferBytes-40) +
+			"\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 50\r\n\r\n",
+	} {
+		for _, reset := range []bool{false, true} {
+			for _, bodyBytes := range []int{1, inlineBodyBytes + 1} {
+				t.Run(fmt.Sprintf("%s, reset: %v, request of %d bytes", name, reset, bodyBytes), func(t *testing.T) {
+					is := is.New(t)
+					sizes := make(chan int, 1)
+					address := startServer(t, func(_ int, c net.Conn, br *bufio.Reader) {
+						readRequest(br)
+						io.WriteString(c, head[:<-sizes])
+						if reset {
+							c.(*net.TCPConn).SetLinger(0)
+						}
+					})
+					p := NewPool(directPath{})
+					for size := max(0, len(head)-200); size < len(head); size++ {
+						sizes <- size
+						r := request("r1")
+						r.Body = make([]byte, bodyBytes)
+						_, err := p.Do(t.Context(), address, r)
+						var e *Error
+						is.True(errors.As(err, &e))
+						is.Equal(e.Verdict, verdict.MayHaveRun)
+					}
+				})
+			}
+		}
+	}
+}
