test: kept and resumable streams under resets during uploads

The test of the reset during an upload covers the routes whose streams are kept as turns or may be resumed, and that a turn that broke off is not kept; the test of whole answers to long uploads covers streams.

--- a/internal/instance/broken_response_test.go
+++ b/internal/instance/broken_response_test.go
@@ -21,7 +21,9 @@
 const uploadConfiguration = `{"version":%d,"routes":[
 	{"name":"read","host":"h.example","pathPrefix":"/raw-read/","kind":"idempotent","timeoutMs":3000,"service":"raw","maxAttempts":2},
 	{"name":"pay","host":"h.example","pathPrefix":"/raw-pay/","kind":"non_idempotent","timeoutMs":3000,"service":"raw","maxAttempts":2},
-	{"name":"quote","host":"h.example","pathPrefix":"/raw-quote/","kind":"streaming","timeoutMs":3000,"maxAttempts":2,"service":"raw","retainS":60}],
+	{"name":"quote","host":"h.example","pathPrefix":"/raw-quote/","kind":"streaming","timeoutMs":3000,"maxAttempts":2,"service":"raw","retainS":60},
+	{"name":"chat","host":"h.example","pathPrefix":"/raw-chat/","kind":"streaming","timeoutMs":3000,"maxAttempts":2,"service":"raw","retain":true,"retainS":60},
+	{"name":"replan","host":"h.example","pathPrefix":"/raw-replan/","kind":"streaming","timeoutMs":3000,"maxAttempts":2,"service":"raw","retainS":60,"resumable":true}],
 	"services":[{"name":"raw","engine":{"chunkTokens":10,"slots":8}},{"name":"llm"},{"name":"tool"}],
 	"tenants":[{"name":"acme","apiKeys":["key-a"],"ratePerS":10000,"burstSize":10000}],
 	"limits":{"bodyBytes":8000000,"headerBytes":16384,"headerTimeoutMs":3000,"idleTimeoutMs":15000}}`
@@ -70,15 +72,15 @@
 // connection while the upload was still being written.
 func TestSuccessWithoutLengthThatIsResetDuringAnUploadIsNotDelivered(t *testing.T) {
 	const partBytes = 20_000
+	part := ""
+	for i := 1; len(part) < partBytes; i++ {
+		part += fmt.Sprintf("id: %d\ndata: x\n\n", i)
+	}
 	resetEarly := func(c *net.TCPConn, br *bufio.Reader) {
 		r, err := http.ReadRequest(br)
 		if err != nil || isPing(c, r) {
 			return
 		}
-		part := strings.Repeat("x", partBytes)
-		if strings.HasPrefix(r.URL.Path, "/raw-quote/") {
-			part = strings.Repeat("id: 1\ndata: x\n\n", partBytes/15)
-		}
 		io.WriteString(c, headOf(r)+"\r\n"+part)
 		if strings.HasSuffix(r.URL.Path, "/late") {
 			time.Sleep(50 * time.Millisecond)
@@ -90,7 +92,7 @@
 		s.serveRaw(resetEarly)
 		s.awaitRaw()
 		p.refuses.Store(throughPeer)
-		for _, prefix := range []string{"/raw-read/", "/raw-pay/", "/raw-quote/"} {
+		for _, prefix := range []string{"/raw-read/", "/raw-pay/", "/raw-quote/", "/raw-chat/", "/raw-replan/"} {
 			for _, reset := range []struct {
 				when                  string
 				uploadBytes, requests int
@@ -99,12 +101,20 @@
 					is := is.New(t)
 					upload := strings.Repeat("u", reset.uploadBytes)
 					whole := 0
-					for range reset.requests {
-						if a := s.do(s.nodes[0], call{path: prefix + reset.when, body: upload}); a.status == http.StatusOK && !a.broken {
+					for i := range reset.requests {
+						id := fmt.Sprint(prefix, reset.when, throughPeer, i)
+						a := s.do(s.nodes[0], call{id: id, path: prefix + reset.when, body: upload, program: "p"})
+						is.True(a.status != http.StatusServiceUnavailable)
+						if a.status == http.StatusOK && !a.broken {
 							whole++
 						}
 					}
 					is.Equal(whole, 0)
+					if prefix == "/raw-chat/" {
+						// A turn that broke off is not kept.
+						a := s.turn(s.nodes[0], call{path: prefix + reset.when, program: "p", previous: fmt.Sprint(prefix, reset.when, throughPeer, 0)})
+						is.Equal(a.status, http.StatusNotFound)
+					}
 				})
 			}
 		}
@@ -113,29 +123,31 @@
 
 // What servers may do while an upload goes on, with responses whose bodies are whole.
 func TestWholeResponsesToLongUploadsAreDelivered(t *testing.T) {
+	const whole = "id: 1\ndata: x\n\n"
+	framed := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(whole), whole)
 	readAll := func(r *http.Request) { io.Copy(io.Discard, r.Body) }
 	respond := map[string]func(c *net.TCPConn, r *http.Request){
 		"ended-by-closing": func(c *net.TCPConn, r *http.Request) {
 			readAll(r)
-			io.WriteString(c, headOf(r)+"\r\nwhole")
+			io.WriteString(c, headOf(r)+"\r\n"+whole)
 		},
 		"early-with-length": func(c *net.TCPConn, r *http.Request) {
-			io.WriteString(c, headOf(r)+"Content-Length: 5\r\n\r\nwhole")
+			io.WriteString(c, headOf(r)+framed)
 			readAll(r)
 		},
 		"early-in-chunks": func(c *net.TCPConn, r *http.Request) {
-			io.WriteString(c, headOf(r)+"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")
+			fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", headOf(r), len(whole), whole)
 			readAll(r)
 		},
 		"early-half-closed": func(c *net.TCPConn, r *http.Request) {
-			io.WriteString(c, headOf(r)+"\r\nwhole")
+			io.WriteString(c, headOf(r)+"\r\n"+whole)
 			c.CloseWrite()
 			readAll(r)
 		},
 		"after-interim": func(c *net.TCPConn, r *http.Request) {
 			io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n")
 			readAll(r)
-			io.WriteString(c, headOf(r)+"Content-Length: 5\r\n\r\nwhole")
+			io.WriteString(c, headOf(r)+framed)
 		},
 	}
 	s, p := partitionedSite(t)
@@ -149,13 +161,13 @@
 	for _, throughPeer := range []bool{false, true} {
 		p.refuses.Store(throughPeer)
 		for name := range respond {
-			for _, prefix := range []string{"/raw-read/", "/raw-pay/"} {
+			for _, prefix := range []string{"/raw-read/", "/raw-pay/", "/raw-quote/", "/raw-chat/", "/raw-replan/"} {
 				t.Run(fmt.Sprintf("%s%s, through a peer: %v", prefix, name, throughPeer), func(t *testing.T) {
 					is := is.New(t)
 					for range 10 {
 						a := s.do(s.nodes[0], call{path: prefix + name, body: upload})
 						is.Equal(a.status, http.StatusOK)
-						is.Equal(a.body, "whole")
+						is.Equal(a.body, whole)
 						is.True(!a.broken)
 					}
 				})
