connreset: later writes do not hide a reset that an earlier one was told of

No caller saw it: by reading, every writer stops at its first error. Guard kept the error of the last write, and a write after the one that is told of a reset gets EPIPE, which counts as told after the peer's orderly end. It keeps the first now.

--- a/internal/connreset/connreset.go
+++ b/internal/connreset/connreset.go
@@ -48,7 +48,7 @@
 	raw syscall.RawConn
 	// writing is held during a write.
 	writing sync.Mutex
-	// writeErr is the error of the last write that failed.
+	// writeErr is the error of the first write that failed.
 	writeErr error
 }
 
@@ -60,7 +60,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	n, err := c.Conn.Write(b)
-	if err != nil {
+	if c.writeErr == nil {
 		c.writeErr = err
 	}
 	return n, err
@@ -90,7 +90,7 @@
 	}
 	defer c.writing.Unlock()
 	if errors.Is(c.writeErr, syscall.EPIPE) {
-		// The peer had ended its side before it reset the connection. Otherwise the first error is another one.
+		// The peer had ended its side before it reset the connection. A write that is told of a loss before gets another error.
 		return nil
 	}
 	return c.writeErr
--- a/internal/connreset/connreset_test.go
+++ b/internal/connreset/connreset_test.go
@@ -69,6 +69,19 @@
 	is.Equal(string(b), "part")
 }
 
+// A write after the one that was told gets the error that also follows an orderly end.
+func TestLaterWritesDoNotHideAReset(t *testing.T) {
+	is := is.New(t)
+	c, peer := connect(t)
+	written := upload(c)
+	reset(t, peer)
+	is.True(errors.Is(<-written, syscall.ECONNRESET))
+	_, err := io.WriteString(c, "more")
+	is.True(errors.Is(err, syscall.EPIPE))
+	_, err = c.Read(make([]byte, 1))
+	is.True(errors.Is(err, syscall.ECONNRESET))
+}
+
 // A write and a read that wait for the same reset: whichever of them is told, the read fails.
 func TestResetDuringAWriteAndAReadIsNoEnd(t *testing.T) {
 	for range 50 {
