backendpath: a test waits for the results of the probes that it counts

Trace: the test went on once both probes had been dialled, but the time of the second success was recorded after its second suspicion, which then rightly counts for nothing. It waits for both records as well; its checks and bounds are as they were. No product code changed.

--- a/internal/backendpath/backendpath_test.go
+++ b/internal/backendpath/backendpath_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -114,13 +115,18 @@
 func TestSuspicionIsCheckedBeforeAConnectionFails(t *testing.T) {
 	is := is.New(t)
 	n, d := newNetwork(t, "a", "b", "c")
+	var clockReads atomic.Int32
+	d.now = func() time.Time {
+		clockReads.Add(1)
+		return time.Now()
+	}
 	start := d.now()
 	d.Suspect("a", start)
 	for deadline := time.Now().Add(time.Second); ; time.Sleep(time.Millisecond) {
 		n.mu.Lock()
 		probed := len(n.dials)
 		n.mu.Unlock()
-		if probed == 2 {
+		if probed == 2 && clockReads.Load() == 3 { // start, and the time of each success
 			break
 		}
 		is.True(time.Now().Before(deadline)) // b and c are probed
