test: stand-ins of broken answers announce that they close

Trace: its server closed each connection after one exchange without saying so. Mostly the early answer ended before the upload, and the instance closed the connection itself; where the upload had ended, it kept the connection, and sent the next request while the server closed it, which may have run. With the last chunk sent after the upload and 2 ms before the close, on a scratch copy, four of the routes failed in one run; with "Connection: close" none. No product code changed; the checks are as they were.

--- a/internal/instance/broken_response_test.go
+++ b/internal/instance/broken_response_test.go
@@ -74,7 +74,7 @@
 	if !strings.HasSuffix(r.URL.Path, "ping") {
 		return false
 	}
-	io.WriteString(c, headOf(r)+"Content-Length: 4\r\n\r\npong")
+	io.WriteString(c, headOf(r)+"Connection: close\r\nContent-Length: 4\r\n\r\npong")
 	return true
 }
 
@@ -133,7 +133,7 @@
 // What servers may do while an upload goes on, with responses whose bodies are whole.
 func TestWholeResponsesToLongUploadsAreDelivered(t *testing.T) {
 	const whole = "id: 1\ndata: x\n\n"
-	framed := fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(whole), whole)
+	framed := fmt.Sprintf("Connection: close\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)
 	readAll := func(r *http.Request) { io.Copy(io.Discard, r.Body) }
 	respond := map[string]func(c *net.TCPConn, r *http.Request){
 		"ended-by-closing": func(c *net.TCPConn, r *http.Request) {
@@ -145,7 +145,7 @@
 			readAll(r)
 		},
 		"early-in-chunks": func(c *net.TCPConn, r *http.Request) {
-			fmt.Fprintf(c, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", headOf(r), len(whole), whole)
+			fmt.Fprintf(c, "%sConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", headOf(r), len(whole), whole)
 			readAll(r)
 		},
 		"early-half-closed": func(c *net.TCPConn, r *http.Request) {
