--- /dev/null
+++ b/review/rig/replies.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"fmt"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// conversations is the number of programs.
+	conversations = 36
+	// replyAfter is when users reply to the first turn: a little later than retainS, while the instances still have the turn.
+	replyAfter = 60700 * time.Millisecond
+	// stopAfter is when an instance is stopped: while the replies are being answered.
+	stopAfter = 65050 * time.Millisecond
+	// replyEvents and replyInterval make an answer take 4.5 s of the 5 s that clients wait.
+	replyEvents   = 18
+	replyInterval = 250 * time.Millisecond
+)
+
+// replies: users reply about a minute after the first turn, and an instance is stopped meanwhile.
+func replies(r *rig) error {
+	if err := r.configure(baseConfig(1)); err != nil {
+		return err
+	}
+	for n := range 4 {
+		r.serve(fmt.Sprint("llm-", n+1), "llm", replyEvents, replyInterval)
+	}
+	for range 3 {
+		if err := r.place().start(true); err != nil {
+			return err
+		}
+	}
+	time.Sleep(3 * time.Second)
+
+	var mu sync.Mutex
+	// history is what has been said in each conversation, last the id of its last turn, and received what a server is to receive.
+	said, last, received := map[int]string{}, map[int]string{}, map[string]string{}
+	say := func(n, turnNumber int, input string) {
+		for try := 0; try < turnTries; try++ {
+			mu.Lock()
+			q := turn("key-acme", "conversation-"+strconv.Itoa(n), last[n], input)
+			before := said[n]
+			received[q.id] = before + input
+			mu.Unlock()
+			// Some lines of turns arrive through another zone from one turn to the next. The first instance is the one that stops.
+			a := r.send(r.daemons[1+(n+turnNumber+try)%(len(r.daemons)-1)], q)
+			if a.status == 200 && a.err == nil {
+				mu.Lock()
+				last[n], said[n] = q.id, before+input+history(a.body)
+				mu.Unlock()
+				return
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		r.logf("conversation %d: %q was not answered", n, input)
+		mu.Lock()
+		last[n] = ""
+		mu.Unlock()
+	}
+	all := func(turnNumber int) {
+		var wg sync.WaitGroup
+		for n := range conversations {
+			if turnNumber == 1 || last[n] != "" {
+				wg.Go(func() { say(n, turnNumber, fmt.Sprintf("input %d\n", turnNumber)) })
+			}
+		}
+		wg.Wait()
+	}
+	all(1)
+	ended := time.Now()
+	r.logf("the first turns have ended")
+	if r.trouble {
+		go func() {
+			time.Sleep(time.Until(ended.Add(stopAfter)))
+			d := r.daemons[0]
+			if err := d.signal(syscall.SIGTERM); err != nil {
+				r.logf("SIGTERM: %v", err)
+			}
+		}()
+	}
+	time.Sleep(time.Until(ended.Add(replyAfter)))
+	all(2)
+	r.logf("the second turns have ended")
+	all(3)
+	for _, s := range r.servers {
+		for _, e := range s.Executions() {
+			if want, ok := received[e.ID]; ok && e.Body != want {
+				r.breaks("UNASKED: server %s ran turn %s of %s with %q where its chain is %q", s.ID, e.ID, e.Header.Get("Program-Id"), e.Body, want)
+			}
+		}
+	}
+	return nil
+}
