--- a/review/rig/budgets.go
+++ b/review/rig/budgets.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -104,10 +103,9 @@
 	if r.trouble {
 		time.Sleep(time.Second)
 		for i, d := range r.daemons {
-			if err := d.signal(syscall.SIGTERM); err != nil {
+			if err := d.stop(); err != nil {
 				return err
 			}
-			<-d.exited
 			if err := d.start(false); err != nil {
 				return err
 			}
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -279,8 +279,7 @@
 			return nil
 		}
 	}
-	b, _ := os.ReadFile(d.log)
-	return fmt.Errorf("daemon %d is not ready: %s", d.number, lastLines(string(b), 20))
+	return fmt.Errorf("daemon %d is not ready: %s", d.number, lastLines(d.logText(), 20))
 }
 
 func lastLines(s string, n int) string {
@@ -343,6 +342,9 @@
 
 // logText returns what the daemon has written.
 func (d *daemon) logText() string {
-	b, _ := os.ReadFile(d.log)
+	b, err := os.ReadFile(d.log)
+	if err != nil {
+		return err.Error()
+	}
 	return string(b)
 }
--- a/review/rig/tenants.go
+++ b/review/rig/tenants.go
@@ -6,7 +6,6 @@
 	"hash/fnv"
 	"strconv"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -92,10 +91,9 @@
 	}
 	if r.trouble {
 		for _, d := range r.daemons {
-			if err := d.signal(syscall.SIGTERM); err != nil {
+			if err := d.stop(); err != nil {
 				return err
 			}
-			<-d.exited
 			if err := d.start(false); err != nil {
 				return err
 			}
