--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sort"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -35,6 +36,15 @@
 	return fmt.Sprintf("status %d, stamp %q, %d bytes, after %d ms", a.status, a.header.Get("Response-Stamp"), len(a.body), a.took.Milliseconds())
 }
 
+// retryAfter is when the client may come back, zero if it was not told.
+func (a response) retryAfter() time.Duration {
+	seconds, err := strconv.ParseFloat(a.header.Get("Retry-After"), 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 var lastID atomic.Int64
 
 // newID returns an id that no other request has.
