--- a/review/rig/budgets.go
+++ b/review/rig/budgets.go
@@ -41,6 +41,7 @@
 	time.Sleep(4 * time.Second)
 
 	var mu sync.Mutex
+	// inTouch is when each instance was last stopped or started; while it stops, a time to come.
 	inTouch := make([]time.Time, instances)
 	sent, denied, ended := 0, 0, 0
 	play := func(number int) {
@@ -103,6 +104,9 @@
 	if r.trouble {
 		time.Sleep(time.Second)
 		for i, d := range r.daemons {
+			mu.Lock()
+			inTouch[i] = time.Now().Add(stopTimeout)
+			mu.Unlock()
 			if err := d.stop(); err != nil {
 				return err
 			}
