--- a/review/rig/tenants.go
+++ b/review/rig/tenants.go
@@ -29,7 +29,7 @@
 
 func turn(key, program, previous, input string) request {
 	q := request{id: newID(), method: "POST", target: "/chat/1", key: key, body: input, header: map[string]string{
-		"Deadline-Ms": "5000", "Token-Usage": "100,400", "Token-Budget": "4600", "Program-Id": program, "Session-Id": "s1",
+		"Deadline-Ms": "5000", "Token-Usage": "100,450", "Token-Budget": "4600", "Program-Id": program, "Session-Id": "s1",
 		"Finish-Ms": "20000",
 	}}
 	if previous != "" {
