turnlog: a turn whose owner lacks the turn before it is recorded with its history

Cause: an owner that doesn't know the turn before one that has ended recorded the latter as the first of a chain, without an error (state.complete). Here the next owner of the partition had dropped the program, whose newest record was older than its retention and 5 s: a begin under an earlier grant leaves none.

Fix: the owner records nothing and answers HISTORY_MISSING; the instance that ran the turn has the history that it sent to the server and repeats the call with it. This does not depend on why the owner lacks the turn: take-over, a turn longer than the retention, deleted records. A turn that continues one of another program in the same partition now brings its history too, as with other partitions: a program keeps its own turns only. A record with neither history nor a known turn before it (the build before wrote such) can't be continued.

A durable begin alone would have kept the program here, but not in the other three cases above.

--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -72,11 +72,7 @@
 		x.settle(x.deliveredTokens(out))
 		return err
 	}
-	end := x.endRequest(out, x.backend, true)
-	if begun.Foreign {
-		end.Inherited = history
-	}
-	if err := x.turnClient.End(ctx, end); err != nil {
+	if err := x.recordTurn(ctx, x.endRequest(out, x.backend, true), history, begun.Foreign); err != nil {
 		return verdict.Fail(http.StatusGatewayTimeout, verdict.ReasonNotDurable, "the end of the turn was not recorded: %v",
 			err)
 	}
@@ -84,6 +80,25 @@
 	return nil
 }
 
+// recordTurn makes the end of a turn durable. The history before it is sent along if the owner needs it: the previous turn is
+// foreign to its program, or this owner does not have it (any more).
+func (x *exchange) recordTurn(ctx context.Context, end *turnv1.EndRequest, history []byte, foreign bool) error {
+	if foreign {
+		end.Inherited = history
+	}
+	err := x.turnClient.End(ctx, end)
+	if !errors.Is(err, turnclient.ErrHistoryMissing) {
+		return err
+	}
+	end.Inherited = history
+	if len(history) == 0 {
+		end.Previous = ""
+	}
+	klog.InfoS("the owner lacks the history before a turn; sending it", "request", x.ID, "program", end.Program, "previous", x.PreviousTurn,
+		"history_bytes", len(history))
+	return x.turnClient.End(ctx, end)
+}
+
 // serveUnstoredTurn runs one turn of a program on a route that stores no history: the client sends the whole prompt, but
 // the budget holds for all turns of the program. The client's response does not wait for the owner's record, since it
 // makes no promise beyond the budget.
--- a/internal/turnclient/turnclient.go
+++ b/internal/turnclient/turnclient.go
@@ -49,6 +49,9 @@
 // ErrTooLong means that the turn's history exceeds a message between instances.
 var ErrTooLong = errors.New("the history is too long to be sent to another instance")
 
+// ErrHistoryMissing means that the owner lacks the history before a turn that has ended, and needs it to record the turn.
+var ErrHistoryMissing = errors.New("the owner of the program's partition lacks the history before the turn")
+
 // OwnerDirectory maps partitions to their owners.
 type OwnerDirectory interface {
 	// OwnerOf returns the peer address of the owner, or "" if it is unknown.
@@ -117,7 +120,8 @@
 	}
 }
 
-// End reports the end of a turn to the owner. If it returns nil, a completed turn is durable.
+// End reports the end of a turn to the owner. If it returns nil, a completed turn is durable. With ErrHistoryMissing nothing is
+// recorded, and the call must be repeated with the history before the turn.
 func (c *Client) End(ctx context.Context, r *turnv1.EndRequest) error {
 	var lastErr error = ErrNoOwner
 	for {
@@ -135,6 +139,8 @@
 			lastErr = err
 		case resp.Outcome == turnv1.Outcome_OUTCOME_OK:
 			return nil
+		case resp.Outcome == turnv1.Outcome_OUTCOME_HISTORY_MISSING:
+			return ErrHistoryMissing
 		default:
 			lastErr = errors.Newf("the owner answers %s", resp.Outcome)
 		}
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -188,8 +188,8 @@
 		return resp
 	}
 	if a.previous != nil {
-		resp.Backend = a.previous.backend
-		if !r.HistoryKnown {
+		resp.Backend, resp.Foreign = a.previous.backend, a.foreign
+		if !r.HistoryKnown || a.foreign {
 			resp.History = a.previous.history()
 		}
 	}
@@ -297,7 +297,7 @@
 			p.mu.Unlock()
 			continue
 		}
-		t := p.state.turns[r.Turn]
+		t := p.state.wholeTurn(r.Turn)
 		p.mu.Unlock()
 		if t == nil {
 			if !r.Confirm || p.isCurrentOwner(ctx) {
@@ -345,6 +345,12 @@
 		p.mu.Unlock()
 		return turnv1.Outcome_OUTCOME_OK
 	}
+	if p.state.lacksHistory(r) {
+		p.mu.Unlock()
+		klog.InfoS("turn ended at an owner without its history", "request", r.Turn, "program", r.Program, "previous", r.Previous,
+			"partition", p.number)
+		return turnv1.Outcome_OUTCOME_HISTORY_MISSING
+	}
 	record := o.completedRecord(p, r)
 	p.mu.Unlock()
 	outcome := outcomeOf(p.submit(ctx, record))
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -55,6 +55,8 @@
 	backend       string
 	// oldest is the timestamp of the oldest record that the turn's history depends on.
 	oldest time.Time
+	// incomplete is set if the history before the turn is not known, so that the turn can't be continued.
+	incomplete bool
 }
 
 func newState(inlineAfter time.Duration) *state {
@@ -93,7 +95,9 @@
 		oldest: time.UnixMilli(c.AtUnixMs),
 	}
 	if c.Previous != "" && len(c.Inherited) == 0 {
-		if t.parent = s.turns[c.Previous]; t.parent != nil && t.parent.oldest.Before(t.oldest) {
+		t.parent = s.wholeTurn(c.Previous)
+		t.incomplete = t.parent == nil
+		if t.parent != nil && t.parent.oldest.Before(t.oldest) {
 			t.oldest = t.parent.oldest
 		}
 	}
@@ -102,6 +106,24 @@
 	p.turns = append(p.turns, c.Turn)
 }
 
+// wholeTurn returns a turn that can be continued, or nil: its record and those of the turns before it are known.
+func (s *state) wholeTurn(id string) *turn {
+	if t := s.turns[id]; t != nil && !t.incomplete {
+		return t
+	}
+	return nil
+}
+
+// lacksHistory reports whether the history before a turn that has ended is neither in the request nor in its program. Turns of
+// other programs don't count: a program keeps its own turns only.
+func (s *state) lacksHistory(r *turnv1.EndRequest) bool {
+	if r.Previous == "" || len(r.Inherited) > 0 {
+		return false
+	}
+	previous := s.wholeTurn(r.Previous)
+	return previous == nil || previous.program != r.Program
+}
+
 // size is what the turn keeps by itself, in bytes.
 func (t *turn) size() int64 { return int64(cap(t.inherited) + cap(t.input) + cap(t.output)) }
 
@@ -177,9 +199,11 @@
 	// grant is the total to grant durably before the turn may start; zero if an earlier grant covers the turn.
 	grant    int64
 	previous *turn
+	// foreign means that the previous turn is another program's.
+	foreign bool
 	// forgiven is the value of that field in the record of the grant.
 	forgiven int64
-	// previousElsewhere means that the previous turn is not in this partition.
+	// previousElsewhere means that this partition has no whole previous turn.
 	previousElsewhere    bool
 	charged, outstanding int64
 }
@@ -192,12 +216,14 @@
 	}
 	a := admission{outcome: turnv1.Outcome_OUTCOME_OK}
 	if r.Previous != "" {
-		a.previous = s.turns[r.Previous]
+		a.previous = s.wholeTurn(r.Previous)
 		switch {
 		case a.previous == nil:
 			a.previousElsewhere = true
 		case a.previous.account != r.Account:
 			return admission{outcome: turnv1.Outcome_OUTCOME_NO_SUCH_TURN}
+		default:
+			a.foreign = a.previous.program != r.Program
 		}
 	}
 	if _, reserved := p.reserved[r.Turn]; !reserved && r.Budget >= 0 && p.charged()+r.Most > r.Budget {
