turnlog: a program whose turn began late keeps its budget over a take-over

Callers saw, in tests only: a program whose turn begins near the end of its retention gets its whole budget again if the partition moves during the turn.

Cause: the record of a begin is spared if an earlier grant covers its tokens. It also said that the program is in use; without it the next owner counts the age from the turn before and drops the program with its charge. An owner drops a program of its own that grows too old during a long turn, reservation and all. The end of a turn of an unknown program was charged to nobody.

Fix: BeginRequest.within_ms says how long a turn may last, and its reservation keeps the program for that long. A turn that may last for over 30 s from the program's newest record starts with a record that repeats the durable charge and says until when the program is in use. Tokens are remembered 30 s longer than turns, so that no owner forgets a program which another may have begun a turn of within its retention.

Ruled out: a record for each begin (one more append a turn); keeping the turns longer too (memory after a take-over); repeating the newest grant, which would lower the recorded charge if it is overtaken on its way.

--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -180,6 +180,7 @@
 	resp, err := x.turnClient.Begin(ctx, &turnv1.BeginRequest{
 		Program: x.programID(), Account: x.account.Name, Turn: x.ID, Previous: x.PreviousTurn, Budget: x.budget(),
 		Most: x.MaxTokens, HistoryKnown: cached, KeepMs: x.route.HistoryTTL.Milliseconds(), Session: x.Session,
+		WithinMs: (x.remaining() + reportTimeout).Milliseconds(),
 	})
 	if err != nil {
 		x.settle(0)
--- a/internal/turnlog/advance.go
+++ b/internal/turnlog/advance.go
@@ -1,8 +1,6 @@
 package turnlog
 
 import (
-	"maps"
-
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
 )
 
@@ -31,9 +29,13 @@
 		if charged >= p.recordedCharge && len(p.reserved) == 0 && (p.forgiven == 0 || charged >= p.granted) {
 			continue
 		}
+		reserved := make(map[string]int64, len(p.reserved))
+		for turn, r := range p.reserved {
+			reserved[turn] = r.tokens
+		}
 		out = append(out, &turnv1.Record{Change: &turnv1.Record_Granted{Granted: &turnv1.Granted{
-			Program: id, Account: p.account, Granted: p.granted, Charged: charged, Forgiven: p.forgiven, Final: true, Reserved: maps.Clone(p.reserved),
-			KeepMs: p.keep.Milliseconds(), AtUnixMs: p.lastUse.UnixMilli(),
+			Program: id, Account: p.account, Granted: p.granted, Charged: charged, Forgiven: p.forgiven, Final: true, Reserved: reserved,
+			KeepMs: p.keep.Milliseconds(), AtUnixMs: p.usedUntil().UnixMilli(),
 		}}})
 	}
 	return out
--- a/internal/turnlog/loss_test.go
+++ b/internal/turnlog/loss_test.go
@@ -33,11 +33,13 @@
 // lossyProgram is one program, the store's records of it and its owners, of which only the last may append.
 type lossyProgram struct {
 	advanceGrants bool
-	records       []*turnv1.Record
-	owners        []*lossyOwner
-	ended         []endedTurn
-	generated     int64
-	turns         int
+	// recordsUse has the turns that need no record for their tokens record that the program is in use, as late ones do.
+	recordsUse bool
+	records    []*turnv1.Record
+	owners     []*lossyOwner
+	ended      []endedTurn
+	generated  int64
+	turns      int
 }
 
 // endedTurn is a turn whose end may be reported to an owner again.
@@ -70,12 +72,10 @@
 	a := o.state.admit(&turnv1.BeginRequest{Program: "p", Turn: id, Budget: lossBudget, Most: lossReservation}, time.Now())
 	switch {
 	case a.outcome != turnv1.Outcome_OUTCOME_OK:
-	case a.grant == 0:
+	case a.grant == 0 && !p.recordsUse:
 		o.running = append(o.running, id)
 	default:
-		o.pending = append(o.pending, pendingRecord{turn: id, record: &turnv1.Record{Change: &turnv1.Record_Granted{
-			Granted: &turnv1.Granted{Program: "p", Granted: a.grant, Charged: a.charged, Forgiven: a.forgiven},
-		}}})
+		o.pending = append(o.pending, pendingRecord{turn: id, record: a.record(&turnv1.BeginRequest{Program: "p", Most: lossReservation})})
 	}
 }
 
@@ -99,7 +99,7 @@
 	ahead := o.state.grantAhead(&turnv1.EndRequest{
 		Program: "p", Turn: t.id, Tokens: t.tokens, Budget: lossBudget, Most: lossReservation,
 	}, time.Now())
-	o.state.settle("p", t.id, t.tokens)
+	o.state.settle("p", t.id, t.tokens, time.Now())
 	if ahead == nil {
 		return
 	}
@@ -151,8 +151,18 @@
 
 // Load pattern: the store is away for seconds, so that records wait, and owners are lost, cut off or replaced meanwhile.
 func TestNoSequenceOfLossesExceedsTheBudgetByMoreThanOneTurn(t *testing.T) {
+	checkSequencesOfLosses(t, false)
+}
+
+// Guards against a record that a program is in use, without a grant, that hides what others have charged.
+func TestNoRecordOfUseExceedsTheBudgetByMoreThanOneTurn(t *testing.T) {
+	checkSequencesOfLosses(t, true)
+}
+
+func checkSequencesOfLosses(t *testing.T, recordsUse bool) {
 	rapid.Check(t, func(t *rapid.T) {
 		p := newLossyProgram(rapid.Bool().Draw(t, "advance grants"))
+		p.recordsUse = recordsUse && rapid.Bool().Draw(t, "records use")
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			o := p.current()
 			if rapid.IntRange(0, 4).Draw(t, "at a replaced owner") == 0 {
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -23,6 +23,9 @@
 	// It is a third of the shortest store retention in use, so that a turn and the records that it depends on outlive the
 	// time for which turns are kept.
 	inlineAfter = 100 * time.Second
+	// useLag is how long after a program's last record a turn may be in progress that needs no record for its tokens. It is longer
+	// than outages of the store, in which such turns go on.
+	useLag = 30 * time.Second
 	// findTimeout bounds the lookup at the other owners of a turn that no local partition has.
 	findTimeout = 700 * time.Millisecond
 	// confirmTimeout bounds the read from the store that confirms a refusal.
@@ -115,9 +118,10 @@
 	p := &partition{
 		number: number, name: platform.Partition{Topic: Topic, Number: number}, store: o.store, writer: o.writer,
 		sizes:         newRecordSizes(o.settings.MaxRecordBytes, o.settings.MaxAppendBytes, o.writer),
-		advanceGrants: o.AdvanceGrants, now: o.now, metrics: o.metrics, memory: o.Memory, state: newState(inlineAfter),
+		advanceGrants: o.AdvanceGrants, now: o.now, metrics: o.metrics, memory: o.Memory,
 		wake: make(chan struct{}, 1), cancel: cancel, closed: make(chan struct{}),
 	}
+	p.state = p.newState()
 	go p.run(ctx)
 	return p
 }
@@ -201,12 +205,12 @@
 		}
 		resp.History, resp.Backend, resp.Foreign = found.History, found.Backend, true
 	}
-	if a.grant > 0 {
+	if a.needsRecord() {
 		if refuse {
 			o.cancelReservation(r.Program, r.Turn)
 			return unavailable
 		}
-		if outcome := o.grant(ctx, p, r, a); outcome != turnv1.Outcome_OUTCOME_OK {
+		if outcome := o.recordBegin(ctx, p, r, a); outcome != turnv1.Outcome_OUTCOME_OK {
 			o.cancelReservation(r.Program, r.Turn)
 			return &turnv1.BeginResponse{Outcome: outcome}
 		}
@@ -214,13 +218,9 @@
 	return resp
 }
 
-// grant makes the token grant that the admission needs durable.
-func (o *Owner) grant(ctx context.Context, p *partition, r *turnv1.BeginRequest, a admission) turnv1.Outcome {
-	err := p.submit(ctx, &turnv1.Record{Change: &turnv1.Record_Granted{Granted: &turnv1.Granted{
-		Program: r.Program, Account: r.Account, Budget: r.Budget, Granted: a.grant, KeepMs: r.KeepMs,
-		AtUnixMs: o.now().UnixMilli(), Charged: a.charged, Forgiven: a.forgiven,
-	}}})
-	return outcomeOf(err)
+// recordBegin makes what the admission needs durable before the turn begins.
+func (o *Owner) recordBegin(ctx context.Context, p *partition, r *turnv1.BeginRequest, a admission) turnv1.Outcome {
+	return outcomeOf(p.submit(ctx, a.record(r)))
 }
 
 func outcomeOf(err error) turnv1.Outcome {
@@ -237,7 +237,7 @@
 func (o *Owner) cancelReservation(program, turn string) {
 	if p := o.partitionOf(program); p != nil {
 		p.mu.Lock()
-		p.state.settle(program, turn, 0)
+		p.state.settle(program, turn, 0, o.now())
 		p.mu.Unlock()
 	}
 }
@@ -331,10 +331,11 @@
 		p.mu.Unlock()
 		return turnv1.Outcome_OUTCOME_UNAVAILABLE
 	}
+	p.state.adopt(r, o.now())
 	p.state.remember(r.Program, r.Session, r.Backend)
 	if !r.Complete {
 		ahead := p.state.grantAhead(r, o.now())
-		p.state.settle(r.Program, r.Turn, r.Tokens)
+		p.state.settle(r.Program, r.Turn, r.Tokens, o.now())
 		p.mu.Unlock()
 		if ahead == nil {
 			return turnv1.Outcome_OUTCOME_OK
@@ -356,7 +357,7 @@
 	outcome := outcomeOf(p.submit(ctx, record))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state.settle(r.Program, r.Turn, r.Tokens)
+	p.state.settle(r.Program, r.Turn, r.Tokens, o.now())
 	return outcome
 }
 
--- a/internal/turnlog/partition.go
+++ b/internal/turnlog/partition.go
@@ -74,6 +74,12 @@
 	offset int64
 }
 
+func (p *partition) newState() *state {
+	s := newState(inlineAfter)
+	s.useLag, s.advanceGrants = useLag, p.advanceGrants
+	return s
+}
+
 // run acquires the partition and writes to it until the context ends, and acquires it again after another process took
 // it over.
 func (p *partition) run(ctx context.Context) {
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -14,6 +14,8 @@
 	// inlineAfter is the age of a turn's oldest record from which the next turn's record contains the whole history, so
 	// that no history depends on records that are about to expire.
 	inlineAfter time.Duration
+	// useLag is how far the use of a program may lie beyond what its records say.
+	useLag time.Duration
 	// advanceGrants has programs without stored history granted more than their next turn needs.
 	advanceGrants bool
 	// bytes is the size of all turns.
@@ -24,10 +26,10 @@
 type program struct {
 	account string
 	// granted is the durable bound on the tokens that the program's turns may generate, spent the tokens that ended turns
-	// generated, and reserved the maximum for each turn in progress, by turn id.
+	// generated, and reserved what the turns in progress may generate, by turn id.
 	granted  int64
 	spent    int64
-	reserved map[string]int64
+	reserved map[string]reservation
 	// recordedCharge is the charge as of the last durable record, and forgiven the granted tokens that were taken back
 	// after a failover (see recoverCharges).
 	recordedCharge int64
@@ -40,8 +42,16 @@
 	// kept in memory only: without them a prompt is read again.
 	sessions    map[string]string
 	lastBackend string
-	lastUse     time.Time
-	keep        time.Duration
+	// lastUse is when a turn last began or ended, recordedUse the last use that the records tell.
+	lastUse, recordedUse time.Time
+	keep                 time.Duration
+}
+
+// reservation is what is reserved for a turn in progress.
+type reservation struct {
+	tokens int64
+	// until is when the turn has ended at the latest.
+	until time.Time
 }
 
 // turn is a completed turn.
@@ -76,7 +86,7 @@
 		}
 		p.setTotals(granted, g.Charged, g.Forgiven)
 		p.handedOver = g.Reserved
-		p.touch(g.AtUnixMs, g.KeepMs)
+		p.recordUse(g.AtUnixMs, g.KeepMs)
 	case *turnv1.Record_Completed:
 		s.complete(c.Completed)
 	}
@@ -86,7 +96,7 @@
 	p := s.program(c.Program, c.Account)
 	p.setTotals(c.Granted, c.Charged, c.Forgiven)
 	p.handedOver = nil
-	p.touch(c.AtUnixMs, c.KeepMs)
+	p.recordUse(c.AtUnixMs, c.KeepMs)
 	if s.turns[c.Turn] != nil {
 		return
 	}
@@ -130,7 +140,7 @@
 func (s *state) program(id, account string) *program {
 	p := s.programs[id]
 	if p == nil {
-		p = &program{account: account, reserved: map[string]int64{}}
+		p = &program{account: account, reserved: map[string]reservation{}}
 		s.programs[id] = p
 	}
 	return p
@@ -145,20 +155,41 @@
 	p.granted, p.recordedCharge, p.forgiven = max(p.granted, granted), charged, max(p.forgiven, forgiven)
 }
 
-func (p *program) touch(atUnixMs, keepMs int64) {
-	if at := time.UnixMilli(atUnixMs); at.After(p.lastUse) {
-		p.lastUse = at
-	}
+// recordUse applies the use that a durable record tells.
+func (p *program) recordUse(atUnixMs, keepMs int64) {
+	at := time.UnixMilli(atUnixMs)
+	p.recordedUse = later(p.recordedUse, at)
+	p.use(at, keepMs)
+}
+
+func (p *program) use(at time.Time, keepMs int64) {
+	p.lastUse = later(p.lastUse, at)
 	p.keep = max(p.keep, time.Duration(keepMs)*time.Millisecond)
 }
 
+// usedUntil returns the last use of the program, which lies ahead while turns are in progress.
+func (p *program) usedUntil() time.Time {
+	until := p.lastUse
+	for _, r := range p.reserved {
+		until = later(until, r.until)
+	}
+	return until
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // charged returns the tokens that the program's turns have generated or may still generate.
 func (p *program) charged() int64 { return p.spent + p.outstanding() }
 
 func (p *program) outstanding() int64 {
 	var n int64
-	for _, reservation := range p.reserved {
-		n += reservation
+	for _, r := range p.reserved {
+		n += r.tokens
 	}
 	return n
 }
@@ -183,9 +214,9 @@
 // charged for what they generate. What they leave is not granted: the next owner may find the same reservations, and their ends
 // may be reported to it again, so a turn that begins in their place needs a record.
 func (p *program) resumeReservations() {
-	for turn, reservation := range p.handedOver {
-		p.reserved[turn] = reservation
-		p.spent -= reservation
+	for turn, tokens := range p.handedOver {
+		p.reserved[turn] = reservation{tokens: tokens, until: p.recordedUse}
+		p.spent -= tokens
 	}
 	if len(p.handedOver) > 0 {
 		p.granted = p.spent
@@ -206,6 +237,27 @@
 	// previousElsewhere means that this partition has no whole previous turn.
 	previousElsewhere    bool
 	charged, outstanding int64
+	// staleUse means that the turn may last longer than the records tell that the program is in use, so that the next owner could
+	// forget the program and its charge meanwhile. use is the use to record, recordedCharge the charge to repeat with it.
+	staleUse       bool
+	use            time.Time
+	recordedCharge int64
+}
+
+// needsRecord reports whether something must be durable before the turn may begin.
+func (a admission) needsRecord() bool { return a.grant > 0 || a.staleUse }
+
+// record returns what must be durable before the turn may begin: a grant, or only that the program is in use. The latter repeats the
+// charge that is durable already. As it grants no more than that, it lowers no charge that is recorded before it takes effect.
+func (a admission) record(r *turnv1.BeginRequest) *turnv1.Record {
+	granted, charged := a.grant, a.charged
+	if a.grant == 0 {
+		granted, charged = a.recordedCharge, a.recordedCharge
+	}
+	return &turnv1.Record{Change: &turnv1.Record_Granted{Granted: &turnv1.Granted{
+		Program: r.Program, Account: r.Account, Budget: r.Budget, Granted: granted, KeepMs: r.KeepMs,
+		AtUnixMs: a.use.UnixMilli(), Charged: charged, Forgiven: a.forgiven,
+	}}}
 }
 
 // admit decides whether a turn may start, and reserves its tokens if so.
@@ -231,22 +283,40 @@
 		a.charged, a.outstanding = p.charged(), p.outstanding()
 		return a
 	}
-	p.reserved[r.Turn] = r.Most
-	p.touch(now.UnixMilli(), r.KeepMs)
+	until := now.Add(time.Duration(r.WithinMs) * time.Millisecond)
+	p.reserved[r.Turn] = reservation{tokens: r.Most, until: until}
+	p.use(now, r.KeepMs)
 	a.charged, a.outstanding = p.charged(), p.outstanding()
+	a.staleUse = until.After(p.recordedUse.Add(s.useLag))
+	a.recordedCharge, a.forgiven = p.recordedCharge, p.forgiven
+	if a.use = now; until.After(now.Add(s.useLag)) {
+		a.use = until
+	}
 	// At most one turn may be missing in the records, since recoverCharges takes back the grant of one turn only.
 	if a.charged > p.granted || a.charged-p.recordedCharge > r.Most {
-		a.grant, a.forgiven = a.charged, p.forgiven
+		a.grant = a.charged
 	}
 	return a
 }
 
-// settle replaces the reservation of a turn by the tokens that it generated.
-func (s *state) settle(programID, turnID string, tokens int64) {
+// adopt reserves the tokens of a turn that has ended if its program is unknown, as an owner of an older build may have begun it
+// without a record. Without that they would be charged to nobody.
+func (s *state) adopt(r *turnv1.EndRequest, now time.Time) {
+	if r.Tokens == 0 || s.programs[r.Program] != nil {
+		return
+	}
+	p := s.program(r.Program, r.Account)
+	p.reserved[r.Turn] = reservation{tokens: r.Tokens}
+	p.use(now, r.KeepMs)
+}
+
+// settle replaces the reservation of a turn that has ended by the tokens that it generated.
+func (s *state) settle(programID, turnID string, tokens int64, now time.Time) {
 	p := s.programs[programID]
 	if p == nil {
 		return
 	}
+	p.lastUse = later(p.lastUse, now)
 	if _, ok := p.reserved[turnID]; !ok {
 		// The reservation was made at an earlier owner, and recoverCharges has charged it.
 		return
@@ -308,8 +378,8 @@
 		return totals{granted: tokens + reservation, charged: tokens}
 	}
 	charged := p.charged()
-	if reserved, ok := p.reserved[turnID]; ok {
-		charged += tokens - reserved
+	if r, ok := p.reserved[turnID]; ok {
+		charged += tokens - r.tokens
 	}
 	granted := max(p.granted, charged+ahead(charged))
 	return totals{granted: granted, charged: max(charged, granted-reservation), forgiven: p.forgiven}
@@ -361,18 +431,27 @@
 	return t.history()
 }
 
-// expire removes programs that were not used for longer than their retention time plus slack.
+// expire removes the turns of programs that were not used for longer than their retention time plus slack, and the programs
+// themselves once no owner can have begun a turn of theirs since.
 func (s *state) expire(now time.Time, slack time.Duration) {
 	for id, p := range s.programs {
-		if now.Sub(p.lastUse) < p.keep+slack {
+		kept := p.keep + slack
+		if now.Sub(p.usedUntil()) < kept {
 			continue
 		}
-		for _, id := range p.turns {
-			if t := s.turns[id]; t != nil {
-				s.bytes -= t.size()
-			}
-			delete(s.turns, id)
+		s.removeTurns(p)
+		if now.Sub(p.recordedUse.Add(s.useLag)) >= kept {
+			delete(s.programs, id)
+		}
+	}
+}
+
+func (s *state) removeTurns(p *program) {
+	for _, id := range p.turns {
+		if t := s.turns[id]; t != nil {
+			s.bytes -= t.size()
 		}
-		delete(s.programs, id)
+		delete(s.turns, id)
 	}
+	p.turns = nil
 }
--- a/internal/turnlog/state_test.go
+++ b/internal/turnlog/state_test.go
@@ -54,7 +54,7 @@
 						ahead := s.grantAhead(&turnv1.EndRequest{Program: "p", Turn: id, Tokens: tokens, Most: reservation}, time.Now())
 						durable(&turnv1.Record{Change: &turnv1.Record_Granted{Granted: ahead}})
 					}
-					s.settle("p", id, tokens)
+					s.settle("p", id, tokens, time.Now())
 				}
 			case 3:
 				s = newState(time.Hour)
--- a/internal/turnlog/takeover.go
+++ b/internal/turnlog/takeover.go
@@ -18,8 +18,7 @@
 // acquire replays the partition and appends a record that starts this ownership.
 func (p *partition) acquire(ctx context.Context) error {
 	start := p.now()
-	s := newState(inlineAfter)
-	s.advanceGrants = p.advanceGrants
+	s := p.newState()
 	var fragments assembler
 	var offset int64
 	var records, bytes int
