turnlog: programs are named by account and id

If both use the same ids at once, all first turns of the second account get 404.

Cause: an owner kept programs by id alone, with the account of whoever came first. A running owner refuses the second account, or, once the first program has expired, records the second one's turns; the next owner reads the records of both from the log and merges them, budgets too.

Fix: programKey, account and id, names a program in the owner's state. Records and messages had the account already, so that the log's format is unchanged and either build reads it. Partitions are still chosen by the id alone.

Ruled out: comparing accounts where records are applied. It would drop the second account's records. Hashing the account into the partition: an upgrade would then look for programs in another partition than the one that has them.

Log lines of refused and late turns name the account. Tests changed: keys in place of ids.

--- a/internal/turnlog/advance.go
+++ b/internal/turnlog/advance.go
@@ -24,7 +24,7 @@
 // again. The records are final: from the second takeover on the whole of an older grant would count as spent.
 func (s *state) unused() []*turnv1.Record {
 	var out []*turnv1.Record
-	for id, p := range s.programs {
+	for k, p := range s.programs {
 		charged := p.charged()
 		if charged >= p.recordedCharge && len(p.reserved) == 0 && (p.forgiven == 0 || charged >= p.granted) {
 			continue
@@ -34,7 +34,7 @@
 			reserved[turn] = r.tokens
 		}
 		out = append(out, &turnv1.Record{Change: &turnv1.Record_Granted{Granted: &turnv1.Granted{
-			Program: id, Account: p.account, Granted: p.granted, Charged: charged, Forgiven: p.forgiven, Final: true, Reserved: reserved,
+			Program: k.id, Account: k.account, Granted: p.granted, Charged: charged, Forgiven: p.forgiven, Final: true, Reserved: reserved,
 			KeepMs: p.keep.Milliseconds(), AtUnixMs: p.usedUntil().UnixMilli(),
 		}}})
 	}
--- a/internal/turnlog/loss_test.go
+++ b/internal/turnlog/loss_test.go
@@ -99,7 +99,7 @@
 	ahead := o.state.grantAhead(&turnv1.EndRequest{
 		Program: "p", Turn: t.id, Tokens: t.tokens, Budget: lossBudget, Most: lossReservation,
 	}, time.Now())
-	o.state.settle("p", t.id, t.tokens, time.Now())
+	o.state.settle(programKey{id: "p"}, t.id, t.tokens, time.Now())
 	if ahead == nil {
 		return
 	}
@@ -271,7 +271,7 @@
 			for range parallel {
 				p.end(p.current(), tokens, true)
 			}
-			if n := p.current().state.programs["p"].charged(); n != parallel*tokens {
+			if n := p.current().state.programs[programKey{id: "p"}].charged(); n != parallel*tokens {
 				t.Errorf("%d tokens are charged for %d", n, p.generated)
 			}
 		})
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -159,7 +159,7 @@
 	resp := o.begin(ctx, r)
 	o.metrics.begins.WithLabelValues(resp.Outcome.String()).Inc()
 	if resp.Outcome != turnv1.Outcome_OUTCOME_OK {
-		klog.InfoS("turn not begun", "request", r.Turn, "program", r.Program, "previous", r.Previous,
+		klog.InfoS("turn not begun", "request", r.Turn, "account", r.Account, "program", r.Program, "previous", r.Previous,
 			"outcome", resp.Outcome.String(), "budget", r.Budget, "most", r.Most, "charged", resp.Charged,
 			"outstanding", resp.Outstanding, "store_away_ms", resp.StoreAwayMs)
 	}
@@ -182,7 +182,7 @@
 		return unavailable
 	}
 	a := p.state.admit(r, o.now())
-	backend := p.state.backendOf(r.Program, r.Session)
+	backend := p.state.backendOf(keyOf(r), r.Session)
 	p.mu.Unlock()
 	resp := &turnv1.BeginResponse{
 		Outcome: a.outcome, Charged: a.charged, Outstanding: a.outstanding, Backend: backend,
@@ -200,18 +200,18 @@
 	if a.previousElsewhere {
 		found := o.find(ctx, &turnv1.FindRequest{Account: r.Account, Turn: r.Previous})
 		if found.Outcome != turnv1.Outcome_OUTCOME_OK {
-			o.cancelReservation(r.Program, r.Turn)
+			o.cancelReservation(keyOf(r), r.Turn)
 			return &turnv1.BeginResponse{Outcome: found.Outcome}
 		}
 		resp.History, resp.Backend, resp.Foreign = found.History, found.Backend, true
 	}
 	if a.needsRecord() {
 		if refuse {
-			o.cancelReservation(r.Program, r.Turn)
+			o.cancelReservation(keyOf(r), r.Turn)
 			return unavailable
 		}
 		if outcome := o.recordBegin(ctx, p, r, a); outcome != turnv1.Outcome_OUTCOME_OK {
-			o.cancelReservation(r.Program, r.Turn)
+			o.cancelReservation(keyOf(r), r.Turn)
 			return &turnv1.BeginResponse{Outcome: outcome}
 		}
 	}
@@ -234,8 +234,8 @@
 	}
 }
 
-func (o *Owner) cancelReservation(program, turn string) {
-	if p := o.partitionOf(program); p != nil {
+func (o *Owner) cancelReservation(program programKey, turn string) {
+	if p := o.partitionOf(program.id); p != nil {
 		p.mu.Lock()
 		p.state.settle(program, turn, 0, o.now())
 		p.mu.Unlock()
@@ -305,7 +305,7 @@
 			}
 			continue
 		}
-		if t.account != r.Account {
+		if t.program.account != r.Account {
 			resp.Partitions = append(resp.Partitions, int32(p.number))
 			continue
 		}
@@ -332,10 +332,10 @@
 		return turnv1.Outcome_OUTCOME_UNAVAILABLE
 	}
 	p.state.adopt(r, o.now())
-	p.state.remember(r.Program, r.Session, r.Backend)
+	p.state.remember(keyOf(r), r.Session, r.Backend)
 	if !r.Complete {
 		ahead := p.state.grantAhead(r, o.now())
-		p.state.settle(r.Program, r.Turn, r.Tokens, o.now())
+		p.state.settle(keyOf(r), r.Turn, r.Tokens, o.now())
 		p.mu.Unlock()
 		if ahead == nil {
 			return turnv1.Outcome_OUTCOME_OK
@@ -348,8 +348,8 @@
 	}
 	if p.state.lacksHistory(r) {
 		p.mu.Unlock()
-		klog.InfoS("turn ended at an owner without its history", "request", r.Turn, "program", r.Program, "previous", r.Previous,
-			"partition", p.number)
+		klog.InfoS("turn ended at an owner without its history", "request", r.Turn, "account", r.Account, "program", r.Program,
+			"previous", r.Previous, "partition", p.number)
 		return turnv1.Outcome_OUTCOME_HISTORY_MISSING
 	}
 	record := o.completedRecord(p, r)
@@ -357,7 +357,7 @@
 	outcome := outcomeOf(p.submit(ctx, record))
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.state.settle(r.Program, r.Turn, r.Tokens, o.now())
+	p.state.settle(keyOf(r), r.Turn, r.Tokens, o.now())
 	return outcome
 }
 
@@ -366,7 +366,7 @@
 	if len(inherited) == 0 {
 		inherited = p.state.historyToInline(r.Previous, o.now())
 	}
-	next := p.state.nextGrant(r.Program, r.Turn, r.Tokens, r.Most)
+	next := p.state.nextGrant(keyOf(r), r.Turn, r.Tokens, r.Most)
 	return &turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{
 		Program: r.Program, Account: r.Account, Turn: r.Turn, Previous: r.Previous, Input: r.Input, Output: r.Output,
 		Tokens: r.Tokens, Backend: r.Backend, Budget: r.Budget, Inherited: inherited,
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -9,7 +9,7 @@
 // state is the result of replaying the records of one partition, plus the reservations of turns in progress. It is not
 // safe for concurrent use and takes the time from its callers.
 type state struct {
-	programs map[string]*program
+	programs map[programKey]*program
 	turns    map[string]*turn
 	// inlineAfter is the age of a turn's oldest record from which the next turn's record contains the whole history, so
 	// that no history depends on records that are about to expire.
@@ -22,9 +22,19 @@
 	bytes int64
 }
 
+// programKey names a program. Clients choose the ids of programs, so they are unique within an account only.
+type programKey struct{ account, id string }
+
+// keyOf returns the program of a message or a record.
+func keyOf(m interface {
+	GetAccount() string
+	GetProgram() string
+}) programKey {
+	return programKey{account: m.GetAccount(), id: m.GetProgram()}
+}
+
 // program holds the token accounting of a program and the ids of its turns.
 type program struct {
-	account string
 	// granted is the durable bound on the tokens that the program's turns may generate, spent the tokens that ended turns
 	// generated, and reserved what the turns in progress may generate, by turn id.
 	granted  int64
@@ -56,8 +66,7 @@
 
 // turn is a completed turn.
 type turn struct {
-	account string
-	program string
+	program programKey
 	parent  *turn
 	// inherited is the inlined history before the turn if the turn has no parent.
 	inherited     []byte
@@ -70,7 +79,7 @@
 }
 
 func newState(inlineAfter time.Duration) *state {
-	return &state{programs: map[string]*program{}, turns: map[string]*turn{}, inlineAfter: inlineAfter}
+	return &state{programs: map[programKey]*program{}, turns: map[string]*turn{}, inlineAfter: inlineAfter}
 }
 
 // apply applies a durable record.
@@ -78,7 +87,7 @@
 	switch c := r.Change.(type) {
 	case *turnv1.Record_Granted:
 		g := c.Granted
-		p := s.program(g.Program, g.Account)
+		p := s.program(keyOf(g))
 		granted := g.Granted
 		if g.Final {
 			// Nothing has begun under the grants before that is not charged.
@@ -93,7 +102,7 @@
 }
 
 func (s *state) complete(c *turnv1.Completed) {
-	p := s.program(c.Program, c.Account)
+	p := s.program(keyOf(c))
 	p.setTotals(c.Granted, c.Charged, c.Forgiven)
 	p.handedOver = nil
 	p.recordUse(c.AtUnixMs, c.KeepMs)
@@ -101,7 +110,7 @@
 		return
 	}
 	t := &turn{
-		account: c.Account, program: c.Program, inherited: c.Inherited, input: c.Input, output: c.Output, backend: c.Backend,
+		program: keyOf(c), inherited: c.Inherited, input: c.Input, output: c.Output, backend: c.Backend,
 		oldest: time.UnixMilli(c.AtUnixMs),
 	}
 	if c.Previous != "" && len(c.Inherited) == 0 {
@@ -131,17 +140,17 @@
 		return false
 	}
 	previous := s.wholeTurn(r.Previous)
-	return previous == nil || previous.program != r.Program
+	return previous == nil || previous.program != keyOf(r)
 }
 
 // size is what the turn keeps by itself, in bytes.
 func (t *turn) size() int64 { return int64(cap(t.inherited) + cap(t.input) + cap(t.output)) }
 
-func (s *state) program(id, account string) *program {
-	p := s.programs[id]
+func (s *state) program(k programKey) *program {
+	p := s.programs[k]
 	if p == nil {
-		p = &program{account: account, reserved: map[string]reservation{}}
-		s.programs[id] = p
+		p = &program{reserved: map[string]reservation{}}
+		s.programs[k] = p
 	}
 	return p
 }
@@ -262,20 +271,17 @@
 
 // admit decides whether a turn may start, and reserves its tokens if so.
 func (s *state) admit(r *turnv1.BeginRequest, now time.Time) admission {
-	p := s.program(r.Program, r.Account)
-	if p.account != r.Account {
-		return admission{outcome: turnv1.Outcome_OUTCOME_NO_SUCH_TURN}
-	}
+	p := s.program(keyOf(r))
 	a := admission{outcome: turnv1.Outcome_OUTCOME_OK}
 	if r.Previous != "" {
 		a.previous = s.wholeTurn(r.Previous)
 		switch {
 		case a.previous == nil:
 			a.previousElsewhere = true
-		case a.previous.account != r.Account:
+		case a.previous.program.account != r.Account:
 			return admission{outcome: turnv1.Outcome_OUTCOME_NO_SUCH_TURN}
 		default:
-			a.foreign = a.previous.program != r.Program
+			a.foreign = a.previous.program != keyOf(r)
 		}
 	}
 	if _, reserved := p.reserved[r.Turn]; !reserved && r.Budget >= 0 && p.charged()+r.Most > r.Budget {
@@ -302,17 +308,17 @@
 // adopt reserves the tokens of a turn that has ended if its program is unknown, as an owner of an older build may have begun it
 // without a record. Without that they would be charged to nobody.
 func (s *state) adopt(r *turnv1.EndRequest, now time.Time) {
-	if r.Tokens == 0 || s.programs[r.Program] != nil {
+	if r.Tokens == 0 || s.programs[keyOf(r)] != nil {
 		return
 	}
-	p := s.program(r.Program, r.Account)
+	p := s.program(keyOf(r))
 	p.reserved[r.Turn] = reservation{tokens: r.Tokens}
 	p.use(now, r.KeepMs)
 }
 
 // settle replaces the reservation of a turn that has ended by the tokens that it generated.
-func (s *state) settle(programID, turnID string, tokens int64, now time.Time) {
-	p := s.programs[programID]
+func (s *state) settle(k programKey, turnID string, tokens int64, now time.Time) {
+	p := s.programs[k]
 	if p == nil {
 		return
 	}
@@ -329,8 +335,8 @@
 const maxSessions = 32
 
 // remember records the backend server that ran a turn of a session.
-func (s *state) remember(programID, session, backend string) {
-	p := s.programs[programID]
+func (s *state) remember(k programKey, session, backend string) {
+	p := s.programs[k]
 	if p == nil || backend == "" {
 		return
 	}
@@ -348,8 +354,8 @@
 
 // backendOf returns the backend server of the session's last turn. A session that is new to the program is that of a
 // sub-agent, whose prompt begins like those of the program's other turns.
-func (s *state) backendOf(programID, session string) string {
-	p := s.programs[programID]
+func (s *state) backendOf(k programKey, session string) string {
+	p := s.programs[k]
 	if p == nil || session == "" {
 		return ""
 	}
@@ -367,13 +373,13 @@
 //
 // The charge is at most one turn below the grant. While the record waits for the store, other turns may begin under the grants
 // before it, and recoverCharges takes back all that is granted but not charged.
-func (s *state) nextGrant(programID, turnID string, tokens, reservation int64) totals {
-	return s.totalsAfter(programID, turnID, tokens, reservation, func(int64) int64 { return reservation })
+func (s *state) nextGrant(k programKey, turnID string, tokens, reservation int64) totals {
+	return s.totalsAfter(k, turnID, tokens, reservation, func(int64) int64 { return reservation })
 }
 
 // totalsAfter returns the totals to record with the end of a turn. ahead is how far the grant reaches beyond the charge.
-func (s *state) totalsAfter(programID, turnID string, tokens, reservation int64, ahead func(charged int64) int64) totals {
-	p := s.programs[programID]
+func (s *state) totalsAfter(k programKey, turnID string, tokens, reservation int64, ahead func(charged int64) int64) totals {
+	p := s.programs[k]
 	if p == nil {
 		return totals{granted: tokens + reservation, charged: tokens}
 	}
@@ -389,10 +395,10 @@
 // can start without an append, and with advance grants those after it. It returns nil if none is requested or the program is
 // unknown.
 func (s *state) grantAhead(r *turnv1.EndRequest, now time.Time) *turnv1.Granted {
-	if r.Most <= 0 || s.programs[r.Program] == nil {
+	if r.Most <= 0 || s.programs[keyOf(r)] == nil {
 		return nil
 	}
-	next := s.totalsAfter(r.Program, r.Turn, r.Tokens, r.Most, func(charged int64) int64 {
+	next := s.totalsAfter(keyOf(r), r.Turn, r.Tokens, r.Most, func(charged int64) int64 {
 		if !s.advanceGrants {
 			return r.Most
 		}
@@ -424,7 +430,7 @@
 // historyToInline returns the history to include in the record of a turn that continues from previous, or nil if the
 // records that contain it are recent enough.
 func (s *state) historyToInline(previous string, now time.Time) []byte {
-	t := s.turns[previous]
+	t := s.wholeTurn(previous)
 	if t == nil || now.Sub(t.oldest) < s.inlineAfter {
 		return nil
 	}
@@ -434,14 +440,14 @@
 // expire removes the turns of programs that were not used for longer than their retention time plus slack, and the programs
 // themselves once no owner can have begun a turn of theirs since.
 func (s *state) expire(now time.Time, slack time.Duration) {
-	for id, p := range s.programs {
+	for k, p := range s.programs {
 		kept := p.keep + slack
 		if now.Sub(p.usedUntil()) < kept {
 			continue
 		}
 		s.removeTurns(p)
 		if now.Sub(p.recordedUse.Add(s.useLag)) >= kept {
-			delete(s.programs, id)
+			delete(s.programs, k)
 		}
 	}
 }
--- a/internal/turnlog/state_test.go
+++ b/internal/turnlog/state_test.go
@@ -46,7 +46,7 @@
 					generated += tokens
 					switch rapid.SampledFrom([]string{"recorded", "without history", "broken off"}).Draw(t, "end") {
 					case "recorded":
-						next := s.nextGrant("p", id, tokens, reservation)
+						next := s.nextGrant(programKey{id: "p"}, id, tokens, reservation)
 						durable(&turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{
 							Program: "p", Turn: id, Tokens: tokens, Granted: next.granted, Charged: next.charged, Forgiven: next.forgiven,
 						}}})
@@ -54,7 +54,7 @@
 						ahead := s.grantAhead(&turnv1.EndRequest{Program: "p", Turn: id, Tokens: tokens, Most: reservation}, time.Now())
 						durable(&turnv1.Record{Change: &turnv1.Record_Granted{Granted: ahead}})
 					}
-					s.settle("p", id, tokens, time.Now())
+					s.settle(programKey{id: "p"}, id, tokens, time.Now())
 				}
 			case 3:
 				s = newState(time.Hour)
@@ -97,7 +97,7 @@
 	s.apply(&turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{
 		Program: "p", Turn: "t1", Granted: 564, Charged: 364,
 	}}})
-	s.program("p", "").spent = 364
+	s.program(programKey{id: "p"}).spent = 364
 	first := s.admit(&turnv1.BeginRequest{Program: "p", Turn: "t2", Previous: "t1", Budget: 1000, Most: 100}, time.Now())
 	is.Equal(first.grant, int64(0))
 	second := s.admit(&turnv1.BeginRequest{Program: "p", Turn: "t3", Previous: "t1", Budget: 1000, Most: 100}, time.Now())
