turnlog: turns are named by account and id

Callers saw, in tests only: a turn is answered whole and can't be continued, or 404 at once, where another account has a turn of the same id in the same partition.

Cause: turns were kept by the request ids that clients choose, without the account. A turn that had ended was taken for recorded if another account had one of its id, and acknowledged; a previous turn of that id was the other's.

Evidence, failing before: TestTurnIsRecordedThoughAnotherAccountHasOneOfItsID (history "" where "b b-out" is due), TestAccountsMayUseTheSameTurnIDs (at once, after a takeover: NO_SUCH_TURN).

Fix: turnKey, account and id, names a turn in the owner's state. A previous turn that the account doesn't have is looked up at the other owners, like any unknown one; that another account has such an id says nothing about it. The refusal stays a 404 (TestTurnsOfOtherAccountsAndUnknownTurnsAreRefused).

--- a/internal/turnlog/accounts_test.go
+++ b/internal/turnlog/accounts_test.go
@@ -96,6 +96,54 @@
 	}
 }
 
+// Guards against turns of two accounts being taken for one where both chose the same ids for programs and turns: at the owner that
+// runs them, and at the next one, which reads the records of both.
+func TestAccountsMayUseTheSameTurnIDs(t *testing.T) {
+	for name, takeOver := range map[string]bool{"at once": false, "after a takeover": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFixture(t)
+			o := s.owner("one", stubFinder{})
+			for _, turn := range []string{"t1", "t2"} {
+				previous := map[string]string{"t2": "t1"}[turn]
+				for _, account := range bothAccounts {
+					mustBegin(t, o, beginOf(account, turn, previous, 1000))
+					mustEnd(t, o, endOf(account, turn, previous, account+"-"+turn+" ", 10))
+				}
+			}
+			if takeOver {
+				o = s.owner("two", stubFinder{})
+			}
+			for _, account := range bothAccounts {
+				history := account + "-t1 " + account + "-out\n" + account + "-t2 " + account + "-out\n"
+				is.Equal(string(mustBegin(t, o, beginOf(account, "t3", "t2", 1000)).History), history)
+				found, err := o.Find(t.Context(), &turnv1.FindRequest{Account: account, Turn: "t2"})
+				is.NoErr(err)
+				is.Equal(string(found.History), history)
+			}
+		})
+	}
+}
+
+// Guards against a turn that is acknowledged and not recorded since another account has one of the same id.
+func TestTurnIsRecordedThoughAnotherAccountHasOneOfItsID(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	o := s.owner("one", stubFinder{})
+	for _, account := range bothAccounts {
+		b, e := beginOf(account, "t1", "", 1000), endOf(account, "t1", "", account+" ", 10)
+		b.Program, e.Program = "of "+account, "of "+account
+		mustBegin(t, o, b)
+		mustEnd(t, o, e)
+	}
+	next := s.owner("two", stubFinder{})
+	for _, account := range bothAccounts {
+		found, err := next.Find(t.Context(), &turnv1.FindRequest{Account: account, Turn: "t1"})
+		is.NoErr(err)
+		is.Equal(string(found.History), account+" "+account+"-out\n")
+	}
+}
+
 // Guards against the sessions of two accounts with the same ids being taken for one.
 func TestSessionsOfAccountsAreApart(t *testing.T) {
 	is := is.New(t)
--- a/internal/turnlog/owner.go
+++ b/internal/turnlog/owner.go
@@ -297,7 +297,7 @@
 			p.mu.Unlock()
 			continue
 		}
-		t := p.state.wholeTurn(r.Turn)
+		t := p.state.wholeTurn(turnKey{r.Account, r.Turn})
 		p.mu.Unlock()
 		if t == nil {
 			if !r.Confirm || p.isCurrentOwner(ctx) {
@@ -305,10 +305,6 @@
 			}
 			continue
 		}
-		if t.program.account != r.Account {
-			resp.Partitions = append(resp.Partitions, int32(p.number))
-			continue
-		}
 		return &turnv1.FindResponse{Outcome: turnv1.Outcome_OUTCOME_OK, History: t.history(), Backend: t.backend}, nil
 	}
 	return resp, nil
@@ -342,7 +338,7 @@
 		}
 		return outcomeOf(p.submit(ctx, &turnv1.Record{Change: &turnv1.Record_Granted{Granted: ahead}}))
 	}
-	if p.state.turns[r.Turn] != nil {
+	if p.state.turns[turnKey{r.Account, r.Turn}] != nil {
 		p.mu.Unlock()
 		return turnv1.Outcome_OUTCOME_OK
 	}
@@ -364,7 +360,7 @@
 func (o *Owner) completedRecord(p *partition, r *turnv1.EndRequest) *turnv1.Record {
 	inherited := r.Inherited
 	if len(inherited) == 0 {
-		inherited = p.state.historyToInline(r.Previous, o.now())
+		inherited = p.state.historyToInline(turnKey{r.Account, r.Previous}, o.now())
 	}
 	next := p.state.nextGrant(keyOf(r), r.Turn, r.Tokens, r.Most)
 	return &turnv1.Record{Change: &turnv1.Record_Completed{Completed: &turnv1.Completed{
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -10,7 +10,7 @@
 // safe for concurrent use and takes the time from its callers.
 type state struct {
 	programs map[programKey]*program
-	turns    map[string]*turn
+	turns    map[turnKey]*turn
 	// inlineAfter is the age of a turn's oldest record from which the next turn's record contains the whole history, so
 	// that no history depends on records that are about to expire.
 	inlineAfter time.Duration
@@ -22,8 +22,11 @@
 	bytes int64
 }
 
-// programKey names a program. Clients choose the ids of programs, so they are unique within an account only.
-type programKey struct{ account, id string }
+// programKey and turnKey name a program and a turn. Clients choose their ids, which are unique within an account only.
+type (
+	programKey struct{ account, id string }
+	turnKey    struct{ account, id string }
+)
 
 // keyOf returns the program of a message or a record.
 func keyOf(m interface {
@@ -47,7 +50,7 @@
 	// handedOver holds the reservations of the turns in progress when an owner released the partition, if nothing was recorded
 	// since.
 	handedOver map[string]int64
-	turns      []string
+	turns      []turnKey
 	// sessions holds the backend server of the last turn of each session, lastBackend that of the last turn of any. They are
 	// kept in memory only: without them a prompt is read again.
 	sessions    map[string]string
@@ -79,7 +82,7 @@
 }
 
 func newState(inlineAfter time.Duration) *state {
-	return &state{programs: map[programKey]*program{}, turns: map[string]*turn{}, inlineAfter: inlineAfter}
+	return &state{programs: map[programKey]*program{}, turns: map[turnKey]*turn{}, inlineAfter: inlineAfter}
 }
 
 // apply applies a durable record.
@@ -106,7 +109,8 @@
 	p.setTotals(c.Granted, c.Charged, c.Forgiven)
 	p.handedOver = nil
 	p.recordUse(c.AtUnixMs, c.KeepMs)
-	if s.turns[c.Turn] != nil {
+	k := turnKey{c.Account, c.Turn}
+	if s.turns[k] != nil {
 		return
 	}
 	t := &turn{
@@ -114,20 +118,20 @@
 		oldest: time.UnixMilli(c.AtUnixMs),
 	}
 	if c.Previous != "" && len(c.Inherited) == 0 {
-		t.parent = s.wholeTurn(c.Previous)
+		t.parent = s.wholeTurn(turnKey{c.Account, c.Previous})
 		t.incomplete = t.parent == nil
 		if t.parent != nil && t.parent.oldest.Before(t.oldest) {
 			t.oldest = t.parent.oldest
 		}
 	}
-	s.turns[c.Turn] = t
+	s.turns[k] = t
 	s.bytes += t.size()
-	p.turns = append(p.turns, c.Turn)
+	p.turns = append(p.turns, k)
 }
 
 // wholeTurn returns a turn that can be continued, or nil: its record and those of the turns before it are known.
-func (s *state) wholeTurn(id string) *turn {
-	if t := s.turns[id]; t != nil && !t.incomplete {
+func (s *state) wholeTurn(k turnKey) *turn {
+	if t := s.turns[k]; t != nil && !t.incomplete {
 		return t
 	}
 	return nil
@@ -139,7 +143,7 @@
 	if r.Previous == "" || len(r.Inherited) > 0 {
 		return false
 	}
-	previous := s.wholeTurn(r.Previous)
+	previous := s.wholeTurn(turnKey{r.Account, r.Previous})
 	return previous == nil || previous.program != keyOf(r)
 }
 
@@ -274,15 +278,9 @@
 	p := s.program(keyOf(r))
 	a := admission{outcome: turnv1.Outcome_OUTCOME_OK}
 	if r.Previous != "" {
-		a.previous = s.wholeTurn(r.Previous)
-		switch {
-		case a.previous == nil:
-			a.previousElsewhere = true
-		case a.previous.program.account != r.Account:
-			return admission{outcome: turnv1.Outcome_OUTCOME_NO_SUCH_TURN}
-		default:
-			a.foreign = a.previous.program != keyOf(r)
-		}
+		a.previous = s.wholeTurn(turnKey{r.Account, r.Previous})
+		a.previousElsewhere = a.previous == nil
+		a.foreign = a.previous != nil && a.previous.program != keyOf(r)
 	}
 	if _, reserved := p.reserved[r.Turn]; !reserved && r.Budget >= 0 && p.charged()+r.Most > r.Budget {
 		a.outcome = turnv1.Outcome_OUTCOME_BUDGET_SPENT
@@ -429,7 +427,7 @@
 
 // historyToInline returns the history to include in the record of a turn that continues from previous, or nil if the
 // records that contain it are recent enough.
-func (s *state) historyToInline(previous string, now time.Time) []byte {
+func (s *state) historyToInline(previous turnKey, now time.Time) []byte {
 	t := s.wholeTurn(previous)
 	if t == nil || now.Sub(t.oldest) < s.inlineAfter {
 		return nil
@@ -453,11 +451,11 @@
 }
 
 func (s *state) removeTurns(p *program) {
-	for _, id := range p.turns {
-		if t := s.turns[id]; t != nil {
+	for _, k := range p.turns {
+		if t := s.turns[k]; t != nil {
 			s.bytes -= t.size()
 		}
-		delete(s.turns, id)
+		delete(s.turns, k)
 	}
 	p.turns = nil
 }
--- a/internal/turnlog/state_test.go
+++ b/internal/turnlog/state_test.go
@@ -109,14 +109,14 @@
 	s := newState(time.Minute)
 	start := time.Now()
 	s.complete(&turnv1.Completed{Program: "p", Turn: "t1", Input: []byte("a"), Output: []byte("b"), AtUnixMs: start.UnixMilli()})
-	is.Equal(s.historyToInline("t1", start.Add(30*time.Second)), nil)
-	is.Equal(string(s.historyToInline("t1", start.Add(2*time.Minute))), "ab")
+	is.Equal(s.historyToInline(turnKey{id: "t1"}, start.Add(30*time.Second)), nil)
+	is.Equal(string(s.historyToInline(turnKey{id: "t1"}, start.Add(2*time.Minute))), "ab")
 	s.complete(&turnv1.Completed{
 		Program: "p", Turn: "t2", Previous: "t1", Inherited: []byte("ab"), Input: []byte("c"),
 		AtUnixMs: start.Add(2 * time.Minute).UnixMilli(),
 	})
-	is.Equal(string(s.turns["t2"].history()), "abc")
-	is.Equal(s.historyToInline("t2", start.Add(150*time.Second)), nil)
+	is.Equal(string(s.turns[turnKey{id: "t2"}].history()), "abc")
+	is.Equal(s.historyToInline(turnKey{id: "t2"}, start.Add(150*time.Second)), nil)
 }
 
 func TestProgramsExpireAfterTheirRetentionTime(t *testing.T) {
