--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -31,12 +31,19 @@
 }
 
 func newFixture(t *testing.T) *fixture {
+	f, stop := openFixture(t)
+	t.Cleanup(stop)
+	return f
+}
+
+// openFixture is newFixture for a caller that stops the store itself.
+func openFixture(t *testing.T) (f *fixture, stop func()) {
 	s := metastore.New(1)
 	s.MaxRecordBytes, s.MaxAppendBytes = maxRecordBytes, maxAppendBytes
 	srv := httptest.NewServer(s)
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(func() { cancel(); srv.CloseClientConnections(); srv.Close() })
-	return &fixture{t: t, store: s, url: strings.TrimPrefix(srv.URL, "http://"), ctx: ctx}
+	f = &fixture{t: t, store: s, url: strings.TrimPrefix(srv.URL, "http://"), ctx: ctx}
+	return f, func() { cancel(); srv.CloseClientConnections(); srv.Close() }
 }
 
 // stubFinder simulates a deployment without other owners: every partition is covered only if the caller covers it.
--- a/internal/turnlog/state.go
+++ b/internal/turnlog/state.go
@@ -314,19 +314,19 @@
 	p.use(now, r.KeepMs)
 }
 
-// settle replaces the reservation of a turn that has ended by the tokens that it generated.
+// settle replaces the reservation of a turn that has ended by the tokens that it generated. Its program is kept from now on.
 func (s *state) settle(k programKey, turnID string, tokens int64, now time.Time) {
 	p := s.programs[k]
 	if p == nil {
 		return
 	}
-	p.lastUse = later(p.lastUse, now)
 	if _, ok := p.reserved[turnID]; !ok {
 		// The reservation was made at an earlier owner, and recoverCharges has charged it.
 		return
 	}
 	delete(p.reserved, turnID)
 	p.spent += tokens
+	p.lastUse = later(p.lastUse, now)
 }
 
 // maxSessions bounds the sessions of one program whose backend servers are remembered.
--- a/internal/turnlog/use_test.go
+++ b/internal/turnlog/use_test.go
@@ -147,3 +147,14 @@
 	s.expire(start.Add(91*time.Second), 0)
 	is.Equal(len(s.programs), 0)
 }
+
+// Guards against a program that is kept in memory for as long as refused turns go on to be reported.
+func TestTurnThatNeverBeganIsNoUseOfItsProgram(t *testing.T) {
+	is := is.New(t)
+	s := newState(time.Hour)
+	start := time.Now()
+	s.complete(&turnv1.Completed{Program: "p", Turn: "t1", KeepMs: 60_000, AtUnixMs: start.UnixMilli()})
+	s.settle(programKey{id: "p"}, "refused", 0, start.Add(59*time.Second))
+	s.expire(start.Add(61*time.Second), 0)
+	is.Equal(len(s.turns)+len(s.programs), 0)
+}
