turnlog: histories that are sent again in fragments, and a closer look at drawn charges

TestHistoryThatIsSentAgainMayNeedFragments: an owner without any record asks for a history of twice the store's record limit; the owner after it has it whole.

TestChainsStayWholeOverPausesAndTakeovers now also compares what owners charge with what turns may have generated, less one turn.

--- a/internal/turnlog/chain_property_test.go
+++ b/internal/turnlog/chain_property_test.go
@@ -13,7 +13,7 @@
 
 const (
 	chainKeep   = 60 * time.Second
-	chainBudget = 200
+	chainBudget = 400
 	chainMost   = 100
 )
 
@@ -113,6 +113,10 @@
 	if k := turn.program; c.runningOf(k) == 0 && now.Sub(c.lastUse[k]) > chainKeep {
 		c.generated[k] = 0
 	}
+	// An owner that follows a lost one may forgive the tokens of one turn.
+	if due := c.generated[turn.program] + c.runningOf(turn.program)*chainMost; resp.Charged < due {
+		t.Fatalf("turn %s of %v: %d tokens are charged, where the turns before it may have generated %d", turn.id, turn.program, resp.Charged, due)
+	}
 	c.begun[turn.program] = true
 	turn.foreign = resp.Foreign
 	c.running = append(c.running, turn)
--- a/internal/turnlog/chain_test.go
+++ b/internal/turnlog/chain_test.go
@@ -1,6 +1,7 @@
 package turnlog
 
 import (
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -148,3 +149,19 @@
 		is.Equal(a.previousElsewhere, !continued)
 	}
 }
+
+// Guards against a history that is lost since it is sent again in a record that exceeds the store's limit.
+func TestHistoryThatIsSentAgainMayNeedFragments(t *testing.T) {
+	is := is.New(t)
+	s := newFixture(t)
+	one := s.owner("one", stubFinder{})
+	input := strings.Repeat("a long input ", 2*maxRecordBytes/13)
+	mustBegin(t, one, begin("t1", "", 1000, 100))
+	mustEnd(t, one, end("t1", "", input, "out1\n", 10))
+	mustBegin(t, one, begin("t2", "t1", 1000, 100))
+	s.store.Trim(Topic, 0, int64(len(s.store.Records(Topic, 0))))
+	two := s.owner("two", stubFinder{})
+	mustEndWith(t, two, end("t2", "t1", "in2", "out2\n", 10), input+"out1\n")
+	three := s.owner("three", stubFinder{})
+	is.True(string(mustBegin(t, three, begin("t3", "t2", 1000, 100)).History) == input+"out1\nin2out2\n")
+}
