--- a/internal/turnlog/chain_test.go
+++ b/internal/turnlog/chain_test.go
@@ -7,10 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/prometheus/client_golang/prometheus"
 
 	turnv1 "github.com/berylpond/berylpond/api/turn/v1"
-	"github.com/berylpond/berylpond/platform"
 )
 
 // clock is a clock that tests move on.
@@ -19,19 +17,9 @@
 func (c *clock) now() time.Time            { return time.Now().Add(time.Duration(c.ahead.Load())) }
 func (c *clock) moveTo(from time.Duration) { c.ahead.Store(int64(from)) }
 
-// ownerAt is like owner, with a clock of the test.
+// ownerAt is like owner, with a clock of the test and no other owners.
 func (s *fixture) ownerAt(name string, c *clock) *Owner {
-	o := NewOwner(s.ctx, platform.NewStore(platform.NewHTTPTransport(s.url, nil)),
-		platform.StoreSettings{Partitions: 1, MaxRecordBytes: maxRecordBytes, MaxAppendBytes: maxAppendBytes}, name, stubFinder{},
-		NewMetrics(prometheus.NewRegistry()))
-	o.now = c.now
-	o.Assign([]int{0})
-	for deadline := time.Now().Add(5 * time.Second); !owns(o); time.Sleep(time.Millisecond) {
-		if time.Now().After(deadline) {
-			s.t.Fatalf("owner %s did not acquire its partition", name)
-		}
-	}
-	return o
+	return s.startOwner(name, stubFinder{}, c.now)
 }
 
 // mustEndWith ends a turn as the instance that ran it does: it adds the history before the turn if the owner asks for it.
--- a/internal/turnlog/owner_test.go
+++ b/internal/turnlog/owner_test.go
@@ -57,10 +57,14 @@
 	return &turnv1.FindResponse{Outcome: turnv1.Outcome_OUTCOME_NO_SUCH_TURN}, f.err
 }
 
-func (s *fixture) owner(name string, f Finder) *Owner {
+func (s *fixture) owner(name string, f Finder) *Owner { return s.startOwner(name, f, time.Now) }
+
+// startOwner starts an owner and waits until it has acquired the partition.
+func (s *fixture) startOwner(name string, f Finder, now func() time.Time) *Owner {
 	o := NewOwner(s.ctx, platform.NewStore(platform.NewHTTPTransport(s.url, nil)),
 		platform.StoreSettings{Partitions: 1, MaxRecordBytes: maxRecordBytes, MaxAppendBytes: maxAppendBytes}, name, f,
 		NewMetrics(prometheus.NewRegistry()))
+	o.now = now
 	o.Assign([]int{0})
 	for deadline := time.Now().Add(5 * time.Second); !owns(o); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
